--- /dev/null
+++ b/src/bin/hemlock-demo.rs
@@ -0,0 +1,3 @@
+//! hemlock-demo.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/hemlock-entry.rs
@@ -0,0 +1,3 @@
+//! hemlock-entry.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/hemlock-load.rs
@@ -0,0 +1,3 @@
+//! hemlock-load.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/hemlock-placer.rs
@@ -0,0 +1,3 @@
+//! hemlock-placer.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/hemlock-standin.rs
@@ -0,0 +1,3 @@
+//! hemlock-standin.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/hemlockctl.rs
@@ -0,0 +1,3 @@
+//! hemlockctl.
+
+fn main() {}
--- /dev/null
+++ b/src/configs/mod.rs
@@ -0,0 +1,4 @@
+//! Settings, one struct per feature, each with its defaults.
+
+pub mod http;
+pub mod log;
--- /dev/null
+++ b/src/findings.rs
@@ -0,0 +1,99 @@
+//! Findings: what is wrong in an input, each with its place, reported together.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// A place in an input file; lines and columns count from 1, 0 means unknown.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Place {
+    /// Line, from 1.
+    pub line: u32,
+    /// Column, from 1.
+    pub column: u32,
+}
+
+/// One thing that is wrong in an input.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finding {
+    /// Name of the file or interface that the input came from.
+    pub file: String,
+    /// Where in the input.
+    pub place: Place,
+    /// Path of the field, such as `store.address`.
+    pub path: String,
+    /// What is wrong and what was expected.
+    pub message: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Place { line, column } = self.place;
+        write!(formatter, "{}:{line}:{column}: {}: {}", self.file, self.path, self.message)
+    }
+}
+
+/// All findings of one check, in the order in which they were met.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Findings {
+    /// The findings.
+    pub items: Vec<Finding>,
+}
+
+impl Findings {
+    /// An empty list.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds one finding.
+    ///
+    /// ```
+    /// use hemlockrock::findings;
+    ///
+    /// let mut found = findings::Findings::new();
+    /// found.push("entry.yaml", findings::Place { line: 3, column: 5 }, "zone", "must not be empty");
+    /// assert_eq!(found.to_string(), "entry.yaml:3:5: zone: must not be empty");
+    /// ```
+    pub fn push(
+        &mut self,
+        file: impl Into<String>,
+        place: Place,
+        path: impl Into<String>,
+        message: impl Into<String>,
+    ) {
+        self.items.push(Finding {
+            file: file.into(),
+            place,
+            path: path.into(),
+            message: message.into(),
+        });
+    }
+
+    /// Whether nothing was found.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Returns `value` when nothing was found, else the findings as an error.
+    pub fn into_result<T>(self, value: T) -> Result<T, Self> {
+        if self.is_empty() {
+            return Ok(value);
+        }
+        Err(self)
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, item) in self.items.iter().enumerate() {
+            if index > 0 {
+                writeln!(formatter)?;
+            }
+            write!(formatter, "{item}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,409 @@
+//! Reads YAML settings and reports every finding with its place before anything starts.
+//!
+//! A settings struct describes itself: its `Default` gives the known keys and
+//! the kind of each value. A file is compared with that shape first, so that
+//! all unknown keys and wrong types are reported together; value rules follow
+//! through [`Validate`].
+
+use std::path::Path;
+
+use saphyr::{LoadableYamlNode, MarkedYamlOwned, ScalarOwned, YamlDataOwned};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use crate::collections;
+use crate::findings::{Findings, Place};
+
+/// Largest settings file that is read, in bytes.
+const SETTINGS_LIMIT_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Deepest nesting that is followed.
+const DEPTH_LIMIT: usize = 32;
+
+/// Rules on values beyond their kind, such as ranges and fields that belong together.
+pub trait Validate {
+    /// Reports each broken rule to `report` under the path of its field.
+    fn validate(&self, report: &mut Report<'_>);
+}
+
+/// Collects the findings of value rules and looks up their places in the file.
+#[derive(Debug)]
+pub struct Report<'a> {
+    file: &'a str,
+    places: &'a collections::HashMap<String, Place>,
+    prefix: String,
+    findings: &'a mut Findings,
+}
+
+impl Report<'_> {
+    /// Reports that the field at `path` breaks a rule.
+    pub fn push(&mut self, path: &str, message: impl Into<String>) {
+        let path = join(&self.prefix, path);
+        let place = nearest_place(self.places, &path);
+        self.findings.push(self.file, place, path, message);
+    }
+
+    /// Reports `message` unless `holds`.
+    pub fn require(&mut self, holds: bool, path: &str, message: &str) {
+        if !holds {
+            self.push(path, message);
+        }
+    }
+
+    /// Validates a part of the settings under its own path.
+    pub fn nested(&mut self, path: &str, part: &impl Validate) {
+        let prefix = join(&self.prefix, path);
+        let mut report =
+            Report { file: self.file, places: self.places, prefix, findings: &mut *self.findings };
+        part.validate(&mut report);
+    }
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// All findings together: an unreadable or over-long file, broken YAML,
+/// unknown keys, wrong types and broken rules.
+pub fn load<T>(path: &Path) -> Result<T, Findings>
+where
+    T: DeserializeOwned + Serialize + Default + Validate,
+{
+    let file = path.display().to_string();
+    let text = read_limited(path).map_err(|message| one_finding(&file, "", message))?;
+    parse(&file, &text)
+}
+
+/// Parses and checks settings text; `file` names it in findings.
+///
+/// # Errors
+/// All findings together, as [`load`].
+///
+/// ```
+/// use hemlockrock::{configs, settings};
+///
+/// let found = settings::parse::<configs::log::LogConfig>("log.yaml", "levle: info\nformat: 3\n");
+/// assert_eq!(found.unwrap_err().items.len(), 2);
+/// ```
+pub fn parse<T>(file: &str, text: &str) -> Result<T, Findings>
+where
+    T: DeserializeOwned + Serialize + Default + Validate,
+{
+    let document = parse_document(file, text)?;
+    let defaults = serde_json::to_value(T::default())
+        .map_err(|error| one_finding(file, "", error.to_string()))?;
+    let mut findings = Findings::new();
+    check_shape(&document, &defaults, file, &mut findings);
+    if !findings.is_empty() {
+        return Err(findings);
+    }
+    let settings: T = typed(&document, &defaults, file)?;
+    let mut report =
+        Report { file, places: &document.places, prefix: String::new(), findings: &mut findings };
+    settings.validate(&mut report);
+    findings.into_result(settings)
+}
+
+/// A parsed YAML document with the place of every path.
+#[derive(Debug, Default)]
+pub struct Document {
+    /// The values.
+    pub value: Value,
+    /// Place of each path, such as `workers[3].zone`.
+    pub places: collections::HashMap<String, Place>,
+}
+
+impl Document {
+    /// Place of `path`, or of its nearest parent that the file has.
+    pub fn place(&self, path: &str) -> Place {
+        nearest_place(&self.places, path)
+    }
+}
+
+/// Parses YAML text into values and places, without a shape.
+///
+/// # Errors
+/// Broken YAML, repeated keys, tags, aliases and nesting past the limit, each with its place.
+pub fn parse_document(file: &str, text: &str) -> Result<Document, Findings> {
+    let nodes = MarkedYamlOwned::load_from_str(text).map_err(|error| {
+        let place = place_of(error.marker().line(), error.marker().col());
+        let mut findings = Findings::new();
+        findings.push(file, place, "", format!("not valid YAML: {}", error.info()));
+        findings
+    })?;
+    let mut document = Document { value: Value::Object(Map::new()), ..Document::default() };
+    let mut findings = Findings::new();
+    match nodes.as_slice() {
+        [] => {}
+        [node] => {
+            let mut reader = Reader { file, document: &mut document, findings: &mut findings };
+            let value = reader.read(node, "", 0);
+            document.value = if value.is_null() { Value::Object(Map::new()) } else { value };
+        }
+        _ => findings.push(file, Place::default(), "", "expected one YAML document"),
+    }
+    findings.into_result(document)
+}
+
+/// Converts YAML nodes to values and notes the place of each.
+struct Reader<'a> {
+    file: &'a str,
+    document: &'a mut Document,
+    findings: &'a mut Findings,
+}
+
+impl Reader<'_> {
+    fn read(&mut self, node: &MarkedYamlOwned, path: &str, depth: usize) -> Value {
+        let place = place_of(node.span.start.line(), node.span.start.col());
+        self.document.places.insert(path.to_owned(), place);
+        if depth > DEPTH_LIMIT {
+            self.findings.push(self.file, place, path, "nested too deeply");
+            return Value::Null;
+        }
+        match &node.data {
+            YamlDataOwned::Value(scalar) => self.scalar(scalar, place, path),
+            YamlDataOwned::Sequence(items) => self.sequence(items, path, depth),
+            YamlDataOwned::Mapping(entries) => {
+                let mut map = Map::new();
+                for (key, item) in entries {
+                    self.entry(&mut map, key, item, path, depth);
+                }
+                Value::Object(map)
+            }
+            _ => {
+                self.findings.push(self.file, place, path, "tags and aliases are not supported");
+                Value::Null
+            }
+        }
+    }
+
+    fn scalar(&mut self, scalar: &ScalarOwned, place: Place, path: &str) -> Value {
+        match scalar {
+            ScalarOwned::Null => Value::Null,
+            ScalarOwned::Boolean(flag) => Value::Bool(*flag),
+            ScalarOwned::Integer(number) => Value::from(*number),
+            ScalarOwned::String(text) => Value::String(text.clone()),
+            ScalarOwned::FloatingPoint(number) => {
+                let finite = serde_json::Number::from_f64(number.into_inner());
+                if finite.is_none() {
+                    self.findings.push(self.file, place, path, "expected a finite number");
+                }
+                finite.map_or(Value::Null, Value::Number)
+            }
+        }
+    }
+
+    fn sequence(&mut self, items: &[MarkedYamlOwned], path: &str, depth: usize) -> Value {
+        let values = items
+            .iter()
+            .enumerate()
+            .map(|(index, item)| self.read(item, &format!("{path}[{index}]"), depth + 1))
+            .collect();
+        Value::Array(values)
+    }
+
+    fn entry(
+        &mut self,
+        map: &mut Map<String, Value>,
+        key: &MarkedYamlOwned,
+        item: &MarkedYamlOwned,
+        path: &str,
+        depth: usize,
+    ) {
+        let place = place_of(key.span.start.line(), key.span.start.col());
+        let YamlDataOwned::Value(scalar) = &key.data else {
+            self.findings.push(self.file, place, path, "expected a plain key");
+            return;
+        };
+        let name = match self.scalar(scalar, place, path) {
+            Value::String(name) => name,
+            other => other.to_string(),
+        };
+        let path = join(path, &name);
+        let value = self.read(item, &path, depth + 1);
+        self.document.places.insert(path.clone(), place);
+        if map.insert(name, value).is_some() {
+            self.findings.push(self.file, place, path, "the key is repeated");
+        }
+    }
+}
+
+/// Reports unknown keys and values of another kind than in `defaults`.
+fn check_shape(document: &Document, defaults: &Value, file: &str, findings: &mut Findings) {
+    let mut walk = ShapeWalk { document, file, findings };
+    walk.check(&document.value, defaults, "");
+}
+
+struct ShapeWalk<'a> {
+    document: &'a Document,
+    file: &'a str,
+    findings: &'a mut Findings,
+}
+
+impl ShapeWalk<'_> {
+    fn check(&mut self, value: &Value, expected: &Value, path: &str) {
+        match (value, expected) {
+            (_, Value::Null) => {}
+            (Value::Object(map), Value::Object(known)) => self.check_keys(map, known, path),
+            (Value::Array(items), Value::Array(samples)) => {
+                let Some(sample) = samples.first() else { return };
+                for (index, item) in items.iter().enumerate() {
+                    self.check(item, sample, &format!("{path}[{index}]"));
+                }
+            }
+            (value, expected) if same_kind(value, expected) => {}
+            (value, expected) => {
+                let message = format!("expected {}, found {}", kind(expected), kind(value));
+                self.push(path, message);
+            }
+        }
+    }
+
+    fn check_keys(&mut self, map: &Map<String, Value>, known: &Map<String, Value>, path: &str) {
+        for (name, value) in map {
+            let child = join(path, name);
+            match known.get(name) {
+                Some(expected) => self.check(value, expected, &child),
+                None => {
+                    let names: Vec<&str> = known.keys().map(String::as_str).collect();
+                    self.push(
+                        &child,
+                        format!("unknown key, expected one of: {}", names.join(", ")),
+                    );
+                }
+            }
+        }
+    }
+
+    fn push(&mut self, path: &str, message: String) {
+        self.findings.push(self.file, self.document.place(path), path, message);
+    }
+}
+
+/// Deserialises, one field at a time where the whole fails, so that each failure has its path.
+fn typed<T: DeserializeOwned>(
+    document: &Document,
+    defaults: &Value,
+    file: &str,
+) -> Result<T, Findings> {
+    let mut merged = defaults.clone();
+    merge(&mut merged, &document.value);
+    let error = match serde_json::from_value(merged) {
+        Ok(settings) => return Ok(settings),
+        Err(error) => error,
+    };
+    let mut findings = Findings::new();
+    for path in leaf_paths(&document.value, "") {
+        let mut only = defaults.clone();
+        let mut single = defaults.clone();
+        merge(&mut single, &pick(&document.value, &path));
+        merge(&mut only, &single);
+        if let Err(error) = serde_json::from_value::<T>(only) {
+            findings.push(file, document.place(&path), path.clone(), error.to_string());
+        }
+    }
+    if findings.is_empty() {
+        findings.push(file, Place::default(), "", error.to_string());
+    }
+    Err(findings)
+}
+
+/// Paths of the values that stand directly in maps; a list counts as one value.
+fn leaf_paths(value: &Value, path: &str) -> Vec<String> {
+    match value {
+        Value::Object(map) => {
+            map.iter().flat_map(|(name, item)| leaf_paths(item, &join(path, name))).collect()
+        }
+        _ => vec![path.to_owned()],
+    }
+}
+
+/// The value at `path`, within maps that hold nothing else.
+fn pick(value: &Value, path: &str) -> Value {
+    let Some((name, rest)) = path.split_once('.').or(Some((path, ""))) else {
+        return value.clone();
+    };
+    let Some(item) = value.get(name) else { return Value::Object(Map::new()) };
+    let inner = if rest.is_empty() { item.clone() } else { pick(item, rest) };
+    let mut map = Map::new();
+    map.insert(name.to_owned(), inner);
+    Value::Object(map)
+}
+
+/// Lays `over` upon `base`; maps are merged, all else is replaced.
+fn merge(base: &mut Value, over: &Value) {
+    match (base, over) {
+        (Value::Object(base), Value::Object(over)) => {
+            for (name, value) in over {
+                merge(base.entry(name.clone()).or_insert(Value::Null), value);
+            }
+        }
+        (base, over) => *base = over.clone(),
+    }
+}
+
+fn same_kind(value: &Value, expected: &Value) -> bool {
+    match (value, expected) {
+        (Value::Number(value), Value::Number(expected)) => expected.is_f64() || !value.is_f64(),
+        _ => std::mem::discriminant(value) == std::mem::discriminant(expected),
+    }
+}
+
+fn kind(value: &Value) -> &'static str {
+    match value {
+        Value::Null => "nothing",
+        Value::Bool(_) => "true or false",
+        Value::Number(number) if number.is_f64() => "a number",
+        Value::Number(_) => "a whole number",
+        Value::String(_) => "text",
+        Value::Array(_) => "a list",
+        Value::Object(_) => "a map",
+    }
+}
+
+fn join(prefix: &str, name: &str) -> String {
+    match (prefix.is_empty(), name.is_empty()) {
+        (true, _) => name.to_owned(),
+        (_, true) => prefix.to_owned(),
+        _ if name.starts_with('[') => format!("{prefix}{name}"),
+        _ => format!("{prefix}.{name}"),
+    }
+}
+
+fn nearest_place(places: &collections::HashMap<String, Place>, path: &str) -> Place {
+    let mut current = path;
+    loop {
+        if let Some(place) = places.get(current) {
+            return *place;
+        }
+        let Some(end) = current.rfind(['.', '[']) else {
+            return places.get("").copied().unwrap_or_default();
+        };
+        current = &current[..end];
+    }
+}
+
+fn place_of(line: usize, column_from_zero: usize) -> Place {
+    Place {
+        line: u32::try_from(line).unwrap_or(u32::MAX),
+        column: u32::try_from(column_from_zero + 1).unwrap_or(u32::MAX),
+    }
+}
+
+/// Reads a file that must be UTF-8 and within the limit.
+///
+/// # Errors
+/// A message that says why the file cannot be used.
+fn read_limited(path: &Path) -> Result<String, String> {
+    let metadata = std::fs::metadata(path).map_err(|error| format!("cannot be read: {error}"))?;
+    if metadata.len() > SETTINGS_LIMIT_BYTES {
+        return Err(format!("is larger than {SETTINGS_LIMIT_BYTES} bytes"));
+    }
+    std::fs::read_to_string(path).map_err(|error| format!("cannot be read: {error}"))
+}
+
+fn one_finding(file: &str, path: &str, message: impl Into<String>) -> Findings {
+    let mut findings = Findings::new();
+    findings.push(file, Place::default(), path, message);
+    findings
+}
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,57 @@
+//! Logs and metrics of a daemon.
+
+use std::sync::Arc;
+
+use eyre::WrapErr as _;
+use prometheus::{Encoder as _, TextEncoder};
+use spdlog::formatter::{JsonFormatter, PatternFormatter};
+use spdlog::sink::{Sink, StdStreamSink};
+use spdlog::{Level, LevelFilter, Logger};
+use tide::{Response, StatusCode};
+
+use crate::configs::log::LogConfig;
+
+/// Sets up the log of the process on standard error.
+///
+/// # Errors
+/// The log cannot be built.
+pub fn start_log(config: &LogConfig) -> eyre::Result<()> {
+    let sink = log_sink(config)?;
+    let mut builder = Logger::builder();
+    builder.sink(sink).level_filter(LevelFilter::MoreSevereEqual(level(&config.level)));
+    builder.flush_level_filter(LevelFilter::All);
+    let logger = builder.build_arc().wrap_err("log cannot be built")?;
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
+fn log_sink(config: &LogConfig) -> eyre::Result<Arc<dyn Sink>> {
+    let builder = StdStreamSink::builder().stderr();
+    if config.format == "json" {
+        let sink = builder.formatter(JsonFormatter::new()).build_arc();
+        return Ok(sink.wrap_err("log sink cannot be built")?);
+    }
+    let pattern = spdlog::formatter::pattern!("{datetime} {level} {payload} {kv}{eol}");
+    let sink = builder.formatter(PatternFormatter::new(pattern)).build_arc();
+    Ok(sink.wrap_err("log sink cannot be built")?)
+}
+
+fn level(name: &str) -> Level {
+    match name {
+        "error" => Level::Error,
+        "warn" => Level::Warn,
+        "debug" => Level::Debug,
+        "trace" => Level::Trace,
+        _ => Level::Info,
+    }
+}
+
+/// The metrics of `registry` in the text format of prometheus.
+pub fn metrics_response(registry: &prometheus::Registry) -> Response {
+    let mut text = Vec::new();
+    let encoder = TextEncoder::new();
+    if encoder.encode(&registry.gather(), &mut text).is_err() {
+        return Response::new(StatusCode::InternalServerError);
+    }
+    Response::builder(StatusCode::Ok).content_type(encoder.format_type()).body(text).build()
+}
