--- /dev/null
+++ b/src/audit.rs
@@ -0,0 +1,1 @@
+//! The audit trail of configuration changes.
--- a/src/bin/hemlock-standin.rs
+++ b/src/bin/hemlock-standin.rs
@@ -1,3 +1,3 @@
-//! hemlock-standin.
+//! Runs one stand-in of an outside system, for tests.
 
 fn main() {}
--- /dev/null
+++ b/src/configs/ctl.rs
@@ -0,0 +1,1 @@
+//! Settings of the operators' command line.
--- /dev/null
+++ b/src/configs/drain.rs
@@ -0,0 +1,1 @@
+//! Settings of a drain.
--- /dev/null
+++ b/src/configs/placer.rs
@@ -0,0 +1,1 @@
+//! Settings of the placer daemon.
--- /dev/null
+++ b/src/ctl.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/src/demo.rs
@@ -0,0 +1,1 @@
+//! Runs a whole cell in one process and reports what happened.
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,1 @@
+//! The entry daemon: the callers' door.
--- a/src/findings.rs
+++ b/src/findings.rs
@@ -75,11 +75,15 @@
         self.items.is_empty()
     }
 
-    /// Returns `value` when nothing was found, else the findings as an error.
-    pub fn into_result<T>(self, value: T) -> Result<T, Self> {
+    /// Returns `value` when nothing was found, else the findings by place as an error.
+    ///
+    /// # Errors
+    /// The findings, if there are any.
+    pub fn into_result<T>(mut self, value: T) -> Result<T, Self> {
         if self.is_empty() {
             return Ok(value);
         }
+        self.items.sort_by(|left, right| (&left.file, left.place).cmp(&(&right.file, right.place)));
         Err(self)
     }
 }
--- /dev/null
+++ b/src/inventory.rs
@@ -0,0 +1,1 @@
+//! Zones, racks and workers in arenas with small keys.
--- /dev/null
+++ b/src/jobs.rs
@@ -0,0 +1,1 @@
+//! Jobs as callers declare them and as the store records them.
--- /dev/null
+++ b/src/load.rs
@@ -0,0 +1,1 @@
+//! Seeded open-loop load and its reports.
--- /dev/null
+++ b/src/outcome.rs
@@ -0,0 +1,81 @@
+//! What a caller is told about its request.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Header that carries the outcome of a request.
+pub const OUTCOME_HEADER: &str = "Hemlock-Outcome";
+
+/// What is certain about a request when its caller is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outcome {
+    /// An endpoint ran it, and the caller has its whole answer.
+    Done,
+    /// It did not run and never will under this submission.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// The outcome as the header carries it.
+    ///
+    /// ```
+    /// use hemlockrock::outcome::Outcome;
+    ///
+    /// assert_eq!(Outcome::NotRun.as_str(), "not_run");
+    /// assert_eq!(Outcome::parse("not_run"), Some(Outcome::NotRun));
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Reads an outcome from its header.
+    pub fn parse(text: &str) -> Option<Self> {
+        [Self::Done, Self::NotRun, Self::Unknown].into_iter().find(|known| known.as_str() == text)
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.as_str())
+    }
+}
+
+/// Why a request did not run or may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// The queue is full.
+    QueueFull,
+    /// The wait would outlast the deadline.
+    DeadlineTooClose,
+    /// The deadline passed in the queue.
+    Expired,
+    /// The caller cancelled it or went away.
+    Cancelled,
+    /// No endpoint of the service can be reached.
+    NoEndpoint,
+    /// The endpoint declined before it started.
+    Declined,
+    /// The retry budget is used up.
+    NoRetryLeft,
+    /// The key cannot be recorded now.
+    LedgerAway,
+    /// The key was recorded by a holder that did not say how it ended.
+    KeyInDoubt,
+    /// The connection ended or went silent after the request was sent.
+    ConnectionLost,
+    /// The answer ended before its declared length.
+    ShortAnswer,
+    /// The time limit passed after the request was sent.
+    TimedOut,
+    /// This entry host is shutting down.
+    Draining,
+}
--- /dev/null
+++ b/src/place.rs
@@ -0,0 +1,1 @@
+//! Decides where tasks run.
--- /dev/null
+++ b/src/placer.rs
@@ -0,0 +1,1 @@
+//! The placer daemon: one active per zone.
--- /dev/null
+++ b/src/quota.rs
@@ -0,0 +1,1 @@
+//! Shares of the cell that teams may use.
--- /dev/null
+++ b/src/route.rs
@@ -0,0 +1,1 @@
+//! Decides which endpoint gets which request, and when.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -94,9 +94,8 @@
         .map_err(|error| one_finding(file, "", error.to_string()))?;
     let mut findings = Findings::new();
     check_shape(&document, &defaults, file, &mut findings);
-    if !findings.is_empty() {
-        return Err(findings);
-    }
+    findings.into_result(())?;
+    let mut findings = Findings::new();
     let settings: T = typed(&document, &defaults, file)?;
     let mut report =
         Report { file, places: &document.places, prefix: String::new(), findings: &mut findings };
--- /dev/null
+++ b/src/standin.rs
@@ -0,0 +1,3 @@
+//! Small fakes of the outside systems, for tests and the demo.
+
+pub mod store;
--- /dev/null
+++ b/src/standin/store.rs
@@ -0,0 +1,247 @@
+//! A fake of the platform's key-value service, kept in memory.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_std::task;
+use bytes::Bytes;
+
+use crate::clock;
+use crate::collections::HashMap;
+use crate::configs::http::HttpConfig;
+use crate::http::error::ApiError;
+use crate::http::{rpc, server};
+use crate::store::api::{self, Change};
+use crate::store::{Answer, Entry, Expect, LeaseId, Operation, Revision};
+
+/// Changes that are kept for watches.
+const HISTORY_LIMIT: usize = 20_000;
+
+/// Time between looks at lapsed leases and waiting watches, in milliseconds.
+const STEP_MS: u64 = 5;
+
+/// The state of the fake; pure, so that models can drive it.
+#[derive(Debug, Default)]
+pub struct State {
+    revision: Revision,
+    entries: BTreeMap<String, Entry>,
+    leases: HashMap<LeaseId, Lease>,
+    next_lease: u64,
+    history: VecDeque<Change>,
+    compacted: Revision,
+}
+
+#[derive(Debug)]
+struct Lease {
+    ttl_ms: u64,
+    ends_at_ms: u64,
+}
+
+impl State {
+    /// An empty store.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Revision of the last write.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Carries out one operation; a watch is answered with what there is.
+    ///
+    /// ```
+    /// use hemlockrock::standin::store;
+    /// use hemlockrock::store::{Answer, Expect, Operation};
+    ///
+    /// let mut state = store::State::new();
+    /// let put = |expect| Operation::Put { key: "a".into(), value: "1".into(), expect, lease: None };
+    /// assert!(matches!(state.apply(put(Expect::Absent), 0), Answer::Written { .. }));
+    /// assert!(matches!(state.apply(put(Expect::Absent), 0), Answer::Conflict { .. }));
+    /// ```
+    pub fn apply(&mut self, operation: Operation, now_ms: u64) -> Answer {
+        self.expire(now_ms);
+        match operation {
+            Operation::Get { key } => Answer::Entry { entry: self.entries.get(&key).cloned() },
+            Operation::List { prefix } => self.list(&prefix),
+            Operation::Put { key, value, expect, lease } => self.put(key, value, expect, lease),
+            Operation::Delete { key, expect } => self.delete(&key, expect),
+            Operation::Grant { ttl_ms } => self.grant(ttl_ms, now_ms),
+            Operation::Renew { lease } => self.renew(lease, now_ms),
+            Operation::Revoke { lease } => self.revoke(lease),
+            Operation::Watch { prefix, after, .. } => self.changes(&prefix, after),
+        }
+    }
+
+    /// Ends the leases that have lapsed.
+    pub fn expire(&mut self, now_ms: u64) {
+        let lapsed: Vec<LeaseId> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends_at_ms <= now_ms)
+            .map(|(id, _)| *id)
+            .collect();
+        for lease in lapsed {
+            self.revoke(lease);
+        }
+    }
+
+    fn list(&self, prefix: &str) -> Answer {
+        let from = self.entries.range(prefix.to_owned()..);
+        let found = from.take_while(|(key, _)| key.starts_with(prefix));
+        let entries = found.map(|(_, entry)| entry.clone()).collect();
+        Answer::Entries { revision: self.revision, entries }
+    }
+
+    fn put(&mut self, key: String, value: Bytes, expect: Expect, lease: Option<LeaseId>) -> Answer {
+        if value.len() > api::VALUE_LIMIT_BYTES {
+            return Answer::TooLarge;
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Answer::LeaseGone;
+        }
+        let current = self.entries.get(&key);
+        if !holds(expect, current) {
+            return Answer::Conflict { current: current.cloned() };
+        }
+        let revision = Revision(self.revision.0 + 1);
+        let created = current.map_or(revision, |entry| entry.created);
+        let entry = Entry { key: key.clone(), value, created, modified: revision, lease };
+        self.record(key, Some(entry));
+        Answer::Written { revision }
+    }
+
+    fn delete(&mut self, key: &str, expect: Expect) -> Answer {
+        let current = self.entries.get(key);
+        if !holds(expect, current) {
+            return Answer::Conflict { current: current.cloned() };
+        }
+        if current.is_some() {
+            self.record(key.to_owned(), None);
+        }
+        Answer::Written { revision: self.revision }
+    }
+
+    fn grant(&mut self, ttl_ms: u64, now_ms: u64) -> Answer {
+        self.next_lease += 1;
+        let lease = LeaseId(self.next_lease);
+        self.leases.insert(lease, Lease { ttl_ms, ends_at_ms: now_ms + ttl_ms });
+        Answer::Granted { lease }
+    }
+
+    fn renew(&mut self, lease: LeaseId, now_ms: u64) -> Answer {
+        let Some(held) = self.leases.get_mut(&lease) else { return Answer::LeaseGone };
+        held.ends_at_ms = now_ms + held.ttl_ms;
+        Answer::Renewed
+    }
+
+    fn revoke(&mut self, lease: LeaseId) -> Answer {
+        if self.leases.remove(&lease).is_none() {
+            return Answer::LeaseGone;
+        }
+        let held = self.entries.values().filter(|entry| entry.lease == Some(lease));
+        let keys: Vec<String> = held.map(|entry| entry.key.clone()).collect();
+        for key in keys {
+            self.record(key, None);
+        }
+        Answer::Renewed
+    }
+
+    fn changes(&self, prefix: &str, after: Revision) -> Answer {
+        if after < self.compacted {
+            return Answer::Compacted { oldest: self.compacted };
+        }
+        let newer = self.history.iter().rev().take_while(|change| change.revision > after);
+        let mut changes: Vec<Change> =
+            newer.filter(|change| change.key.starts_with(prefix)).cloned().collect();
+        changes.reverse();
+        Answer::Changes { revision: self.revision, changes }
+    }
+
+    fn record(&mut self, key: String, entry: Option<Entry>) {
+        self.revision.0 += 1;
+        match &entry {
+            Some(entry) => self.entries.insert(key.clone(), entry.clone()),
+            None => self.entries.remove(&key),
+        };
+        self.history.push_back(Change { revision: self.revision, key, entry });
+        if self.history.len() > HISTORY_LIMIT {
+            if let Some(oldest) = self.history.pop_front() {
+                self.compacted = oldest.revision;
+            }
+        }
+    }
+}
+
+fn holds(expect: Expect, current: Option<&Entry>) -> bool {
+    match expect {
+        Expect::Any => true,
+        Expect::Absent => current.is_none(),
+        Expect::Modified(revision) => current.is_some_and(|entry| entry.modified == revision),
+    }
+}
+
+/// The fake as a running server.
+#[derive(Clone, Debug)]
+pub struct StoreStandin {
+    state: Arc<Mutex<State>>,
+    server: server::Server,
+}
+
+impl StoreStandin {
+    /// Starts the fake on `address`.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn start(address: &str) -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::new()));
+        let mut app = tide::with_state(Arc::clone(&state));
+        app.at(api::PATH).post(serve);
+        let config = HttpConfig { max_body_bytes: 64 * 1024 * 1024, ..HttpConfig::default() };
+        let server = server::Server::start(address, app, config).await?;
+        Ok(Self { state, server })
+    }
+
+    /// Address of the fake.
+    pub fn address(&self) -> String {
+        self.server.address().to_string()
+    }
+
+    /// The state, for checks.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
+    }
+}
+
+async fn serve(mut request: tide::Request<Arc<Mutex<State>>>) -> tide::Result {
+    let body = request.body_bytes().await?;
+    let operation: Operation = match rpc::decode(&body) {
+        Ok(operation) => operation,
+        Err(error) => {
+            return Ok(ApiError::new(400, "bad_operation", error.to_string()).to_response())
+        }
+    };
+    let state = Arc::clone(request.state());
+    let answer = match operation {
+        Operation::Watch { wait_ms, .. } => watch(&state, operation, wait_ms).await,
+        operation => lock(&state).apply(operation, clock::now_ms()),
+    };
+    Ok(rpc::answer(&answer))
+}
+
+async fn watch(state: &Mutex<State>, operation: Operation, wait_ms: u64) -> Answer {
+    let ends_at_ms = clock::now_ms() + wait_ms;
+    loop {
+        let answer = lock(state).apply(operation.clone(), clock::now_ms());
+        let is_empty = matches!(&answer, Answer::Changes { changes, .. } if changes.is_empty());
+        if !is_empty || clock::now_ms() >= ends_at_ms {
+            return answer;
+        }
+        task::sleep(Duration::from_millis(STEP_MS)).await;
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
