--- /dev/null
+++ b/src/standin/hosts.rs
@@ -0,0 +1,1 @@
+//! A fake of the platform's lagging list of live and leaving hosts.
--- /dev/null
+++ b/src/standin/runner.rs
@@ -0,0 +1,1 @@
+//! A fake endpoint (runner) that keeps its own record of what it ran.
--- /dev/null
+++ b/src/standin/worker.rs
@@ -0,0 +1,1 @@
+//! A fake of the platform's agent on workers.
