--- a/src/standin/proxy.rs
+++ b/src/standin/proxy.rs
@@ -139,6 +139,8 @@
 struct Shared {
     target: Mutex<String>,
     fault: Mutex<(Fault, u64)>,
+    /// Silent faults that have been in force, each with the number of its change.
+    silences: Mutex<Vec<(Fault, u64)>>,
     connections: AtomicU64,
     closed_by_fault: AtomicU64,
     answers_lost: AtomicU64,
@@ -179,6 +181,7 @@
         let shared = Arc::new(Shared {
             target: Mutex::new(target.into()),
             fault: Mutex::new((Fault::default(), 0)),
+            silences: Mutex::default(),
             connections: AtomicU64::new(0),
             closed_by_fault: AtomicU64::new(0),
             answers_lost: AtomicU64::new(0),
@@ -198,6 +201,10 @@
     pub fn set_fault(&self, fault: Fault) {
         let mut held = self.shared.fault.lock().unwrap_or_else(PoisonError::into_inner);
         *held = (fault, held.1 + 1);
+        if fault.kind == Kind::Silent {
+            let mut silences = self.shared.silences.lock().unwrap_or_else(PoisonError::into_inner);
+            silences.push(*held);
+        }
     }
 
     /// Sends new connections to another target.
@@ -246,13 +253,15 @@
 
     /// Decides about a chunk, or about an idle connection when there is none.
     fn verdict(&self, link: Link, direction: Direction) -> Verdict {
-        let (fault, change) = self.fault();
+        if self.is_silenced(link) {
+            return Verdict::Swallow;
+        }
+        let (fault, _) = self.fault();
         let struck = fault.strikes(link.number);
         match fault.kind {
             Kind::Delay if struck => Verdict::PassAfter(Duration::from_millis(fault.delay_ms)),
             Kind::Drop if struck => Verdict::Swallow,
             Kind::Cut if struck => Verdict::Close,
-            Kind::Silent if struck && link.opened_at_change < change => Verdict::Swallow,
             Kind::HalfOpen if struck && direction == Direction::Answer => Verdict::Swallow,
             Kind::LostAnswer if direction == Direction::Answer => {
                 let number = self.answers.fetch_add(1, Ordering::Relaxed);
@@ -267,6 +276,13 @@
         }
     }
 
+    /// Whether a silent fault has struck the connection; this never ends.
+    fn is_silenced(&self, link: Link) -> bool {
+        let silences = self.silences.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut later = silences.iter().filter(|(_, change)| link.opened_at_change < *change);
+        later.any(|(fault, _)| fault.strikes(link.number))
+    }
+
     fn bytes_per_s(&self, link: Link) -> Option<u64> {
         let (fault, _) = self.fault();
         let is_slow = fault.kind == Kind::Slow && fault.strikes(link.number);
@@ -334,18 +350,15 @@
     shared: &Shared,
 ) -> Ended {
     let mut chunk = vec![0_u8; CHUNK_BYTES];
-    let mut is_silent = false;
     loop {
         let length = match from.read(&mut chunk).await {
             Ok(length) if length > 0 => length,
             _ => break,
         };
-        let verdict = if is_silent { Verdict::Swallow } else { shared.verdict(link, direction) };
-        match verdict {
+        match shared.verdict(link, direction) {
             Verdict::Pass => {}
             Verdict::PassAfter(delay) => task::sleep(delay).await,
             Verdict::Swallow => {
-                is_silent |= shared.fault().0.kind == Kind::Silent;
                 if direction == Direction::Answer {
                     shared.answers_lost.fetch_add(1, Ordering::Relaxed);
                 }
@@ -365,7 +378,7 @@
             break;
         }
     }
-    if !is_silent {
+    if !shared.is_silenced(link) {
         let _ = to.shutdown(Shutdown::Write);
     }
     Ended::ByPeer
