--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -32,6 +32,11 @@
 }
 
 impl CallerLink {
+    /// The caller's connection, for stand-ins that break it on purpose.
+    pub fn stream(&self) -> TcpStream {
+        self.stream.clone()
+    }
+
     /// Waits until the caller has closed its connection; forever if it never does.
     pub async fn closed(&self) {
         let mut byte = [0_u8; 1];
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -7,6 +7,18 @@
 /// Header that carries the outcome of a request.
 pub const OUTCOME_HEADER: &str = "Hemlock-Outcome";
 
+/// Header that says why a request did not run or may have run.
+pub const REASON_HEADER: &str = "Hemlock-Reason";
+
+/// Header by which an endpoint says that it leaves.
+pub const LEAVING_HEADER: &str = "Hemlock-Endpoint-Leaving";
+
+/// Header by which an endpoint says that it did not start a request.
+pub const NOT_STARTED_HEADER: &str = "Hemlock-Not-Started";
+
+/// Header that carries the id of a request over all hops.
+pub const REQUEST_ID_HEADER: &str = "Hemlock-Request-Id";
+
 /// What is certain about a request when its caller is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
