--- a/src/configs/demo.rs
+++ b/src/configs/demo.rs
@@ -6,7 +6,8 @@
 use crate::settings::{Report, Validate};
 
 /// Settings of the demo.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct DemoConfig {
     /// Name of the cell.
@@ -36,7 +37,8 @@
 }
 
 /// Workers of the demo.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WorkersConfig {
     /// Workers over all zones.
@@ -54,7 +56,8 @@
 }
 
 /// Runners of the demo.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RunnersConfig {
     /// Service that they run.
@@ -72,7 +75,8 @@
 }
 
 /// Load of the demo: calm, a crest, calm again.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct DemoLoadConfig {
     /// Length of each calm stretch, in milliseconds.
@@ -92,7 +96,8 @@
 }
 
 /// A kind of request in the demo.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct DemoKindConfig {
     /// Name of the kind.
@@ -108,7 +113,8 @@
 }
 
 /// A job of the demo.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct DemoJobConfig {
     /// Name of the job.
--- a/src/configs/membership.rs
+++ b/src/configs/membership.rs
@@ -5,7 +5,8 @@
 use crate::settings::{Report, Validate};
 
 /// Settings of membership.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct MembershipConfig {
     /// Time to live of a session after its last renewal, in milliseconds.
--- a/src/declarations/feed.rs
+++ b/src/declarations/feed.rs
@@ -24,7 +24,8 @@
 const PART_LIMIT_BYTES: usize = 500_000;
 
 /// The root record: which declarations are accepted.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Root {
     /// Number of the accepted change, from 1.
     pub revision: u64,
@@ -46,7 +47,8 @@
 }
 
 /// Why declarations could not be published or read.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum FeedError {
     /// The store gave no answer of its own.
     #[error(transparent)]
--- a/src/load/plan.rs
+++ b/src/load/plan.rs
@@ -11,7 +11,8 @@
 const US_PER_S: f64 = 1_000_000.0;
 
 /// A stretch of time in which the rate goes linearly from one value to another.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Phase {
     /// Length, in milliseconds.
@@ -23,7 +24,8 @@
 }
 
 /// A kind of request.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct KindPlan {
     /// Name, sent as `Hemlock-Kind`.
@@ -39,7 +41,8 @@
 }
 
 /// A whole load.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
     /// Service that is asked.
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -14,7 +14,8 @@
 const US_PER_MS: f64 = 1_000.0;
 
 /// Latency or wait in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Quantiles {
     /// Number of values.
     pub count: u64,
@@ -55,7 +56,8 @@
 }
 
 /// What was seen of one kind of request.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct KindReport {
     /// Name of the kind.
     pub kind: String,
@@ -80,7 +82,8 @@
 }
 
 /// What was seen of a load.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// Seed of the plan.
     pub seed: u64,
--- a/src/standin/proxy.rs
+++ b/src/standin/proxy.rs
@@ -32,7 +32,8 @@
 const LOOK_EVERY_MS: u64 = 10;
 
 /// What goes wrong on the way.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// Nothing.
@@ -57,7 +58,8 @@
 }
 
 /// The fault in force.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Fault {
     /// What goes wrong.
@@ -118,7 +120,8 @@
 }
 
 /// What has passed and what was struck.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counters {
     /// Connections accepted.
     pub connections: u64,
