--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,1 +1,3 @@
 //! Runs a whole cell in one process and reports what happened.
+
+pub mod oracle;
