--- a/src/bin/hemlock-standin.rs
+++ b/src/bin/hemlock-standin.rs
@@ -1,3 +1,113 @@
-//! Runs one stand-in of an outside system, for tests.
+//! Runs one stand-in of an outside system, for tests and for trying the daemons by hand.
 
-fn main() {}
+use std::io::Write as _;
+
+use clap::{Arg, ArgMatches, Command};
+use eyre::WrapErr as _;
+use futures_lite::future;
+use hemlockrock::standin::{proxy, runner, store};
+
+fn main() -> eyre::Result<()> {
+    let matches = command().get_matches();
+    #[allow(clippy::disallowed_methods, reason = "the top of a binary")]
+    async_std::task::block_on(run(&matches))
+}
+
+fn command() -> Command {
+    Command::new("hemlock-standin")
+        .about("Small fakes of the outside systems, for tests")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .subcommand(Command::new("store").about("The platform's key-value service").arg(listen()))
+        .subcommand(
+            Command::new("runner")
+                .about("An endpoint with slots that records what it runs")
+                .arg(listen())
+                .arg(Arg::new("name").long("name").default_value("runner").help("Its name"))
+                .arg(
+                    Arg::new("slots")
+                        .long("slots")
+                        .default_value("8")
+                        .value_parser(clap::value_parser!(u32).range(1..))
+                        .help("Requests that it runs at once"),
+                ),
+        )
+        .subcommand(
+            Command::new("proxy")
+                .about("Passes connections on and injects faults")
+                .arg(listen())
+                .arg(
+                    Arg::new("target")
+                        .long("target")
+                        .required(true)
+                        .value_parser(clap::value_parser!(std::net::SocketAddr))
+                        .help("Address that connections are passed to, IP:port"),
+                )
+                .arg(
+                    Arg::new("control")
+                        .long("control")
+                        .default_value("127.0.0.1:0")
+                        .value_parser(clap::value_parser!(std::net::SocketAddr))
+                        .help("Address that takes the fault to inject, IP:port"),
+                ),
+        )
+}
+
+fn listen() -> Arg {
+    Arg::new("listen")
+        .long("listen")
+        .default_value("127.0.0.1:0")
+        .value_parser(clap::value_parser!(std::net::SocketAddr))
+        .help("Address to listen on, IP:port; port 0 takes a free one")
+}
+
+async fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    match matches.subcommand() {
+        Some(("store", matches)) => run_store(matches).await,
+        Some(("runner", matches)) => run_runner(matches).await,
+        Some(("proxy", matches)) => run_proxy(matches).await,
+        _ => eyre::bail!("no such stand-in"),
+    }
+}
+
+async fn run_store(matches: &ArgMatches) -> eyre::Result<()> {
+    let address = address(matches, "listen")?;
+    let standin = store::StoreStandin::start(&address).await.wrap_err(address)?;
+    announce(&standin.address())?;
+    future::pending().await
+}
+
+async fn run_runner(matches: &ArgMatches) -> eyre::Result<()> {
+    let config = runner::RunnerConfig {
+        name: matches.get_one::<String>("name").cloned().unwrap_or_default(),
+        listen: address(matches, "listen")?,
+        slots: matches.get_one::<u32>("slots").copied().unwrap_or(1),
+        ..runner::RunnerConfig::default()
+    };
+    let standin = runner::RunnerStandin::start(config).await?;
+    announce(&standin.address())?;
+    future::pending().await
+}
+
+async fn run_proxy(matches: &ArgMatches) -> eyre::Result<()> {
+    let address_listened = address(matches, "listen")?;
+    let target = address(matches, "target")?;
+    let standin = proxy::ProxyStandin::start(&address_listened, target).await?;
+    let control = standin.serve_control(&address(matches, "control")?).await?;
+    announce(&standin.address())?;
+    writeln!(std::io::stdout(), "control {}", control.address())?;
+    future::pending().await
+}
+
+fn address(matches: &ArgMatches, name: &str) -> eyre::Result<String> {
+    let address = matches.get_one::<std::net::SocketAddr>(name);
+    address.map(ToString::to_string).ok_or_else(|| eyre::eyre!("--{name} is missing"))
+}
+
+/// Tells whoever started the process where it listens.
+fn announce(address: &str) -> eyre::Result<()> {
+    let mut out = std::io::stdout();
+    writeln!(out, "listening {address}")?;
+    out.flush()?;
+    Ok(())
+}
