--- a/src/configs/drain.rs
+++ b/src/configs/drain.rs
@@ -1,1 +1,28 @@
 //! Settings of a drain.
+
+use serde::{Deserialize, Serialize};
+
+use crate::settings::{Report, Validate};
+
+/// Settings of a drain.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct DrainConfig {
+    /// Time for the balancer to see that the daemon is not ready, in milliseconds.
+    pub balancer_delay_ms: u64,
+    /// Longest time from the first signal to the end, in milliseconds.
+    pub drain_timeout_ms: u64,
+}
+
+impl Default for DrainConfig {
+    fn default() -> Self {
+        Self { balancer_delay_ms: 2_000, drain_timeout_ms: 30_000 }
+    }
+}
+
+impl Validate for DrainConfig {
+    fn validate(&self, report: &mut Report<'_>) {
+        let longer = self.drain_timeout_ms > self.balancer_delay_ms;
+        report.require(longer, "drain_timeout_ms", "expected more than balancer_delay_ms");
+    }
+}
--- a/src/configs/entry.rs
+++ b/src/configs/entry.rs
@@ -1,1 +1,195 @@
 //! Settings of the entry daemon.
+
+use serde::{Deserialize, Serialize};
+
+use crate::configs::drain::DrainConfig;
+use crate::configs::http::HttpConfig;
+use crate::configs::ledger::LedgerConfig;
+use crate::configs::log::LogConfig;
+use crate::configs::membership::MembershipConfig;
+use crate::configs::route::RouteConfig;
+use crate::configs::store::StoreConfig;
+use crate::settings::{Report, Validate};
+
+/// Settings of the entry daemon.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EntryConfig {
+    /// Name of this host, unique among entry hosts.
+    pub name: String,
+    /// Zone that this host is in.
+    pub zone: String,
+    /// Address to listen on, `IP:port`.
+    pub listen: String,
+    /// Address that peers use, `IP:port`; empty for the bound one.
+    pub advertise: String,
+    /// Token that calls between daemons of the cell carry; empty for none.
+    pub token: String,
+    /// Threads for traffic; 0 for one a core.
+    pub traffic_threads: usize,
+    /// Log.
+    pub log: LogConfig,
+    /// HTTP server and client.
+    pub http: HttpConfig,
+    /// Platform's store.
+    pub store: StoreConfig,
+    /// Membership.
+    pub membership: MembershipConfig,
+    /// Dispatch.
+    pub route: RouteConfig,
+    /// Idempotency keys.
+    pub ledger: LedgerConfig,
+    /// Shutdown.
+    pub drain: DrainConfig,
+    /// Ownership of endpoints and connections to them.
+    pub endpoints: EndpointsConfig,
+    /// Calls between entry hosts.
+    pub peers: PeersConfig,
+    /// Deadline of a request that does not set its own, in milliseconds.
+    pub default_deadline_ms: u64,
+    /// Latest deadline that a request may set, in milliseconds.
+    pub max_deadline_ms: u64,
+}
+
+impl Default for EntryConfig {
+    fn default() -> Self {
+        Self {
+            name: "entry-1".to_owned(),
+            zone: "zone-1".to_owned(),
+            listen: "127.0.0.1:0".to_owned(),
+            advertise: String::new(),
+            token: String::new(),
+            traffic_threads: 0,
+            log: LogConfig::default(),
+            http: HttpConfig::default(),
+            store: StoreConfig::default(),
+            membership: MembershipConfig::default(),
+            route: RouteConfig::default(),
+            ledger: LedgerConfig::default(),
+            drain: DrainConfig::default(),
+            endpoints: EndpointsConfig::default(),
+            peers: PeersConfig::default(),
+            default_deadline_ms: 10_000,
+            max_deadline_ms: 600_000,
+        }
+    }
+}
+
+impl Validate for EntryConfig {
+    fn validate(&self, report: &mut Report<'_>) {
+        report.require(is_name(&self.name), "name", "expected letters, digits, - . or _");
+        report.require(is_name(&self.zone), "zone", "expected letters, digits, - . or _");
+        report.require(is_address(&self.listen), "listen", "expected IP:port");
+        let advertise = self.advertise.is_empty() || is_address(&self.advertise);
+        report.require(advertise, "advertise", "expected IP:port");
+        let deadline = self.default_deadline_ms > 0;
+        report.require(deadline, "default_deadline_ms", "expected at least 1");
+        let longest = self.max_deadline_ms >= self.default_deadline_ms;
+        report.require(longest, "max_deadline_ms", "expected at least default_deadline_ms");
+        report.nested("log", &self.log);
+        report.nested("http", &self.http);
+        report.nested("store", &self.store);
+        report.nested("membership", &self.membership);
+        report.nested("route", &self.route);
+        report.nested("ledger", &self.ledger);
+        report.nested("drain", &self.drain);
+        report.nested("endpoints", &self.endpoints);
+        report.nested("peers", &self.peers);
+    }
+}
+
+/// Settings of the ownership of endpoints and of the connections to them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EndpointsConfig {
+    /// Age of the last answer up to which an open connection is used again, in milliseconds.
+    pub fresh_ms: u64,
+    /// Idle connections kept to one endpoint.
+    pub max_idle: usize,
+    /// Time for which the list of members has to stand before an endpoint is acquired, in milliseconds.
+    pub settle_ms: u64,
+    /// Slots held back after the owner was lost without a handover.
+    pub guard_slots: u32,
+    /// Time for which they are held back, in milliseconds.
+    pub guard_ms: u64,
+    /// Time for which an endpoint that does not tell its busy slots is left alone, in milliseconds.
+    pub unread_hold_ms: u64,
+    /// Time between readings of an endpoint's busy slots, in milliseconds.
+    pub read_every_ms: u64,
+    /// Longest wait for the health of an endpoint, in milliseconds.
+    pub probe_timeout_ms: u64,
+    /// Time without an answer after which it is checked whether the endpoint has the request, in milliseconds.
+    pub progress_ms: u64,
+}
+
+impl Default for EndpointsConfig {
+    fn default() -> Self {
+        Self {
+            fresh_ms: 1_000,
+            max_idle: 32,
+            settle_ms: 300,
+            guard_slots: 1,
+            guard_ms: 10_000,
+            unread_hold_ms: 5_000,
+            read_every_ms: 100,
+            probe_timeout_ms: 500,
+            progress_ms: 500,
+        }
+    }
+}
+
+impl Validate for EndpointsConfig {
+    fn validate(&self, report: &mut Report<'_>) {
+        report.require(self.read_every_ms > 0, "read_every_ms", "expected at least 1");
+        report.require(self.probe_timeout_ms > 0, "probe_timeout_ms", "expected at least 1");
+        report.require(self.progress_ms > 0, "progress_ms", "expected at least 1");
+    }
+}
+
+/// Settings of the calls between entry hosts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PeersConfig {
+    /// Time between heartbeats, in milliseconds.
+    pub heartbeat_every_ms: u64,
+    /// Age at which a heartbeat no longer counts, in milliseconds.
+    pub heartbeat_age_ms: u64,
+    /// Longest wait for the answer to a heartbeat or release, in milliseconds.
+    pub call_timeout_ms: u64,
+    /// Time of one way to another host of the zone, in milliseconds.
+    pub peer_trip_ms: f64,
+    /// Time of one way to another zone, in milliseconds.
+    pub zone_trip_ms: f64,
+}
+
+impl Default for PeersConfig {
+    fn default() -> Self {
+        Self {
+            heartbeat_every_ms: 250,
+            heartbeat_age_ms: 1_500,
+            call_timeout_ms: 1_000,
+            peer_trip_ms: 0.1,
+            zone_trip_ms: 1.5,
+        }
+    }
+}
+
+impl Validate for PeersConfig {
+    fn validate(&self, report: &mut Report<'_>) {
+        report.require(self.heartbeat_every_ms > 0, "heartbeat_every_ms", "expected at least 1");
+        let age = self.heartbeat_age_ms > self.heartbeat_every_ms * 2;
+        report.require(age, "heartbeat_age_ms", "expected more than twice heartbeat_every_ms");
+        report.require(self.call_timeout_ms > 0, "call_timeout_ms", "expected at least 1");
+        let trips = self.peer_trip_ms >= 0.0 && self.zone_trip_ms >= 0.0;
+        report.require(trips, "zone_trip_ms", "expected no negative time");
+    }
+}
+
+fn is_name(name: &str) -> bool {
+    let plain = |letter: char| letter.is_ascii_alphanumeric() || "-._".contains(letter);
+    !name.is_empty() && name.chars().all(plain)
+}
+
+fn is_address(address: &str) -> bool {
+    address.parse::<std::net::SocketAddr>().is_ok()
+}
