--- /dev/null
+++ b/src/place/jobs.rs
@@ -0,0 +1,348 @@
+//! Jobs: submission, cancellation, progress and what their callers are told.
+
+use std::cmp::Reverse;
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use super::life::{TaskEvent, TaskState};
+use super::message::{
+    Action, Attempt, End, JobId, JobProgress, JobState, Refusal, Rejection, StopMode,
+};
+use super::placer::Placer;
+use super::spec::{JobKind, JobSpec, Resources};
+use super::state::{Job, JobKey, Task, TaskKey, Unforgotten};
+use crate::inventory::{Worker, WorkerKey};
+
+impl Placer {
+    pub(crate) fn submit(
+        &mut self,
+        job_id: JobId,
+        spec: Arc<JobSpec>,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        if self.job_ids.contains_key(&job_id) {
+            return;
+        }
+        let rejection = self.rejection(&spec);
+        let key = self.add_job(job_id, spec, false);
+        match rejection {
+            Some(rejection) => self.end_job(key, JobState::Rejected(rejection), out),
+            None => self.add_tasks(key, &JobProgress::default(), now_ms),
+        }
+    }
+
+    pub(crate) fn restore(
+        &mut self,
+        job_id: JobId,
+        spec: Arc<JobSpec>,
+        progress: &JobProgress,
+        now_ms: u64,
+    ) {
+        if self.job_ids.contains_key(&job_id) {
+            return;
+        }
+        let key = self.add_job(job_id, spec, true);
+        self.add_tasks(key, progress, now_ms);
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        job.version = progress.version;
+        job.is_cancelled = progress.is_cancelled;
+        if let Some(ended) = &progress.ended {
+            job.state = ended.clone();
+        }
+    }
+
+    /// Why the job can never run here, whatever else runs.
+    pub(crate) fn rejection(&self, spec: &JobSpec) -> Option<Rejection> {
+        if let Some(fault) = spec.fault() {
+            return Some(Rejection::Unsound(fault.to_owned()));
+        }
+        let teams = &self.declarations.teams;
+        if !teams.is_empty() && !teams.iter().any(|team| team.name == spec.team) {
+            return Some(Rejection::UnknownTeam);
+        }
+        if self.inventory.is_empty() {
+            return None;
+        }
+        let mut fitting = 0_u64;
+        let mut is_labelled = false;
+        for (_, worker) in self.inventory.workers().filter(|(_, worker)| !worker.is_removed) {
+            if has_labels(worker, spec) {
+                is_labelled = true;
+                fitting += times_that_fit(spec.resources(), worker.capacity);
+            }
+        }
+        match (is_labelled, fitting) {
+            (false, _) => Some(Rejection::NoSuchLabels),
+            (true, 0) => Some(Rejection::TooLarge),
+            (true, count) if spec.kind == JobKind::Gang && count < u64::from(spec.tasks) => {
+                Some(Rejection::GangTooLarge)
+            }
+            _ => None,
+        }
+    }
+
+    fn add_job(&mut self, job_id: JobId, spec: Arc<JobSpec>, is_restored: bool) -> JobKey {
+        self.sequence += 1;
+        let key = self.jobs.insert(Job {
+            id: Arc::clone(&job_id),
+            spec,
+            sequence: self.sequence,
+            tasks: Vec::new(),
+            waiting: VecDeque::new(),
+            waiting_count: 0,
+            placed_count: 0,
+            running_count: 0,
+            finished_count: 0,
+            state: JobState::Waiting,
+            is_cancelled: false,
+            is_restored,
+            version: 0,
+            is_dirty: false,
+            unforgotten: Vec::new(),
+        });
+        self.job_ids.insert(job_id, key);
+        key
+    }
+
+    fn add_tasks(&mut self, key: JobKey, progress: &JobProgress, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let is_final = progress.ended.is_some();
+        for index in 0..job.spec.tasks {
+            let finished = progress.finished.iter().any(|(from, to)| (*from..*to).contains(&index));
+            let state = match (finished, is_final) {
+                (true, _) => TaskState::Finished,
+                (false, true) => TaskState::Cancelled,
+                (false, false) => TaskState::Waiting,
+            };
+            let task = self.tasks.insert(Task {
+                job: key,
+                index,
+                state,
+                attempt: Attempt::default(),
+                worker: WorkerKey::default(),
+                reserved: Resources::default(),
+                since_ms: now_ms,
+            });
+            job.tasks.push(task);
+            match state {
+                TaskState::Waiting => {
+                    job.waiting.push_back(task);
+                    job.waiting_count += 1;
+                }
+                TaskState::Finished => job.finished_count += 1,
+                _ => {}
+            }
+        }
+        if job.waiting_count > 0 {
+            self.queue.insert((Reverse(job.spec.priority), job.sequence), key);
+        }
+    }
+
+    pub(crate) fn cancel(&mut self, job_id: &JobId, now_ms: u64, out: &mut Vec<Action>) {
+        let Some(&key) = self.job_ids.get(job_id) else { return };
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.is_cancelled || is_ended(&job.state) {
+            return;
+        }
+        job.is_cancelled = true;
+        self.touch(key);
+        self.queue.remove(&self.queue_place(key));
+        for task in self.jobs.get(key).map(|job| job.tasks.clone()).unwrap_or_default() {
+            match self.tasks.get(task).map(|task| task.state) {
+                Some(TaskState::Waiting) => {
+                    self.task_event(task, TaskEvent::Cancel, now_ms);
+                }
+                Some(state) if state.is_placed() => {
+                    self.stop_task(task, StopMode::Stop, now_ms, out);
+                }
+                _ => {}
+            }
+        }
+        self.refresh_job(key, now_ms, out);
+    }
+
+    /// Asks the worker of a placed task to make it stop; its resources stay reserved.
+    pub(crate) fn stop_task(
+        &mut self,
+        key: TaskKey,
+        mode: StopMode,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        if self.task_event(key, TaskEvent::Stop, now_ms) {
+            let task = &self.tasks[key];
+            out.push(Action::Stop { worker: task.worker, attempt: task.attempt, mode });
+        }
+    }
+
+    /// Moves the task of `attempt`, if it is its current one.
+    pub(crate) fn attempt_event(
+        &mut self,
+        attempt: Attempt,
+        event: TaskEvent,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(&key) = self.attempts.get(&attempt) else { return };
+        if self.task_event(key, event, now_ms) {
+            self.settle(key, now_ms, out);
+        }
+    }
+
+    /// Follows up on a task that changed: a waiting task of a cancelled job ends.
+    pub(crate) fn settle(&mut self, key: TaskKey, now_ms: u64, out: &mut Vec<Action>) {
+        let Some(task) = self.tasks.get(key) else { return };
+        let job = task.job;
+        let is_waiting = task.state == TaskState::Waiting;
+        if is_waiting && self.jobs.get(job).is_some_and(|job| job.is_cancelled) {
+            self.task_event(key, TaskEvent::Cancel, now_ms);
+            self.queue.remove(&self.queue_place(job));
+        }
+        self.refresh_job(job, now_ms, out);
+    }
+
+    pub(crate) fn refused(
+        &mut self,
+        attempt: Attempt,
+        refusal: Refusal,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        if refusal == Refusal::Fenced {
+            self.release_zone();
+            return;
+        }
+        self.attempt_event(attempt, TaskEvent::Refuse, now_ms, out);
+    }
+
+    pub(crate) fn ended(&mut self, attempt: Attempt, end: End, now_ms: u64, out: &mut Vec<Action>) {
+        let Some(&key) = self.attempts.get(&attempt) else { return };
+        let Some(task) = self.tasks.get(key) else { return };
+        let (job_key, worker) = (task.job, task.worker);
+        let is_service =
+            self.jobs.get(job_key).is_some_and(|job| job.spec.kind == JobKind::Service);
+        let event = match end {
+            End::Finished if !is_service => TaskEvent::Finish,
+            _ => TaskEvent::Fail,
+        };
+        if !self.task_event(key, event, now_ms) {
+            return;
+        }
+        if event == TaskEvent::Finish {
+            self.touch(job_key);
+            if let Some(job) = self.jobs.get_mut(job_key) {
+                job.unforgotten.push(Unforgotten { version: job.version, worker, attempt });
+            }
+        } else {
+            out.push(Action::Forget { worker, attempts: vec![attempt] });
+        }
+        self.settle(key, now_ms, out);
+    }
+
+    pub(crate) fn recorded(&mut self, job_id: &JobId, version: u64, out: &mut Vec<Action>) {
+        let Some(job) = self.job_ids.get(job_id).and_then(|key| self.jobs.get_mut(*key)) else {
+            return;
+        };
+        job.unforgotten.retain(|kept| {
+            if kept.version <= version {
+                out.push(Action::Forget { worker: kept.worker, attempts: vec![kept.attempt] });
+            }
+            kept.version > version
+        });
+    }
+
+    /// Marks the progress of a job as changed.
+    pub(crate) fn touch(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        job.version += 1;
+        if !job.is_dirty {
+            job.is_dirty = true;
+            self.dirty_jobs.push(key);
+        }
+    }
+
+    /// Emits the progress of all jobs that changed.
+    pub(crate) fn flush_progress(&mut self, out: &mut Vec<Action>) {
+        for key in std::mem::take(&mut self.dirty_jobs) {
+            let Some(job) = self.jobs.get(key) else { continue };
+            let progress = self.progress(job);
+            out.push(Action::Record { job_id: Arc::clone(&job.id), progress });
+            self.jobs[key].is_dirty = false;
+        }
+    }
+
+    fn progress(&self, job: &Job) -> JobProgress {
+        let mut finished: Vec<(u32, u32)> = Vec::new();
+        if job.finished_count > 0 {
+            for task in job.tasks.iter().filter_map(|key| self.tasks.get(*key)) {
+                if task.state != TaskState::Finished {
+                    continue;
+                }
+                match finished.last_mut() {
+                    Some((_, to)) if *to == task.index => *to += 1,
+                    _ => finished.push((task.index, task.index + 1)),
+                }
+            }
+        }
+        let ended = is_ended(&job.state).then(|| job.state.clone());
+        let version = job.version;
+        JobProgress { version, finished, is_cancelled: job.is_cancelled, ended }
+    }
+
+    /// Tells the caller of a job when its state is another than before.
+    pub(crate) fn refresh_job(&mut self, key: JobKey, _now_ms: u64, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if is_ended(&job.state) {
+            return;
+        }
+        let open = job.waiting_count + job.placed_count;
+        let state = match (open, job.is_cancelled) {
+            (0, true) => JobState::Cancelled,
+            (0, false) => JobState::Finished,
+            _ if job.running_count > 0 => JobState::Running,
+            _ => JobState::Waiting,
+        };
+        if is_ended(&state) {
+            self.end_job(key, state, out);
+        } else if job.state != state {
+            job.state = state.clone();
+            out.push(Action::JobState { job_id: Arc::clone(&job.id), state });
+        }
+    }
+
+    fn end_job(&mut self, key: JobKey, state: JobState, out: &mut Vec<Action>) {
+        self.touch(key);
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        job.state = state.clone();
+        out.push(Action::JobState { job_id: Arc::clone(&job.id), state });
+        self.flush_progress(out);
+    }
+
+    pub(crate) fn queue_place(&self, key: JobKey) -> (Reverse<super::spec::Priority>, u64) {
+        self.jobs.get(key).map_or((Reverse(super::spec::Priority::Low), u64::MAX), |job| {
+            (Reverse(job.spec.priority), job.sequence)
+        })
+    }
+}
+
+/// Whether nothing more happens to a job in this state.
+pub(crate) const fn is_ended(state: &JobState) -> bool {
+    matches!(
+        state,
+        JobState::Finished | JobState::Failed | JobState::Cancelled | JobState::Rejected(_)
+    )
+}
+
+/// Whether a worker has the labels that a job asks for.
+pub(crate) fn has_labels(worker: &Worker, spec: &JobSpec) -> bool {
+    spec.constraints.iter().all(|(key, value)| worker.labels.get(key) == Some(value))
+}
+
+/// How many tasks of this size an empty worker holds.
+pub(crate) fn times_that_fit(size: Resources, capacity: Resources) -> u64 {
+    let times = |need: u64, room: u64| room.checked_div(need).unwrap_or(u64::MAX);
+    times(size.cpu_millis, capacity.cpu_millis)
+        .min(times(size.memory_bytes, capacity.memory_bytes))
+        .min(times(u64::from(size.accelerators), u64::from(capacity.accelerators)))
+}
