--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,1 +1,6 @@
-//! Jobs as callers declare them and as the store records them.
+//! Jobs: what callers send, what is recorded of them and the door that takes them.
+
+pub mod api;
+pub mod door;
+pub mod journal;
+pub mod record;
--- /dev/null
+++ b/src/jobs/door.rs
@@ -0,0 +1,1 @@
+//! The job door.
--- a/src/placer.rs
+++ b/src/placer.rs
@@ -1,1 +1,3 @@
-//! The placer daemon: one active per zone.
+//! The placer daemon: one active in each zone, the others stand by.
+
+pub mod wire;
