--- a/src/configs/ctl.rs
+++ b/src/configs/ctl.rs
@@ -1,1 +1,54 @@
 //! Settings of the operators' command line.
+
+use serde::{Deserialize, Serialize};
+
+use crate::configs::http::HttpConfig;
+use crate::configs::store::StoreConfig;
+use crate::settings::{Report, Validate};
+
+/// Settings of the operators' command line; arguments go before them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct CtlConfig {
+    /// The platform's store.
+    pub store: StoreConfig,
+    /// Connections.
+    pub http: HttpConfig,
+    /// Address of an entry daemon, `IP:port`; empty for none.
+    pub entry_address: String,
+    /// Address of a placer daemon, `IP:port`; empty for none.
+    pub placer_address: String,
+    /// File that holds the token of the cell; empty for none.
+    pub token_file: String,
+    /// Longest wait for a change to be in force everywhere, in milliseconds.
+    pub apply_wait_ms: u64,
+}
+
+impl Default for CtlConfig {
+    fn default() -> Self {
+        let store = StoreConfig { writes_per_s: 60, reads_per_s: 200, ..StoreConfig::default() };
+        let http = HttpConfig { max_body_bytes: 16 * 1024 * 1024, ..HttpConfig::default() };
+        Self {
+            store,
+            http,
+            entry_address: String::new(),
+            placer_address: String::new(),
+            token_file: String::new(),
+            apply_wait_ms: 19_000,
+        }
+    }
+}
+
+impl Validate for CtlConfig {
+    fn validate(&self, report: &mut Report<'_>) {
+        report.nested("store", &self.store);
+        report.nested("http", &self.http);
+        for (path, address) in
+            [("entry_address", &self.entry_address), ("placer_address", &self.placer_address)]
+        {
+            let known = address.is_empty() || address.parse::<std::net::SocketAddr>().is_ok();
+            report.require(known, path, "expected IP:port");
+        }
+        report.require(self.apply_wait_ms > 0, "apply_wait_ms", "expected at least 1");
+    }
+}
--- a/src/configs/store.rs
+++ b/src/configs/store.rs
@@ -14,11 +14,33 @@
     pub timeout_ms: u64,
     /// Longest wait of one watch, in milliseconds.
     pub watch_wait_ms: u64,
+    /// Writes that the process may make, a second.
+    pub writes_per_s: u64,
+    /// Reads and watches that the process may make, a second.
+    pub reads_per_s: u64,
+    /// Longest wait of a call for its turn in the budget, in milliseconds.
+    pub budget_wait_ms: u64,
+    /// Failures in a row after which calls are refused until a probe succeeds.
+    pub breaker_failures: u32,
+    /// Shortest pause after a failure, in milliseconds.
+    pub backoff_min_ms: u64,
+    /// Longest pause after a failure, in milliseconds.
+    pub backoff_max_ms: u64,
 }
 
 impl Default for StoreConfig {
     fn default() -> Self {
-        Self { address: "127.0.0.1:7000".to_owned(), timeout_ms: 1_000, watch_wait_ms: 10_000 }
+        Self {
+            address: "127.0.0.1:7000".to_owned(),
+            timeout_ms: 1_000,
+            watch_wait_ms: 10_000,
+            writes_per_s: 40,
+            reads_per_s: 60,
+            budget_wait_ms: 1_000,
+            breaker_failures: 3,
+            backoff_min_ms: 100,
+            backoff_max_ms: 2_000,
+        }
     }
 }
 
@@ -28,5 +50,11 @@
         report.require(address, "address", "expected IP:port");
         report.require(self.timeout_ms > 0, "timeout_ms", "expected at least 1");
         report.require(self.watch_wait_ms > 0, "watch_wait_ms", "expected at least 1");
+        report.require(self.writes_per_s > 0, "writes_per_s", "expected at least 1");
+        report.require(self.reads_per_s > 0, "reads_per_s", "expected at least 1");
+        report.require(self.breaker_failures > 0, "breaker_failures", "expected at least 1");
+        report.require(self.backoff_min_ms > 0, "backoff_min_ms", "expected at least 1");
+        let ordered = self.backoff_min_ms <= self.backoff_max_ms;
+        report.require(ordered, "backoff_max_ms", "expected at least backoff_min_ms");
     }
 }
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -1,1 +1,210 @@
-//! The operators' command line.
+//! The operators' command line: commands, their context, output and exit codes.
+
+pub mod jobs;
+
+use std::io::Write as _;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use serde::Serialize;
+
+use crate::configs::ctl::CtlConfig;
+use crate::findings::Findings;
+use crate::http::client::Pool;
+use crate::settings;
+use crate::store::client::HttpStore;
+use crate::store::{Store, StoreError};
+
+/// Why a command did not do what was asked.
+#[derive(Debug, thiserror::Error)]
+pub enum CtlError {
+    /// The input is wrong; every finding is told.
+    #[error("{0}")]
+    Findings(#[from] Findings),
+    /// The command cannot be carried out as asked.
+    #[error("{0}")]
+    Refused(String),
+    /// Another change was accepted first.
+    #[error("{0}")]
+    Raced(String),
+    /// The store or a daemon could not be reached; nothing was changed.
+    #[error("{0}")]
+    Away(String),
+    /// The change is accepted but not in force everywhere in time.
+    #[error("{0}")]
+    Lagging(String),
+    /// The change may or may not be accepted.
+    #[error("{0}")]
+    InDoubt(String),
+}
+
+impl CtlError {
+    /// Exit code of the program.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Findings(_) | Self::Refused(_) => 1,
+            Self::Raced(_) => 3,
+            Self::Away(_) => 4,
+            Self::Lagging(_) => 5,
+            Self::InDoubt(_) => 6,
+        }
+    }
+
+    fn code(&self) -> &'static str {
+        match self {
+            Self::Findings(_) => "findings",
+            Self::Refused(_) => "refused",
+            Self::Raced(_) => "raced",
+            Self::Away(_) => "away",
+            Self::Lagging(_) => "lagging",
+            Self::InDoubt(_) => "in_doubt",
+        }
+    }
+}
+
+impl From<StoreError> for CtlError {
+    fn from(error: StoreError) -> Self {
+        Self::Away(error.to_string())
+    }
+}
+
+/// What every command needs.
+#[derive(Clone, Debug)]
+pub struct Context {
+    /// Settings, with the arguments laid over them.
+    pub config: CtlConfig,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Connections to daemons.
+    pub pool: Pool,
+    /// Token of the cell; empty for none.
+    pub token: String,
+    /// Whether output is JSON.
+    pub is_json: bool,
+}
+
+impl Context {
+    /// A context from settings.
+    ///
+    /// # Errors
+    /// The token file cannot be read.
+    pub fn new(config: CtlConfig, is_json: bool) -> Result<Self, CtlError> {
+        let pool = Pool::new(config.http.clone());
+        let store = Arc::new(HttpStore::new(config.store.clone(), pool.clone()));
+        let token = read_token(&config.token_file)?;
+        Ok(Self { config, store, pool, token, is_json })
+    }
+
+    /// Prints `value` as JSON or `text` for people.
+    pub fn print(&self, value: &impl Serialize, text: &str) {
+        let mut stdout = std::io::stdout().lock();
+        let line = if self.is_json {
+            serde_json::to_string(value).unwrap_or_default()
+        } else {
+            text.trim_end().to_owned()
+        };
+        let _ = writeln!(stdout, "{line}");
+    }
+}
+
+/// Reads a token from a file, without the line end; an empty path gives no token.
+///
+/// # Errors
+/// The file cannot be read or is empty.
+pub fn read_token(path: &str) -> Result<String, CtlError> {
+    if path.is_empty() {
+        return Ok(String::new());
+    }
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| CtlError::Refused(format!("token file {path}: {error}")))?;
+    let token = text.trim().to_owned();
+    if token.is_empty() {
+        return Err(CtlError::Refused(format!("token file {path} is empty")));
+    }
+    Ok(token)
+}
+
+/// The command line.
+pub fn command() -> Command {
+    Command::new("hemlockctl")
+        .about("Checks, applies and shows what operators declare, and the state of the cell")
+        .subcommand_required(true)
+        .arg(option("settings", "FILE", "Settings file"))
+        .arg(option("store", "IP:PORT", "Address of the platform's store"))
+        .arg(option("entry", "IP:PORT", "Address of an entry daemon"))
+        .arg(option("placer", "IP:PORT", "Address of a placer daemon"))
+        .arg(option("token-file", "FILE", "File that holds the token of the cell"))
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .global(true)
+                .action(ArgAction::SetTrue)
+                .help("Print JSON"),
+        )
+        .subcommands(jobs::commands())
+}
+
+fn option(name: &'static str, value: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).value_name(value).global(true).help(help)
+}
+
+/// Runs the command that `arguments` name and returns the exit code.
+pub async fn run(arguments: &ArgMatches) -> u8 {
+    let is_json = arguments.get_flag("json");
+    match run_command(arguments, is_json).await {
+        Ok(()) => 0,
+        Err(error) => {
+            report(&error, is_json);
+            error.exit_code()
+        }
+    }
+}
+
+async fn run_command(arguments: &ArgMatches, is_json: bool) -> Result<(), CtlError> {
+    let Some((name, inner)) = arguments.subcommand() else {
+        return Err(CtlError::Refused("no command".to_owned()));
+    };
+    let context = Context::new(config(arguments)?, is_json)?;
+    match jobs::run(&context, name, inner).await {
+        Some(result) => result,
+        None => Err(CtlError::Refused(format!("no command {name}"))),
+    }
+}
+
+fn config(arguments: &ArgMatches) -> Result<CtlConfig, CtlError> {
+    let mut config = match arguments.get_one::<String>("settings") {
+        Some(path) => settings::load(Path::new(path))?,
+        None => CtlConfig::default(),
+    };
+    let text = |name| arguments.get_one::<String>(name).cloned();
+    config.store.address = text("store").unwrap_or(config.store.address);
+    config.entry_address = text("entry").unwrap_or(config.entry_address);
+    config.placer_address = text("placer").unwrap_or(config.placer_address);
+    config.token_file = text("token-file").unwrap_or(config.token_file);
+    Ok(config)
+}
+
+fn report(error: &CtlError, is_json: bool) {
+    let mut stderr = std::io::stderr().lock();
+    if !is_json {
+        let _ = writeln!(stderr, "{error}");
+        return;
+    }
+    let findings = match error {
+        CtlError::Findings(findings) => findings.items.as_slice(),
+        _ => &[],
+    };
+    let body = serde_json::json!({
+        "code": error.code(),
+        "message": error.to_string(),
+        "findings": findings,
+    });
+    let _ = writeln!(stderr, "{body}");
+}
+
+/// The files that an argument names.
+#[allow(dead_code, reason = "used by the commands on files")]
+pub(crate) fn files(arguments: &ArgMatches) -> Vec<PathBuf> {
+    arguments.get_many::<String>("files").into_iter().flatten().map(PathBuf::from).collect()
+}
