--- a/src/standin.rs
+++ b/src/standin.rs
@@ -1,3 +1,4 @@
 //! Small fakes of the outside systems, for tests and the demo.
 
+pub mod hosts;
 pub mod store;
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -1,28 +1,23 @@
 //! A fake of the platform's key-value service, kept in memory.
 
+pub mod faults;
+mod server;
+
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
-use async_std::task;
 use bytes::Bytes;
 
-use crate::clock;
+pub use server::StoreStandin;
+
 use crate::collections::HashMap;
-use crate::configs::http::HttpConfig;
-use crate::http::error::ApiError;
-use crate::http::{rpc, server};
 use crate::store::api::{self, Change};
 use crate::store::{Answer, Entry, Expect, LeaseId, Operation, Revision};
 
 /// Changes that are kept for watches.
 const HISTORY_LIMIT: usize = 20_000;
 
-/// Time between looks at lapsed leases and waiting watches, in milliseconds.
-const STEP_MS: u64 = 5;
-
 /// The state of the fake; pure, so that models can drive it.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct State {
     revision: Revision,
     entries: BTreeMap<String, Entry>,
@@ -32,7 +27,7 @@
     compacted: Revision,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Lease {
     ttl_ms: u64,
     ends_at_ms: u64,
@@ -49,6 +44,12 @@
         self.revision
     }
 
+    /// Drops the history, so that watches from before meet a gap.
+    pub fn compact(&mut self) {
+        self.history.clear();
+        self.compacted = self.revision;
+    }
+
     /// Carries out one operation; a watch is answered with what there is.
     ///
     /// ```
@@ -76,12 +77,13 @@
 
     /// Ends the leases that have lapsed.
     pub fn expire(&mut self, now_ms: u64) {
-        let lapsed: Vec<LeaseId> = self
+        let mut lapsed: Vec<LeaseId> = self
             .leases
             .iter()
             .filter(|(_, lease)| lease.ends_at_ms <= now_ms)
             .map(|(id, _)| *id)
             .collect();
+        lapsed.sort_unstable();
         for lease in lapsed {
             self.revoke(lease);
         }
@@ -181,67 +183,3 @@
         Expect::Modified(revision) => current.is_some_and(|entry| entry.modified == revision),
     }
 }
-
-/// The fake as a running server.
-#[derive(Clone, Debug)]
-pub struct StoreStandin {
-    state: Arc<Mutex<State>>,
-    server: server::Server,
-}
-
-impl StoreStandin {
-    /// Starts the fake on `address`.
-    ///
-    /// # Errors
-    /// The address cannot be bound.
-    pub async fn start(address: &str) -> std::io::Result<Self> {
-        let state = Arc::new(Mutex::new(State::new()));
-        let mut app = tide::with_state(Arc::clone(&state));
-        app.at(api::PATH).post(serve);
-        let config = HttpConfig { max_body_bytes: 64 * 1024 * 1024, ..HttpConfig::default() };
-        let server = server::Server::start(address, app, config).await?;
-        Ok(Self { state, server })
-    }
-
-    /// Address of the fake.
-    pub fn address(&self) -> String {
-        self.server.address().to_string()
-    }
-
-    /// The state, for checks.
-    pub fn state(&self) -> MutexGuard<'_, State> {
-        lock(&self.state)
-    }
-}
-
-async fn serve(mut request: tide::Request<Arc<Mutex<State>>>) -> tide::Result {
-    let body = request.body_bytes().await?;
-    let operation: Operation = match rpc::decode(&body) {
-        Ok(operation) => operation,
-        Err(error) => {
-            return Ok(ApiError::new(400, "bad_operation", error.to_string()).to_response())
-        }
-    };
-    let state = Arc::clone(request.state());
-    let answer = match operation {
-        Operation::Watch { wait_ms, .. } => watch(&state, operation, wait_ms).await,
-        operation => lock(&state).apply(operation, clock::now_ms()),
-    };
-    Ok(rpc::answer(&answer))
-}
-
-async fn watch(state: &Mutex<State>, operation: Operation, wait_ms: u64) -> Answer {
-    let ends_at_ms = clock::now_ms() + wait_ms;
-    loop {
-        let answer = lock(state).apply(operation.clone(), clock::now_ms());
-        let is_empty = matches!(&answer, Answer::Changes { changes, .. } if changes.is_empty());
-        if !is_empty || clock::now_ms() >= ends_at_ms {
-            return answer;
-        }
-        task::sleep(Duration::from_millis(STEP_MS)).await;
-    }
-}
-
-fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
-    state.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/store.rs
+++ b/src/store.rs
@@ -4,8 +4,14 @@
 //! [`client::HttpStore`]; the pure models in tests bring their own.
 
 pub mod api;
+pub mod backoff;
+pub mod breaker;
+pub mod budget;
 pub mod client;
+pub mod gate;
+pub mod metrics;
 pub mod mirror;
+pub mod settle;
 
 use std::fmt::Debug;
 use std::future::Future;
--- a/src/store/api.rs
+++ b/src/store/api.rs
@@ -107,6 +107,20 @@
     pub fn is_write(&self) -> bool {
         !matches!(self, Self::Get { .. } | Self::List { .. } | Self::Watch { .. })
     }
+
+    /// Name of the kind of operation, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Get { .. } => "get",
+            Self::List { .. } => "list",
+            Self::Put { .. } => "put",
+            Self::Delete { .. } => "delete",
+            Self::Grant { .. } => "grant",
+            Self::Renew { .. } => "renew",
+            Self::Revoke { .. } => "revoke",
+            Self::Watch { .. } => "watch",
+        }
+    }
 }
 
 /// One change of a key.
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -1,18 +1,26 @@
 //! A read-only copy of the keys under `cell/`, kept current by the one watch of the process.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::process;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_std::task;
 
+use crate::clock;
+use crate::collections;
+use crate::store::api::Change;
+use crate::store::backoff::Backoff;
 use crate::store::{self, Answer, Entry, Operation, Priority, Revision, Store, StoreError};
 
 /// Prefix of the keys that every daemon follows.
 pub const PREFIX: &str = "cell/";
 
-/// Pause before a failed watch is begun again, in milliseconds.
-const RETRY_MS: u64 = 200;
+/// Shortest pause before a failed watch is begun again, in milliseconds.
+const RETRY_MIN_MS: u64 = 200;
+
+/// Longest pause before a failed watch is begun again, in milliseconds.
+const RETRY_MAX_MS: u64 = 2_000;
 
 /// The keys under `cell/` as last seen.
 #[derive(Clone, Debug, Default)]
@@ -31,6 +39,41 @@
         let from = self.entries.range(prefix.to_owned()..);
         from.map(|(_, entry)| entry).take_while(move |entry| entry.key.starts_with(prefix))
     }
+
+    /// Takes a whole list of keys, unless it is older than the copy; returns whether it did.
+    ///
+    /// ```
+    /// use hemlockrock::store::{mirror, Revision};
+    ///
+    /// let mut copy = mirror::Snapshot::default();
+    /// assert!(copy.replace(Revision(7), Vec::new()));
+    /// assert!(!copy.replace(Revision(6), Vec::new()));
+    /// assert_eq!(copy.revision, Revision(7));
+    /// ```
+    pub fn replace(&mut self, revision: Revision, entries: Vec<Entry>) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        self.revision = revision;
+        self.is_current = true;
+        self.entries = entries.into_iter().map(|entry| (entry.key.clone(), entry)).collect();
+        true
+    }
+
+    /// Applies changes that are complete up to `revision`; older ones leave the copy as it is.
+    pub fn apply(&mut self, revision: Revision, changes: Vec<Change>) {
+        self.is_current = true;
+        for change in changes {
+            if change.revision <= self.revision {
+                continue;
+            }
+            match change.entry {
+                Some(entry) => self.entries.insert(change.key, entry),
+                None => self.entries.remove(&change.key),
+            };
+        }
+        self.revision = self.revision.max(revision);
+    }
 }
 
 /// A handle on the copy.
@@ -70,46 +113,34 @@
 
 impl Follower {
     async fn run(self) {
-        loop {
-            if self.follow().await.is_err() {
+        let seed = collections::stable_hash(format!("{}-{}", process::id(), clock::now_us()));
+        let mut backoff = Backoff::new(RETRY_MIN_MS, RETRY_MAX_MS, seed);
+        while !self.sender.is_closed() {
+            if let Err(error) = self.follow(&mut backoff).await {
+                spdlog::debug!("the copy of the store is not current: {}", error);
                 self.update(|snapshot| snapshot.is_current = false);
-                task::sleep(Duration::from_millis(RETRY_MS)).await;
-            }
-            if self.sender.is_closed() {
-                return;
             }
+            task::sleep(Duration::from_millis(backoff.next_ms())).await;
         }
     }
 
     /// Reads all keys, then applies changes until the store is away or its history has a gap.
-    async fn follow(&self) -> Result<(), StoreError> {
-        let (mut revision, entries) =
+    async fn follow(&self, backoff: &mut Backoff) -> Result<(), StoreError> {
+        let (revision, entries) =
             store::list(self.store.as_ref(), PREFIX, Priority::Control).await?;
-        self.update(|snapshot| {
-            snapshot.revision = revision;
-            snapshot.is_current = true;
-            snapshot.entries =
-                entries.into_iter().map(|entry| (entry.key.clone(), entry)).collect();
-        });
+        let mut taken = false;
+        self.update(|snapshot| taken = snapshot.replace(revision, entries));
+        if !taken {
+            return Err(StoreError::Lost("the answer is older than the copy".to_owned()));
+        }
         while !self.sender.is_closed() {
-            let watch = Operation::Watch {
-                prefix: PREFIX.to_owned(),
-                after: revision,
-                wait_ms: self.watch_wait_ms,
-            };
+            let after = self.lock().revision;
+            let watch =
+                Operation::Watch { prefix: PREFIX.to_owned(), after, wait_ms: self.watch_wait_ms };
             match self.store.call(watch, Priority::Control).await? {
-                Answer::Changes { revision: upto, changes } => {
-                    revision = upto;
-                    self.update(|snapshot| {
-                        snapshot.revision = upto;
-                        snapshot.is_current = true;
-                        for change in changes {
-                            match change.entry {
-                                Some(entry) => snapshot.entries.insert(change.key, entry),
-                                None => snapshot.entries.remove(&change.key),
-                            };
-                        }
-                    });
+                Answer::Changes { revision, changes } => {
+                    backoff.reset();
+                    self.update(|snapshot| snapshot.apply(revision, changes));
                 }
                 Answer::Compacted { .. } => return Ok(()),
                 other => return Err(other.unexpected()),
@@ -119,9 +150,11 @@
     }
 
     fn update(&self, change: impl FnOnce(&mut Snapshot)) {
-        let mut shared = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
-        change(Arc::make_mut(&mut shared));
-        drop(shared);
+        change(Arc::make_mut(&mut self.lock()));
         let _ = self.sender.try_send(());
     }
+
+    fn lock(&self) -> MutexGuard<'_, Arc<Snapshot>> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
