--- a/src/configs/drain.rs
+++ b/src/configs/drain.rs
@@ -5,7 +5,8 @@
 use crate::settings::{Report, Validate};
 
 /// Settings of a drain.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct DrainConfig {
     /// Time for the balancer to see that the daemon is not ready, in milliseconds.
--- a/src/configs/placer.rs
+++ b/src/configs/placer.rs
@@ -10,7 +10,8 @@
 use crate::settings::{Report, Validate};
 
 /// Settings of the placer daemon.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlacerConfig {
     /// Name, unique among placers of the cell.
@@ -83,7 +84,8 @@
 }
 
 /// Settings of job records in the store.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RecordsConfig {
     /// Shortest time between two writes, in milliseconds.
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -7,7 +7,8 @@
 use crate::place::spec::Resources;
 
 /// What each team may use in one zone.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Shares {
     /// Share by team; a team that is not listed has none.
     pub teams: BTreeMap<String, Resources>,
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -25,7 +25,8 @@
 use agent::{Agent, Truth};
 
 /// Settings of a stand-in that hosts workers.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WorkerConfig {
     /// Address to listen on, `IP:port`.
@@ -50,7 +51,8 @@
 }
 
 /// A worker that a stand-in hosts.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HostedWorker {
     /// Name of the worker.
@@ -85,7 +87,8 @@
 }
 
 /// How a worker behaves.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Mode {
     /// Answers at once.
