--- a/src/demo/oracle.rs
+++ b/src/demo/oracle.rs
@@ -5,10 +5,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::collections::HashMap;
+use crate::collections::{HashMap, HashSet};
 use crate::load::driver::Told;
 use crate::outcome::Outcome;
+use crate::place::message::TaskId;
 use crate::standin::runner::Records;
+use crate::standin::worker::agent::{Run, Truth};
 
 /// Examples that are kept of each broken promise.
 const EXAMPLE_LIMIT: usize = 3;
@@ -154,3 +156,62 @@
         violations.push(Promise::RunnerConnections, example);
     }
 }
+
+/// A gang job and how many tasks it has.
+#[derive(Clone, Debug)]
+pub struct GangTruth {
+    /// Id of the job.
+    pub job_id: String,
+    /// Tasks that start together.
+    pub tasks: u32,
+}
+
+/// Checks what workers were given and where tasks ran.
+pub fn check_tasks(workers: &[(String, Truth)], gangs: &[GangTruth], violations: &mut Violations) {
+    for (name, truth) in workers {
+        if !truth.max_reserved.fits(truth.means) {
+            let example = format!("{name}: {:?} of {:?}", truth.max_reserved, truth.means);
+            violations.push(Promise::WorkerMeans, example);
+        }
+    }
+    for (task, runs) in runs_by_task(workers) {
+        check_one_place(task, runs, violations);
+    }
+    for gang in gangs {
+        check_gang(gang, workers, violations);
+    }
+}
+
+fn runs_by_task(workers: &[(String, Truth)]) -> HashMap<&TaskId, Vec<(&str, &Run)>> {
+    let mut by_task: HashMap<&TaskId, Vec<(&str, &Run)>> = HashMap::default();
+    for (name, truth) in workers {
+        for run in &truth.runs {
+            by_task.entry(&run.task).or_default().push((name, run));
+        }
+    }
+    by_task
+}
+
+/// Reports each run that began before the one before it had ended.
+fn check_one_place(task: &TaskId, mut runs: Vec<(&str, &Run)>, violations: &mut Violations) {
+    runs.sort_by_key(|(_, run)| run.started_at_ms);
+    for pair in runs.windows(2) {
+        let [(first_worker, first), (second_worker, second)] = pair else { continue };
+        let has_ended =
+            first.ended.is_some_and(|(ended_at_ms, _)| ended_at_ms <= second.started_at_ms);
+        if !has_ended {
+            let example = format!("{task:?} on {first_worker} and {second_worker}");
+            violations.push(Promise::OnePlace, example);
+        }
+    }
+}
+
+fn check_gang(gang: &GangTruth, workers: &[(String, Truth)], violations: &mut Violations) {
+    let runs = workers.iter().flat_map(|(_, truth)| &truth.runs);
+    let own = runs.filter(|run| *run.task.job_id == *gang.job_id);
+    let started: HashSet<u32> = own.map(|run| run.task.index).collect();
+    if !started.is_empty() && started.len() != gang.tasks as usize {
+        let example = format!("{}: {} of {} tasks", gang.job_id, started.len(), gang.tasks);
+        violations.push(Promise::GangWhole, example);
+    }
+}
--- a/src/standin/proxy.rs
+++ b/src/standin/proxy.rs
@@ -39,7 +39,7 @@
     /// Nothing.
     #[default]
     Pass,
-    /// Every chunk is held for `delay_ms`.
+    /// Every chunk is held for `delay_us`.
     Delay,
     /// Bytes are swallowed in both directions; connections stay open.
     Drop,
@@ -66,8 +66,8 @@
     pub kind: Kind,
     /// Share of connections, or of answers for `lost_answer`, that it strikes, 0 to 1.
     pub fraction: f64,
-    /// Time for which `delay` holds a chunk, in milliseconds.
-    pub delay_ms: u64,
+    /// Time for which `delay` holds a chunk, in microseconds.
+    pub delay_us: u64,
     /// Rate that `slow` lets through, in bytes a second.
     pub bytes_per_s: u64,
     /// Chooses what a partial fault strikes.
@@ -76,7 +76,7 @@
 
 impl Default for Fault {
     fn default() -> Self {
-        Self { kind: Kind::Pass, fraction: 1.0, delay_ms: 0, bytes_per_s: 10_000, seed: 0 }
+        Self { kind: Kind::Pass, fraction: 1.0, delay_us: 0, bytes_per_s: 10_000, seed: 0 }
     }
 }
 
@@ -94,10 +94,10 @@
         self
     }
 
-    /// Sets the delay in milliseconds.
+    /// Sets the delay in microseconds.
     #[must_use]
-    pub fn with_delay_ms(mut self, delay_ms: u64) -> Self {
-        self.delay_ms = delay_ms;
+    pub fn with_delay_us(mut self, delay_us: u64) -> Self {
+        self.delay_us = delay_us;
         self
     }
 
@@ -262,7 +262,7 @@
         let (fault, _) = self.fault();
         let struck = fault.strikes(link.number);
         match fault.kind {
-            Kind::Delay if struck => Verdict::PassAfter(Duration::from_millis(fault.delay_ms)),
+            Kind::Delay if struck => Verdict::PassAfter(Duration::from_micros(fault.delay_us)),
             Kind::Drop if struck => Verdict::Swallow,
             Kind::Cut if struck => Verdict::Close,
             Kind::HalfOpen if struck && direction == Direction::Answer => Verdict::Swallow,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -114,7 +114,7 @@
     const DELAY_MS: u64 = 60;
     run(async {
         let link = Link::new().await;
-        link.proxy.set_fault(Fault::new(Kind::Delay).with_delay_ms(DELAY_MS));
+        link.proxy.set_fault(Fault::new(Kind::Delay).with_delay_us(DELAY_MS * 1_000));
         let start = std::time::Instant::now();
         link.send("a").await.unwrap();
         assert!(start.elapsed().as_millis() >= u128::from(2 * DELAY_MS));
