feat(entry): requests end to end through real processes

Entry hosts own endpoints by rendezvous with a fenced handover, hand requests one hop to a peer, and tell done, not_run or unknown.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,1 +1,248 @@
-//! The entry daemon: the callers' door.
+//! The callers' door: takes requests, dispatches them to endpoints and answers truthfully.
+
+mod answer;
+pub mod authority;
+mod beat;
+pub mod book;
+mod control;
+mod front;
+pub mod heartbeat;
+mod journey;
+pub mod message;
+pub mod metrics;
+pub mod ownership;
+pub mod peer;
+pub mod send;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use eyre::WrapErr as _;
+
+use crate::clock;
+use crate::configs::entry::EntryConfig;
+use crate::configs::http::HttpConfig;
+use crate::declarations::feed::Feed;
+use crate::drain::{Drain, Drained};
+use crate::http::client::Pool;
+use crate::http::server::Server;
+use crate::membership::{Member, Role, Session};
+use crate::store::client::HttpStore;
+use crate::store::mirror::Mirror;
+use crate::store::Store;
+
+use authority::Authority;
+use message::{Control, Input};
+use metrics::Metrics;
+
+/// Room that a call between entry hosts needs beyond the body of its request, in bytes.
+const CALL_OVERHEAD_BYTES: u64 = 256 * 1024;
+
+/// Pause between looks at what a draining host still holds, in milliseconds.
+const DRAIN_POLL_MS: u64 = 20;
+
+/// Time for the last answers to be written once the limit of a drain has passed, in milliseconds.
+const LAST_ANSWERS_MS: u64 = 500;
+
+/// A running entry host.
+///
+/// ```no_run
+/// use hemlockrock::configs::entry::EntryConfig;
+/// use hemlockrock::entry::Entry;
+///
+/// # async fn run() -> eyre::Result<()> {
+/// let entry = Entry::start(EntryConfig::default()).await?;
+/// println!("listening {}", entry.address());
+/// entry.drain().await;
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Clone, Debug)]
+pub struct Entry {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+/// What the handlers of an entry host share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    config: Arc<EntryConfig>,
+    control: Control,
+    session: Session,
+    mirror: Mirror,
+    feed: Feed,
+    peers: Pool,
+    metrics: Arc<Metrics>,
+    next_request: AtomicU64,
+    was_ready: AtomicBool,
+    is_draining: AtomicBool,
+}
+
+impl Entry {
+    /// Starts an entry host in this process.
+    ///
+    /// # Errors
+    /// The address cannot be bound, or the control thread cannot be started.
+    pub async fn start(config: EntryConfig) -> eyre::Result<Self> {
+        let listener = TcpListener::bind(&config.listen)
+            .await
+            .wrap_err_with(|| format!("{} cannot be bound", config.listen))?;
+        let address = listener.local_addr().wrap_err("listening address")?;
+        let config = Arc::new(config);
+        let store: Arc<dyn Store> =
+            Arc::new(HttpStore::new(config.store.clone(), Pool::new(config.http.clone())));
+        let mirror = Mirror::start(Arc::clone(&store), config.store.watch_wait_ms);
+        let feed = Feed::start(mirror.clone(), Arc::clone(&store));
+        let member = own_member(&config, address);
+        let session = Session::start(Arc::clone(&store), config.membership.clone(), member);
+        let authority = Authority::new(session.clone());
+        let metrics = Arc::new(Metrics::new().wrap_err("metrics")?);
+        let peers = Pool::new(peer_http(&config));
+        let parts = control::Parts {
+            config: Arc::clone(&config),
+            session: session.clone(),
+            mirror: mirror.clone(),
+            feed: feed.clone(),
+            endpoints: Pool::new(endpoint_http(&config)),
+            peers: peers.clone(),
+            authority,
+            metrics: Arc::clone(&metrics),
+        };
+        let control = control::start(parts).wrap_err("control thread")?;
+        let shared = Arc::new(Shared {
+            config: Arc::clone(&config),
+            control,
+            session,
+            mirror,
+            feed,
+            peers,
+            metrics,
+            next_request: AtomicU64::new(1),
+            was_ready: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+        });
+        let app = front::app(Arc::clone(&shared));
+        let server = Server::start_on(listener, app, config.http.clone()).wrap_err("server")?;
+        task::spawn(beat::run(Arc::clone(&shared)));
+        spdlog::info!("entry host listens", kv: { name = config.name.as_str(), zone = config.zone.as_str() });
+        Ok(Self { shared, server })
+    }
+
+    /// Address that the host listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Shuts down without cutting a request that has begun, within the limit of the settings.
+    pub async fn drain(&self) -> Drained {
+        self.shared.is_draining.store(true, Ordering::Release);
+        spdlog::info!("drain begins");
+        let drain = Drain::new(self.shared.config.drain.clone()).settle().await;
+        self.server.begin_drain();
+        let drain = drain.hand_over(self.shared.hand_over()).await;
+        let ended = drain.finish(self.idle()).await;
+        if !ended.is_whole {
+            self.shared.control.send(Input::Cut);
+        }
+        self.server.finish(LAST_ANSWERS_MS).await;
+        self.shared.session.stop().await;
+        self.shared.control.send(Input::Stop);
+        spdlog::info!("drain ends", kv: { is_whole = ended.is_whole });
+        ended
+    }
+
+    /// Waits until no request is here.
+    async fn idle(&self) -> bool {
+        loop {
+            let idle = self.shared.control.ask(Input::Idle).await.unwrap_or_default();
+            if idle.requests == 0 && self.server.requests() == 0 {
+                return true;
+            }
+            task::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        }
+    }
+}
+
+impl Shared {
+    /// Whether configuration is in force and a session was held, and no shutdown has begun.
+    fn is_ready(&self) -> bool {
+        let holds = self.session.lease().is_some() && self.feed.current().revision > 0;
+        if holds {
+            self.was_ready.store(true, Ordering::Release);
+        }
+        self.was_ready.load(Ordering::Acquire) && !self.is_draining()
+    }
+
+    fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Acquire)
+    }
+
+    /// Gives the owned endpoints to the other hosts of the zone, if there are any.
+    async fn hand_over(&self) {
+        self.session.update(|member| member.is_leaving = true);
+        self.control.send(Input::Drain);
+        loop {
+            let idle = self.control.ask(Input::Idle).await.unwrap_or_default();
+            if idle.owned == 0 || !self.has_successor() {
+                return;
+            }
+            task::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        }
+    }
+
+    /// Whether another host of the zone stays.
+    fn has_successor(&self) -> bool {
+        let members = crate::membership::members(&self.mirror.snapshot());
+        let is_other = |member: &Member| {
+            member.role == Role::Entry
+                && member.zone == self.config.zone
+                && member.name != self.config.name
+                && !member.is_leaving
+        };
+        members.iter().any(is_other)
+    }
+}
+
+fn own_member(config: &EntryConfig, address: SocketAddr) -> Member {
+    let advertise =
+        if config.advertise.is_empty() { address.to_string() } else { config.advertise.clone() };
+    Member {
+        name: config.name.clone(),
+        role: Role::Entry,
+        zone: config.zone.clone(),
+        address: advertise,
+        incarnation: rand::random(),
+        config_revision: 0,
+        is_leaving: false,
+    }
+}
+
+fn endpoint_http(config: &EntryConfig) -> HttpConfig {
+    HttpConfig {
+        idle_timeout_ms: config.endpoints.fresh_ms,
+        max_idle_per_address: config.endpoints.max_idle,
+        ..config.http.clone()
+    }
+}
+
+fn peer_http(config: &EntryConfig) -> HttpConfig {
+    HttpConfig {
+        idle_timeout_ms: config.endpoints.fresh_ms,
+        max_body_bytes: config.http.max_body_bytes + CALL_OVERHEAD_BYTES,
+        ..config.http.clone()
+    }
+}
+
+/// Time on the monotonic clock by which something that may take `within_ms` has to be done.
+fn deadline(within_ms: u64) -> u64 {
+    clock::now_ms().saturating_add(within_ms)
+}
--- /dev/null
+++ b/src/entry/book.rs
@@ -0,0 +1,134 @@
+//! Small keys for the names in the declarations, and which endpoints are declared.
+
+use crate::collections::{self, HashMap};
+use crate::declarations::Declarations;
+use crate::route::{CallerKey, EndpointKey, KindKey, PeerKey, ServiceKey};
+
+/// A declared endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Its key.
+    pub key: EndpointKey,
+    /// Service and name, the same on every host.
+    pub name: String,
+    /// Service that it serves.
+    pub service: ServiceKey,
+    /// Zone that it is in.
+    pub zone: String,
+    /// Address, `IP:port`.
+    pub address: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// Names and keys of services, endpoints and peers.
+#[derive(Debug, Default)]
+pub struct Book {
+    services: Names,
+    endpoint_names: Names,
+    peers: Names,
+    endpoints: HashMap<EndpointKey, Endpoint>,
+}
+
+impl Book {
+    /// Takes in the declared services and endpoints.
+    pub fn declare(&mut self, declarations: &Declarations) {
+        self.endpoints.clear();
+        for service in &declarations.services {
+            let service_key = ServiceKey(self.services.key(&service.name));
+            for declared in &service.endpoints {
+                let name = format!("{}/{}@{}", service.name, declared.name, declared.address);
+                let key = EndpointKey(self.endpoint_names.key(&name));
+                let endpoint = Endpoint {
+                    key,
+                    name,
+                    service: service_key,
+                    zone: declared.zone.clone(),
+                    address: declared.address.clone(),
+                    slots: declared.slots,
+                };
+                self.endpoints.insert(key, endpoint);
+            }
+        }
+    }
+
+    /// The declared endpoints of a zone, by key.
+    pub fn endpoints_in(&self, zone: &str) -> Vec<Endpoint> {
+        let inside = self.endpoints.values().filter(|endpoint| endpoint.zone == zone);
+        let mut found: Vec<Endpoint> = inside.cloned().collect();
+        found.sort_by_key(|endpoint| endpoint.key);
+        found
+    }
+
+    /// A declared endpoint.
+    pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(&key)
+    }
+
+    /// The endpoint of this name, if it was ever declared.
+    pub fn endpoint_named(&self, name: &str) -> Option<EndpointKey> {
+        self.endpoint_names.find(name).map(EndpointKey)
+    }
+
+    /// The service of this name, if it was ever declared.
+    pub fn service(&self, name: &str) -> Option<ServiceKey> {
+        self.services.find(name).map(ServiceKey)
+    }
+
+    /// Name of a service.
+    pub fn service_name(&self, key: ServiceKey) -> &str {
+        self.services.name(key.0)
+    }
+
+    /// Key of a peer, new if need be.
+    pub fn peer(&mut self, name: &str) -> PeerKey {
+        PeerKey(self.peers.key(name))
+    }
+
+    /// Name of a peer.
+    pub fn peer_name(&self, key: PeerKey) -> &str {
+        self.peers.name(key.0)
+    }
+}
+
+/// Key of a kind of work; kinds whose keys meet share an estimate.
+pub fn kind_key(service: &str, kind: &str) -> KindKey {
+    KindKey(short_hash(&format!("{service}/{kind}")))
+}
+
+/// Key of a caller; callers whose keys meet share a fair share.
+pub fn caller_key(caller: &str) -> CallerKey {
+    CallerKey(short_hash(caller))
+}
+
+#[allow(clippy::cast_possible_truncation, reason = "the low half of the hash is wanted")]
+fn short_hash(text: &str) -> u32 {
+    collections::stable_hash(text) as u32
+}
+
+/// Names numbered in the order in which they were met.
+#[derive(Debug, Default)]
+struct Names {
+    keys: HashMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Names {
+    fn key(&mut self, name: &str) -> u32 {
+        if let Some(key) = self.keys.get(name) {
+            return *key;
+        }
+        let key = u32::try_from(self.names.len()).unwrap_or(u32::MAX);
+        self.keys.insert(name.to_owned(), key);
+        self.names.push(name.to_owned());
+        key
+    }
+
+    fn find(&self, name: &str) -> Option<u32> {
+        self.keys.get(name).copied()
+    }
+
+    fn name(&self, key: u32) -> &str {
+        self.names.get(key as usize).map_or("", String::as_str)
+    }
+}
--- /dev/null
+++ b/src/entry/control/flights.rs
@@ -0,0 +1,177 @@
+//! Requests in flight from the control thread to endpoints.
+
+use std::sync::Arc;
+
+use async_std::task;
+
+use crate::clock;
+use crate::http::client::Reply;
+use crate::outcome::Reason;
+use crate::route::{self, EndpointKey, RequestKey, SendResult, Sign};
+
+use super::super::message::{Input, Purpose, Reading, Verdict};
+use super::super::send;
+use super::Thread;
+
+/// Age from which an endpoint counts a request as its own for certain, in milliseconds.
+const ARRIVED_AFTER_MS: u64 = 50;
+
+/// Readings in a row after which a request that the endpoint seems not to have is given up.
+const MISSED_LIMIT: u32 = 2;
+
+/// A request that was sent to an endpoint.
+#[derive(Debug)]
+pub(super) struct Flight {
+    /// Where it was sent.
+    pub(super) endpoint: EndpointKey,
+    /// When, on the monotonic clock.
+    pub(super) sent_ms: u64,
+    /// Readings in a row in which the endpoint seemed not to have it.
+    missed: u32,
+    /// Ends the send early.
+    abort: async_channel::Sender<Reason>,
+}
+
+impl Thread {
+    /// Sends a request to an endpoint, in a task that reports how it ended.
+    pub(super) fn begin_flight(&mut self, request: RequestKey, endpoint: EndpointKey) {
+        let held = self.ownership.held();
+        let address = self.book.endpoint(endpoint).map(|found| found.address.clone());
+        let submitted = self.waiting.get(&request).map(|found| Arc::clone(&found.submitted));
+        let (Some(held), Some(address), Some(submitted)) = (held, address, submitted) else {
+            self.control.send(not_sent(request, endpoint));
+            return;
+        };
+        let (sender, abort) = async_channel::bounded(1);
+        let sent_ms = clock::now_ms();
+        self.flights.insert(request, Flight { endpoint, sent_ms, missed: 0, abort: sender });
+        let job = send::Send {
+            submitted,
+            address,
+            held,
+            pool: self.parts.endpoints.clone(),
+            authority: self.parts.authority.clone(),
+            abort,
+        };
+        let control = self.control.clone();
+        task::spawn(async move {
+            let sent = send::send(job).await;
+            let send::Sent { result, reply, sign } = sent;
+            control.send(Input::Ended { request, endpoint, result, reply, sign });
+        });
+    }
+
+    /// Breaks off a send whose caller is gone.
+    pub(super) fn abort_flight(&mut self, request: RequestKey) {
+        if let Some(flight) = self.flights.get(&request) {
+            let _ = flight.abort.try_send(Reason::Cancelled);
+        }
+    }
+
+    /// Takes in the end of a send.
+    pub(super) fn end_flight(
+        &mut self,
+        request: RequestKey,
+        endpoint: EndpointKey,
+        result: SendResult,
+        reply: Option<Reply>,
+        sign: Option<Sign>,
+    ) {
+        self.flights.remove(&request);
+        if let Some(sign) = sign {
+            self.step(route::Event::Sign { endpoint, sign });
+        }
+        if let Some(reply) = reply {
+            self.finish(request, Verdict::Answered(reply));
+        }
+        self.step(route::Event::Ended { request, endpoint, result });
+    }
+
+    /// Requests in flight to an endpoint.
+    pub(super) fn in_flight(&self, endpoint: EndpointKey) -> u32 {
+        let here = self.flights.values().filter(|flight| flight.endpoint == endpoint);
+        u32::try_from(here.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Requests that the endpoint has had for long enough to count them as busy.
+    fn arrived(&self, endpoint: EndpointKey) -> Vec<RequestKey> {
+        let latest_ms = clock::now_ms().saturating_sub(ARRIVED_AFTER_MS);
+        let here = self
+            .flights
+            .iter()
+            .filter(|(_, flight)| flight.endpoint == endpoint && flight.sent_ms <= latest_ms);
+        here.map(|(request, _)| *request).collect()
+    }
+
+    /// Asks an endpoint for its busy slots, in a task that reports the answer.
+    pub(super) fn read_endpoint(&mut self, endpoint: EndpointKey, purpose: Purpose) {
+        let Some(declared) = self.book.endpoint(endpoint) else { return };
+        let address = declared.address.clone();
+        let in_flight_before = self.arrived(endpoint);
+        let timeout_ms = self.parts.config.endpoints.probe_timeout_ms;
+        let control = self.control.clone();
+        task::spawn(async move {
+            let said = send::read_health(&address, timeout_ms).await;
+            control.send(Input::Read(Reading { endpoint, purpose, in_flight_before, said }));
+        });
+    }
+
+    /// Takes in what an endpoint said about itself.
+    pub(super) fn take_reading(&mut self, reading: &Reading) {
+        let endpoint = reading.endpoint;
+        if reading.purpose == Purpose::Probe {
+            let sign = if reading.said.is_some() { Sign::Answering } else { Sign::Silent };
+            self.step(route::Event::Sign { endpoint, sign });
+        }
+        if let Some(said) = reading.said {
+            let sign = if said.is_leaving { Sign::Leaving } else { Sign::Staying };
+            self.step(route::Event::Sign { endpoint, sign });
+        }
+        let still = |request: &&RequestKey| self.flights.contains_key(*request);
+        let mine = reading.in_flight_before.iter().filter(still).count();
+        let mine = u32::try_from(mine).unwrap_or(u32::MAX);
+        match reading.purpose {
+            Purpose::Probe => {}
+            Purpose::Foreign => self.learn_foreign(endpoint, reading.said, mine),
+            Purpose::Progress => self.judge_progress(reading, mine),
+        }
+    }
+
+    /// Looks for requests that have been without an answer for long.
+    pub(super) fn watch_progress(&mut self) {
+        let late_ms = clock::now_ms().saturating_sub(self.parts.config.endpoints.progress_ms);
+        let late = self.flights.values().filter(|flight| flight.sent_ms <= late_ms);
+        let mut endpoints: Vec<EndpointKey> = late.map(|flight| flight.endpoint).collect();
+        endpoints.sort();
+        endpoints.dedup();
+        for endpoint in endpoints {
+            self.read_endpoint(endpoint, Purpose::Progress);
+        }
+    }
+
+    /// Gives up requests that the endpoint does not have: their connections went silent.
+    fn judge_progress(&mut self, reading: &Reading, mine: u32) {
+        let Some(busy) = reading.said.and_then(|said| said.busy) else { return };
+        let missing = mine.saturating_sub(busy) as usize;
+        let late_ms = clock::now_ms().saturating_sub(self.parts.config.endpoints.progress_ms);
+        let mut late: Vec<(u64, RequestKey)> = reading
+            .in_flight_before
+            .iter()
+            .filter_map(|request| Some((self.flights.get(request)?.sent_ms, *request)))
+            .filter(|(sent_ms, _)| *sent_ms <= late_ms)
+            .collect();
+        late.sort();
+        for (index, (_, request)) in late.into_iter().enumerate() {
+            let Some(flight) = self.flights.get_mut(&request) else { continue };
+            flight.missed = if index < missing { flight.missed + 1 } else { 0 };
+            if flight.missed >= MISSED_LIMIT {
+                let _ = flight.abort.try_send(Reason::ConnectionLost);
+            }
+        }
+    }
+}
+
+fn not_sent(request: RequestKey, endpoint: EndpointKey) -> Input {
+    let result = SendResult::NotSent;
+    Input::Ended { request, endpoint, result, reply: None, sign: None }
+}
--- /dev/null
+++ b/src/entry/front/parse.rs
@@ -0,0 +1,155 @@
+//! Reads a caller's request and reports everything that is wrong with its headers together.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::findings::{Findings, Place};
+use crate::http::error::ApiError;
+use crate::http::server;
+use crate::outcome;
+
+use super::super::message::Submitted;
+use super::super::{deadline, peer, Shared};
+use super::{is_declared, Request};
+
+/// Header that says whether a second run does no harm.
+const IDEMPOTENT: &str = "Hemlock-Idempotent";
+
+/// Header that carries the time within which the answer is of use.
+const DEADLINE: &str = "Hemlock-Deadline-Ms";
+
+/// Header that names the caller.
+const CALLER: &str = "Hemlock-Caller";
+
+/// Header that names the kind of work.
+const KIND: &str = "Hemlock-Kind";
+
+/// Longest value of a header that the entry host reads itself, in bytes.
+const MAX_VALUE_BYTES: usize = 256;
+
+/// Headers that the entry host sets itself, or that are for it alone.
+const OWN_HEADERS: [&str; 4] =
+    [outcome::KEY_HEADER, outcome::REQUEST_ID_HEADER, DEADLINE, IDEMPOTENT];
+
+/// Reads head and body of a request.
+pub(super) async fn submitted(request: &mut Request) -> Result<Submitted, ApiError> {
+    let shared = Arc::clone(request.state());
+    let service = request.param("service").unwrap_or_default().to_owned();
+    check_service(&shared, &service)?;
+    let mut submitted = head(request, &shared, service)?;
+    let body = server::read_body(request, &shared.config.http).await?;
+    submitted.body = Bytes::from(body);
+    Ok(submitted)
+}
+
+fn check_service(shared: &Shared, service: &str) -> Result<(), ApiError> {
+    const RETRY_AFTER_MS: u64 = 1_000;
+    if is_declared(shared, service) {
+        return Ok(());
+    }
+    if shared.feed.current().revision == 0 {
+        let error = ApiError::new(503, "not_ready", "no configuration is in force yet");
+        return Err(error.with_retry_after_ms(RETRY_AFTER_MS));
+    }
+    let message = format!("service {service} is not declared");
+    Err(ApiError::new(404, "no_such_service", message))
+}
+
+fn head(request: &Request, shared: &Shared, service: String) -> Result<Submitted, ApiError> {
+    let mut head = Head { request, findings: Findings::new() };
+    let key = head.text(outcome::KEY_HEADER);
+    let is_idempotent = head.flag(IDEMPOTENT);
+    let default_ms = shared.config.default_deadline_ms;
+    let within_ms = head.number(DEADLINE, shared.config.max_deadline_ms).unwrap_or(default_ms);
+    let caller = head.text(CALLER);
+    let kind = head.text(KIND);
+    let id = head.text(outcome::REQUEST_ID_HEADER);
+    if key.is_empty() && !is_idempotent && head.findings.is_empty() {
+        head.push(outcome::KEY_HEADER, "required unless Hemlock-Idempotent is true");
+    }
+    head.findings.into_result(()).map_err(|findings| {
+        ApiError::new(400, "bad_headers", "headers are wrong or missing").with_findings(findings)
+    })?;
+    Ok(Submitted {
+        id: if id.is_empty() { new_id(shared) } else { id },
+        service,
+        kind,
+        caller,
+        key,
+        is_idempotent,
+        is_forwarded: false,
+        deadline_ms: deadline(within_ms),
+        headers: endpoint_headers(request),
+        body: Bytes::new(),
+    })
+}
+
+fn new_id(shared: &Shared) -> String {
+    let number = shared.next_request.fetch_add(1, Ordering::Relaxed);
+    let incarnation = shared.session.member().incarnation;
+    format!("{}-{incarnation:x}-{number}", shared.config.name)
+}
+
+/// Headers of the caller that go to the endpoint.
+fn endpoint_headers(request: &Request) -> Vec<(String, String)> {
+    let all: Vec<(String, String)> = request
+        .iter()
+        .flat_map(|(name, values)| {
+            values.iter().map(|value| (name.as_str().to_owned(), value.as_str().to_owned()))
+        })
+        .filter(|(name, _)| !OWN_HEADERS.iter().any(|own| name.eq_ignore_ascii_case(own)))
+        .collect();
+    peer::end_to_end(&all)
+}
+
+/// Reads headers and collects findings.
+struct Head<'a> {
+    request: &'a Request,
+    findings: Findings,
+}
+
+impl Head<'_> {
+    fn push(&mut self, name: &str, message: &str) {
+        self.findings.push("request", Place::default(), name, message);
+    }
+
+    /// The one value of a header; empty if it is absent.
+    fn text(&mut self, name: &str) -> String {
+        let Some(values) = self.request.header(name) else { return String::new() };
+        let value = values.as_str().to_owned();
+        if values.iter().count() > 1 {
+            self.push(name, "given more than once");
+        } else if value.is_empty() || value.len() > MAX_VALUE_BYTES {
+            self.push(name, "expected 1 to 256 characters");
+        } else if !value.bytes().all(|byte| byte.is_ascii_graphic() || byte == b' ') {
+            self.push(name, "expected printable ASCII");
+        }
+        value
+    }
+
+    fn flag(&mut self, name: &str) -> bool {
+        match self.text(name).as_str() {
+            "true" => true,
+            "false" | "" => false,
+            _ => {
+                self.push(name, "expected true or false");
+                false
+            }
+        }
+    }
+
+    /// A whole number from 1 to `max`.
+    fn number(&mut self, name: &str, max: u64) -> Option<u64> {
+        let text = self.text(name);
+        if text.is_empty() {
+            return None;
+        }
+        let number = text.parse::<u64>().ok().filter(|number| (1..=max).contains(number));
+        if number.is_none() {
+            self.push(name, &format!("expected a whole number from 1 to {max}"));
+        }
+        number
+    }
+}
--- /dev/null
+++ b/src/entry/journey.rs
@@ -0,0 +1,122 @@
+//! The way of one request through this host: to its dispatcher here, or one hop to a peer.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+
+use futures_lite::future;
+
+use crate::clock;
+use crate::http::rpc::{self, Call, RpcError};
+use crate::http::server::CallerLink;
+use crate::outcome::Reason;
+use crate::route::RequestKey;
+
+use super::message::{Input, Submitted, Verdict};
+use super::peer::{self, PeerAnswer, PeerRequest};
+use super::Shared;
+
+/// Peers that are tried before a request stays here.
+const MAX_PEERS: u32 = 2;
+
+/// Time past the deadline for a peer's answer to arrive, in milliseconds.
+const PEER_GRACE_MS: u64 = 500;
+
+/// Becomes readable when the caller has gone.
+pub(super) type Gone = async_channel::Receiver<()>;
+
+/// Runs `journey` to its end, also when the caller goes away; the journey is told of that.
+pub(super) async fn with_caller<T, Journey>(
+    link: Option<CallerLink>,
+    journey: impl FnOnce(Gone) -> Journey,
+) -> T
+where
+    T: Send + 'static,
+    Journey: std::future::Future<Output = T> + Send + 'static,
+{
+    let (sender, gone) = async_channel::bounded(1);
+    let mut journey = async_std::task::spawn(journey(gone));
+    let watched = async {
+        match link {
+            Some(link) => link.closed().await,
+            None => future::pending().await,
+        }
+        let _ = sender.try_send(());
+        future::pending::<T>().await
+    };
+    future::or(&mut journey, watched).await
+}
+
+/// Dispatches a request here or at a peer, and waits for its end.
+pub(super) async fn dispatch(shared: &Shared, submitted: Submitted, gone: &Gone) -> Verdict {
+    let mut submitted = Arc::new(submitted);
+    let mut failed_peers = 0;
+    loop {
+        let verdict = dispatch_here(shared, Arc::clone(&submitted), gone).await;
+        let Verdict::Forward { peer, address } = verdict else { return verdict };
+        shared.metrics.forwarded();
+        match hand_over(shared, &submitted, &address, gone).await {
+            Handed::Ended(verdict) => return verdict,
+            Handed::NotTaken => {
+                shared.control.send(Input::PeerFailed(peer));
+                failed_peers += 1;
+                let changed = Arc::make_mut(&mut submitted);
+                changed.is_forwarded = failed_peers >= MAX_PEERS;
+            }
+        }
+    }
+}
+
+async fn dispatch_here(shared: &Shared, submitted: Arc<Submitted>, gone: &Gone) -> Verdict {
+    let request = RequestKey(shared.next_request.fetch_add(1, Ordering::Relaxed));
+    let (sender, verdict) = async_channel::bounded(1);
+    shared.control.send(Input::Submit { submitted, verdict: sender, request });
+    let ended = async { Some(verdict.recv().await) };
+    let cancelled = async {
+        if gone.recv().await.is_err() {
+            future::pending::<()>().await;
+        }
+        None
+    };
+    let ended = match future::or(ended, cancelled).await {
+        Some(ended) => ended,
+        None => {
+            shared.control.send(Input::Cancel(request));
+            verdict.recv().await
+        }
+    };
+    ended.unwrap_or_else(|_| Verdict::unknown(Reason::Draining))
+}
+
+enum Handed {
+    Ended(Verdict),
+    NotTaken,
+}
+
+async fn hand_over(shared: &Shared, submitted: &Submitted, address: &str, gone: &Gone) -> Handed {
+    let left_ms = submitted.deadline_ms.saturating_sub(clock::now_ms());
+    let call = Call {
+        address,
+        path: peer::REQUESTS_PATH,
+        token: &shared.config.token,
+        timeout_ms: left_ms + PEER_GRACE_MS,
+    };
+    let body = PeerRequest::new(submitted);
+    let answered = async {
+        let answer: Result<PeerAnswer, RpcError> = rpc::call(&shared.peers, &call, &body).await;
+        Some(answer)
+    };
+    let cancelled = async {
+        if gone.recv().await.is_err() {
+            future::pending::<()>().await;
+        }
+        None
+    };
+    match future::or(answered, cancelled).await {
+        Some(Ok(answer)) => Handed::Ended(answer.into_verdict()),
+        Some(Err(error)) if error.is_certain() => Handed::NotTaken,
+        Some(Err(_)) if submitted.is_idempotent => Handed::NotTaken,
+        Some(Err(_)) => Handed::Ended(Verdict::unknown(Reason::ConnectionLost)),
+        // Closing the connection tells the peer; it may have sent the request before.
+        None => Handed::Ended(Verdict::unknown(Reason::Cancelled)),
+    }
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -156,19 +156,45 @@
         address: &str,
         request: Request,
         timeout_ms: u64,
+    ) -> Result<Reply, ExchangeError> {
+        self.send_if(address, request, timeout_ms, || true).await
+    }
+
+    /// As [`Pool::send`], but asks `may_send` between opening the connection and the first byte.
+    ///
+    /// # Errors
+    /// [`ExchangeError`]; [`ExchangeError::NotSent`] when `may_send` says no.
+    pub async fn send_if(
+        &self,
+        address: &str,
+        request: Request,
+        timeout_ms: u64,
+        may_send: impl FnOnce() -> bool,
     ) -> Result<Reply, ExchangeError> {
         let stream = self.connection(address).await?;
         let exchange = exchange(stream.clone(), request, self.config.max_body_bytes);
         let limit = Duration::from_millis(timeout_ms);
-        let reply = async_std::future::timeout(limit, exchange)
-            .await
-            .map_err(|_| unanswered(format!("no answer within {timeout_ms} ms")))??;
+        if !may_send() {
+            return Err(ExchangeError::NotSent("not allowed to send any more".to_owned()));
+        }
+        let reply = match async_std::future::timeout(limit, exchange).await {
+            Ok(reply) => reply?,
+            Err(_) => {
+                self.forget(address);
+                return Err(unanswered(format!("no answer within {timeout_ms} ms")));
+            }
+        };
         if reply.reusable {
             self.keep(address, stream);
         }
         Ok(reply)
     }
 
+    /// Closes the idle connections to `address`, such as when one of them went silent.
+    pub fn forget(&self, address: &str) {
+        self.lock().remove(address);
+    }
+
     async fn connection(&self, address: &str) -> Result<TcpStream, ExchangeError> {
         while let Some(stream) = self.take_idle(address) {
             if !is_stale(&stream).await {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -74,7 +74,21 @@
     where
         State: Clone + Send + Sync + 'static,
     {
-        let listener = TcpListener::bind(address).await?;
+        Self::start_on(TcpListener::bind(address).await?, app, config)
+    }
+
+    /// Starts to serve `app` on a listener that is already bound.
+    ///
+    /// # Errors
+    /// The address of the listener cannot be read.
+    pub fn start_on<State>(
+        listener: TcpListener,
+        app: tide::Server<State>,
+        config: HttpConfig,
+    ) -> std::io::Result<Self>
+    where
+        State: Clone + Send + Sync + 'static,
+    {
         let shared = Arc::new(Shared::default());
         let server = Self { shared: Arc::clone(&shared), address: listener.local_addr()? };
         task::spawn(accept_loop(listener, app, Arc::new(config), shared));
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -16,6 +16,9 @@
 /// Header by which an endpoint says that it did not start a request.
 pub const NOT_STARTED_HEADER: &str = "Hemlock-Not-Started";
 
+/// Header that carries the idempotency key of a request.
+pub const KEY_HEADER: &str = "Idempotency-Key";
+
 /// Header that carries the id of a request over all hops.
 pub const REQUEST_ID_HEADER: &str = "Hemlock-Request-Id";
 
@@ -91,3 +94,45 @@
     /// This entry host is shutting down.
     Draining,
 }
+
+impl Reason {
+    /// The reason as headers and metrics carry it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::QueueFull => "queue_full",
+            Self::DeadlineTooClose => "deadline_too_close",
+            Self::Expired => "expired",
+            Self::Cancelled => "cancelled",
+            Self::NoEndpoint => "no_endpoint",
+            Self::Declined => "declined",
+            Self::NoRetryLeft => "no_retry_left",
+            Self::LedgerAway => "ledger_away",
+            Self::KeyInDoubt => "key_in_doubt",
+            Self::ConnectionLost => "connection_lost",
+            Self::ShortAnswer => "short_answer",
+            Self::TimedOut => "timed_out",
+            Self::Draining => "draining",
+        }
+    }
+
+    /// What the reason says to people.
+    pub fn message(self) -> &'static str {
+        match self {
+            Self::QueueFull => "the queue of the service is full",
+            Self::DeadlineTooClose => "the wait would outlast the deadline",
+            Self::Expired => "the deadline passed in the queue",
+            Self::Cancelled => "the request was cancelled",
+            Self::NoEndpoint => "no endpoint of the service can be reached",
+            Self::Declined => "the endpoint declined before it started",
+            Self::NoRetryLeft => "the retry budget is used up",
+            Self::LedgerAway => "the idempotency key cannot be recorded now",
+            Self::KeyInDoubt => "an earlier request with this key may have run",
+            Self::ConnectionLost => {
+                "the connection ended or went silent after the request was sent"
+            }
+            Self::ShortAnswer => "the answer ended before its declared length",
+            Self::TimedOut => "no answer came in time after the request was sent",
+            Self::Draining => "this entry host is shutting down",
+        }
+    }
+}
--- a/src/standin/runner.rs
+++ b/src/standin/runner.rs
@@ -134,8 +134,7 @@
     /// The address cannot be bound.
     pub async fn start(config: RunnerConfig) -> std::io::Result<Self> {
         let listen = config.listen.clone();
-        let shared =
-            Arc::new(Shared { config, state: Mutex::default(), server: OnceLock::new() });
+        let shared = Arc::new(Shared { config, state: Mutex::default(), server: OnceLock::new() });
         let mut app = tide::with_state(Arc::clone(&shared));
         app.at("/").post(serve);
         app.at("/healthz").get(serve_health);
@@ -270,12 +269,7 @@
 }
 
 /// The answer of a run, broken as the mode asks.
-fn finish(
-    shared: &Shared,
-    mode: Mode,
-    answer: &RunAnswer,
-    link: Option<&CallerLink>,
-) -> Response {
+fn finish(shared: &Shared, mode: Mode, answer: &RunAnswer, link: Option<&CallerLink>) -> Response {
     let mut response = json(StatusCode::Ok, answer);
     match mode {
         Mode::Leaving => {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Starts the real binaries for tests: each on a free port, ended when its handle is dropped.
-#![allow(dead_code, reason = "each test binary uses its own part")]
+#![allow(dead_code, unreachable_pub, reason = "each test binary uses its own part")]
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a helper that fails fails its test")]
 
 use std::io::{BufRead as _, BufReader};
 use std::path::PathBuf;
