--- a/src/route.rs
+++ b/src/route.rs
@@ -4,17 +4,41 @@
 //! by events and answers with actions; it has no clock, no I/O and no source
 //! of chance but its seed.
 
+mod budget;
+mod circuit;
+mod deadlines;
+mod endpoint;
+mod endpoints;
+mod estimate;
 mod message;
+mod peers;
+mod pool;
+mod queue;
+mod rate;
+mod request;
+mod results;
+mod sending;
+mod service;
+mod shares;
+mod submit;
+mod timers;
 
-use std::collections::VecDeque;
+pub mod owner;
 
 pub use message::{
     Action, CallerKey, EndpointKey, Event, Guard, KindKey, Load, PeerKey, PeerLoad, RequestKey,
     SendResult, ServiceKey, ServiceLoad, Sign, Submission,
 };
 
+use rand::rngs::SmallRng;
+use rand::SeedableRng as _;
+
+use self::peers::Peers;
+use self::request::Request;
+use self::service::Service;
+use self::timers::{Timer, Timers};
 use crate::collections::HashMap;
-use crate::configs::route::RouteConfig;
+use crate::configs::route::{Policy, RouteConfig};
 use crate::outcome::{Outcome, Reason};
 
 /// Dispatches requests to the endpoints that this host owns.
@@ -46,139 +70,111 @@
 #[derive(Debug)]
 pub struct Dispatcher {
     config: RouteConfig,
-    endpoints: HashMap<EndpointKey, Endpoint>,
-    order: Vec<EndpointKey>,
-    queue: VecDeque<Submission>,
-    running: HashMap<RequestKey, Submission>,
-}
-
-#[derive(Debug)]
-struct Endpoint {
-    service: ServiceKey,
-    slots: u32,
-    in_flight: u32,
-    foreign: Option<u32>,
-    is_open: bool,
-}
-
-impl Endpoint {
-    fn is_free(&self, service: ServiceKey) -> bool {
-        let Some(foreign) = self.foreign else { return false };
-        self.is_open && self.service == service && self.in_flight + foreign < self.slots
-    }
+    rng: SmallRng,
+    services: Vec<Service>,
+    service_index: HashMap<ServiceKey, usize>,
+    endpoint_services: HashMap<EndpointKey, usize>,
+    requests: HashMap<RequestKey, Request>,
+    peers: Peers,
+    timers: Timers,
 }
 
 impl Dispatcher {
-    /// A dispatcher without endpoints; `seed` settles ties.
+    /// A dispatcher without endpoints; `seed` settles ties and jitter.
     pub fn new(config: RouteConfig, seed: u64) -> Self {
-        let _ = seed;
+        let peers = Peers::new(config.peer_age_ms);
         Self {
             config,
-            endpoints: HashMap::default(),
-            order: Vec::new(),
-            queue: VecDeque::new(),
-            running: HashMap::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            services: Vec::new(),
+            service_index: HashMap::default(),
+            endpoint_services: HashMap::default(),
+            requests: HashMap::default(),
+            peers,
+            timers: Timers::default(),
         }
     }
 
     /// Takes in one event and appends what is to be done to `out`.
     pub fn step(&mut self, event: Event, now_ms: u64, out: &mut Vec<Action>) {
         match event {
-            Event::Own { endpoint, service, slots, .. } => {
-                let state = Endpoint { service, slots, in_flight: 0, foreign: None, is_open: true };
-                if self.endpoints.insert(endpoint, state).is_none() {
-                    self.order.push(endpoint);
-                }
-            }
-            Event::Disown { endpoint } => self.set_open(endpoint, false),
-            Event::Learned { endpoint, busy } => {
-                if let Some(state) = self.endpoints.get_mut(&endpoint) {
-                    state.foreign = Some(busy);
-                }
-            }
-            Event::Submit(submission) if self.queue.len() < self.config.max_queued => {
-                self.queue.push_back(submission);
-            }
-            Event::Submit(submission) => {
-                finish(submission.request, Outcome::NotRun, Reason::QueueFull, out);
-            }
-            Event::Cancel { request } => {
-                if let Some(at) = self.queue.iter().position(|waiting| waiting.request == request) {
-                    self.queue.remove(at);
-                    finish(request, Outcome::NotRun, Reason::Cancelled, out);
-                }
+            Event::Own { endpoint, service, slots, guard } => {
+                self.own(endpoint, service, slots, guard, now_ms);
             }
+            Event::Disown { endpoint } => self.disown(endpoint, now_ms, out),
+            Event::Learned { endpoint, busy } => self.learn(endpoint, busy, now_ms, out),
+            Event::Submit(submission) => self.submit(submission, now_ms, out),
+            Event::Cancel { request } => self.cancel(request, out),
             Event::Ended { request, endpoint, result } => {
-                self.end(request, endpoint, result, out);
+                self.end(request, endpoint, result, now_ms, out);
             }
-            Event::Sign { endpoint, sign } => match sign {
-                Sign::Leaving | Sign::Refused => self.set_open(endpoint, false),
-                Sign::Staying | Sign::Answering => self.set_open(endpoint, true),
-                Sign::Silent => {}
-            },
-            Event::Peers(_) | Event::Tick => {}
+            Event::Sign { endpoint, sign } => self.note_sign(endpoint, sign, now_ms, out),
+            Event::Peers(loads) => self.peers.hear(loads, now_ms),
+            Event::Tick => {}
+        }
+        while let Some(timer) = self.timers.pop_due(now_ms) {
+            self.fire(timer, now_ms, out);
         }
-        self.dispatch(now_ms, out);
     }
 
     /// Expected waits and free slots, for the heartbeats to peers.
-    pub fn load(&self, now_ms: u64) -> Load {
-        let _ = now_ms;
-        Load::default()
+    pub fn load(&self) -> Load {
+        let usable = self.services.iter().filter(|service| service.pool.slots() > 0);
+        Load { services: usable.map(|service| (service.key, service.load())).collect() }
     }
 
     /// When [`Event::Tick`] is due at the latest, if ever.
     pub fn next_due_ms(&self) -> Option<u64> {
-        self.queue.iter().map(|waiting| waiting.deadline_ms).min()
+        self.timers.next_due_ms()
     }
 
-    fn set_open(&mut self, endpoint: EndpointKey, is_open: bool) {
-        if let Some(state) = self.endpoints.get_mut(&endpoint) {
-            state.is_open = is_open;
+    fn fire(&mut self, timer: Timer, now_ms: u64, out: &mut Vec<Action>) {
+        match timer {
+            Timer::Expire(request) => self.expire(request, now_ms, out),
+            Timer::Outlive(request, attempt) => self.outlive(request, attempt, now_ms),
+            Timer::Retry(request, attempt) => self.retry(request, attempt, now_ms, out),
+            Timer::Probe(endpoint, epoch) => self.probe(endpoint, epoch, now_ms, out),
+            Timer::Refresh(endpoint) => self.refresh(endpoint, now_ms, out),
+            Timer::Circuit(service) => {
+                if let Some(at) = self.service_index.get(&service) {
+                    self.dispatch(*at, now_ms, out);
+                }
+            }
+            Timer::Stranded(service) => self.give_up_stranded(service, now_ms, out),
         }
     }
 
-    fn end(
-        &mut self,
-        request: RequestKey,
-        endpoint: EndpointKey,
-        result: SendResult,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(submission) = self.running.remove(&request) else { return };
-        if let Some(state) = self.endpoints.get_mut(&endpoint) {
-            state.in_flight -= 1;
-        }
-        match result {
-            SendResult::Done { .. } | SendResult::DoneFailed => {}
-            SendResult::Declined | SendResult::NotSent => self.queue.push_back(submission),
-            SendResult::Lost { reason } => finish(request, Outcome::Unknown, reason, out),
+    /// Index of a service, which is added if it is new.
+    fn service_at(&mut self, key: ServiceKey, now_ms: u64) -> usize {
+        if let Some(at) = self.service_index.get(&key) {
+            return *at;
         }
+        let at = self.services.len();
+        self.services.push(Service::new(key, &self.config, now_ms));
+        self.service_index.insert(key, at);
+        self.timers.push(now_ms + self.config.no_endpoint_wait_ms, Timer::Stranded(key));
+        at
     }
 
-    fn dispatch(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        let mut waiting = std::mem::take(&mut self.queue);
-        while let Some(submission) = waiting.pop_front() {
-            let request = submission.request;
-            if submission.deadline_ms <= now_ms {
-                finish(request, Outcome::NotRun, Reason::Expired, out);
-                continue;
-            }
-            let free = |key: &&EndpointKey| self.endpoints[key].is_free(submission.service);
-            match self.order.iter().find(free).copied() {
-                Some(endpoint) => {
-                    if let Some(state) = self.endpoints.get_mut(&endpoint) {
-                        state.in_flight += 1;
-                    }
-                    self.running.insert(request, submission);
-                    out.push(Action::Send { request, endpoint });
-                }
-                None => self.queue.push_back(submission),
-            }
-        }
+    fn is_full_policy(&self) -> bool {
+        self.config.policy == Policy::Full
     }
-}
 
-fn finish(request: RequestKey, outcome: Outcome, reason: Reason, out: &mut Vec<Action>) {
-    out.push(Action::Finish { request, outcome, reason, retry_after_ms: 0 });
+    /// Ends a request that an endpoint did not answer in this try.
+    ///
+    /// It is said to be not run only if no earlier try can have run it.
+    fn finish(
+        &mut self,
+        key: RequestKey,
+        reason: Reason,
+        retry_after_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(request) = self.requests.remove(&key) else { return };
+        let (outcome, reason) = match request.may_have_run {
+            Some(earlier) => (Outcome::Unknown, earlier),
+            None => (Outcome::NotRun, reason),
+        };
+        out.push(Action::Finish { request: key, outcome, reason, retry_after_ms });
+    }
 }
--- /dev/null
+++ b/tests/route/driver.rs
@@ -0,0 +1,371 @@
+//! Drives a dispatcher with seeded arrivals and run times, in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use hemlockrock::configs::route::RouteConfig;
+use hemlockrock::outcome::{Outcome, Reason};
+use hemlockrock::route::{
+    Action, CallerKey, Dispatcher, EndpointKey, Event, KindKey, RequestKey, SendResult, ServiceKey,
+    Sign, Submission,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+
+/// The one service of these tests.
+pub const SERVICE: ServiceKey = ServiceKey(1);
+
+const US_PER_MS: u64 = 1_000;
+const TICK_US: u64 = 5 * US_PER_MS;
+
+/// Requests of one kind from one caller, arriving at random.
+#[derive(Clone, Debug)]
+pub struct Stream {
+    pub kind: u32,
+    pub caller: u32,
+    /// Mean run time, in milliseconds; run times are exponential.
+    pub run_ms: f64,
+    /// Arrivals a second, from each of these times in milliseconds on.
+    pub rates: Vec<(u64, f64)>,
+    pub deadline_ms: u64,
+}
+
+impl Stream {
+    pub fn new(kind: u32, run_ms: f64, per_s: f64) -> Self {
+        Self { kind, caller: 0, run_ms, rates: vec![(0, per_s)], deadline_ms: 60_000 }
+    }
+
+    pub fn with_caller(self, caller: u32) -> Self {
+        Self { caller, ..self }
+    }
+
+    pub fn with_deadline_ms(self, deadline_ms: u64) -> Self {
+        Self { deadline_ms, ..self }
+    }
+
+    pub fn with_rates(self, rates: &[(u64, f64)]) -> Self {
+        Self { rates: rates.to_vec(), ..self }
+    }
+
+    fn rate(&self, at_us: u64) -> f64 {
+        let begun = self.rates.iter().take_while(|(from_ms, _)| from_ms * US_PER_MS <= at_us);
+        begun.last().map_or(0.0, |(_, per_s)| *per_s)
+    }
+}
+
+/// What an endpoint does to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    Runs,
+    FailsAtOnce,
+    Declines,
+    /// Nothing listens.
+    Refuses,
+}
+
+/// One finished or refused request.
+#[derive(Clone, Copy, Debug)]
+pub struct Record {
+    pub stream: usize,
+    pub arrived_us: u64,
+    /// Time from arrival to its last send, if it was sent.
+    pub wait_us: Option<u64>,
+    pub endpoint: Option<EndpointKey>,
+    pub ended_us: u64,
+    pub run_us: u64,
+    pub outcome: Outcome,
+    pub reason: Option<Reason>,
+    pub is_in_time: bool,
+}
+
+/// Everything that one run showed.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    pub records: Vec<Record>,
+    pub sends: Vec<(u64, EndpointKey)>,
+}
+
+impl Report {
+    /// Records that arrived within a span of time, in milliseconds.
+    pub fn between(&self, from_ms: u64, to_ms: u64) -> Report {
+        let span_us = from_ms * US_PER_MS..to_ms * US_PER_MS;
+        let records = self.records.iter().filter(|one| span_us.contains(&one.arrived_us));
+        let sends = self.sends.iter().filter(|(at_us, _)| span_us.contains(at_us));
+        Report { records: records.copied().collect(), sends: sends.copied().collect() }
+    }
+
+    pub fn of(&self, streams: impl Fn(usize) -> bool) -> Report {
+        let records = self.records.iter().filter(|one| streams(one.stream));
+        Report { records: records.copied().collect(), sends: self.sends.clone() }
+    }
+
+    /// The wait that `quantile` of the sent requests stay under, in milliseconds.
+    pub fn wait_ms(&self, quantile: f64) -> f64 {
+        let mut waits: Vec<u64> = self.records.iter().filter_map(|one| one.wait_us).collect();
+        waits.sort_unstable();
+        let at = (waits.len() as f64 * quantile) as usize;
+        waits.get(at.min(waits.len().saturating_sub(1))).map_or(0.0, |us| *us as f64 / 1_000.0)
+    }
+
+    /// Run time of requests that were answered in time, in milliseconds.
+    pub fn good_work_ms(&self) -> f64 {
+        let good = self.records.iter().filter(|one| one.is_in_time);
+        good.map(|one| one.run_us as f64 / 1_000.0).sum()
+    }
+
+    pub fn good(&self) -> usize {
+        self.records.iter().filter(|one| one.is_in_time).count()
+    }
+
+    pub fn late(&self) -> usize {
+        let done = self.records.iter().filter(|one| one.outcome == Outcome::Done);
+        done.filter(|one| !one.is_in_time).count()
+    }
+
+    pub fn count(&self, reason: Reason) -> usize {
+        self.records.iter().filter(|one| one.reason == Some(reason)).count()
+    }
+
+    /// Run time of answers that ended within a span of time, in milliseconds.
+    pub fn good_work_ended_ms(&self, from_ms: u64, to_ms: u64) -> f64 {
+        let span_us = from_ms * US_PER_MS..to_ms * US_PER_MS;
+        let good =
+            self.records.iter().filter(|one| one.is_in_time && span_us.contains(&one.ended_us));
+        good.map(|one| one.run_us as f64 / 1_000.0).sum()
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    Arrival(usize),
+    End(RequestKey, EndpointKey, u8),
+    ProbeAnswer(EndpointKey),
+    Behave(EndpointKey, usize),
+    Tick,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    stream: usize,
+    arrived_us: u64,
+    deadline_us: u64,
+    run_us: u64,
+    sent: Option<(u64, EndpointKey)>,
+}
+
+/// Drives one dispatcher.
+#[derive(Debug)]
+pub struct Driver {
+    pub dispatcher: Dispatcher,
+    streams: Vec<Stream>,
+    behaviours: BTreeMap<EndpointKey, Behaviour>,
+    changes: Vec<Behaviour>,
+    rng: StdRng,
+    agenda: BinaryHeap<Reverse<(u64, u64, Happening)>>,
+    sequence: u64,
+    open: BTreeMap<RequestKey, Open>,
+    next_request: u64,
+    report: Report,
+    in_flight: BTreeMap<EndpointKey, u32>,
+    slots: u32,
+}
+
+impl Driver {
+    /// A dispatcher that owns `endpoints` with `slots` each.
+    pub fn new(config: RouteConfig, endpoints: u32, slots: u32, seed: u64) -> Self {
+        let mut driver = Self {
+            dispatcher: Dispatcher::new(config, seed),
+            streams: Vec::new(),
+            behaviours: BTreeMap::new(),
+            changes: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+            agenda: BinaryHeap::new(),
+            sequence: 0,
+            open: BTreeMap::new(),
+            next_request: 0,
+            report: Report::default(),
+            in_flight: BTreeMap::new(),
+            slots,
+        };
+        for endpoint in (0..endpoints).map(EndpointKey) {
+            driver.behaviours.insert(endpoint, Behaviour::Runs);
+            let own = Event::Own { endpoint, service: SERVICE, slots, guard: None };
+            driver.step(own, 0);
+            driver.step(Event::Learned { endpoint, busy: 0 }, 0);
+        }
+        driver.plan(TICK_US, Happening::Tick);
+        driver
+    }
+
+    /// Adds a stream of requests.
+    pub fn with_stream(mut self, stream: Stream) -> Self {
+        self.streams.push(stream);
+        let at = self.streams.len() - 1;
+        self.plan_arrival(at, 0);
+        self
+    }
+
+    /// Lets an endpoint behave in another way from `at_ms` on.
+    pub fn with_change(mut self, endpoint: u32, at_ms: u64, behaviour: Behaviour) -> Self {
+        self.changes.push(behaviour);
+        let happening = Happening::Behave(EndpointKey(endpoint), self.changes.len() - 1);
+        self.plan(at_ms * US_PER_MS, happening);
+        self
+    }
+
+    /// Lets time pass until `until_ms` and tells what happened; checks the slots on the way.
+    pub fn run(mut self, until_ms: u64) -> Report {
+        while let Some(Reverse((at_us, _, happening))) = self.agenda.pop() {
+            if at_us > until_ms * US_PER_MS {
+                break;
+            }
+            self.happen(happening, at_us);
+        }
+        self.report
+    }
+
+    fn happen(&mut self, happening: Happening, at_us: u64) {
+        match happening {
+            Happening::Arrival(stream) => {
+                self.plan_arrival(stream, at_us);
+                self.arrive(stream, at_us);
+            }
+            Happening::End(request, endpoint, code) => self.end(request, endpoint, code, at_us),
+            Happening::ProbeAnswer(endpoint) => {
+                let answers = self.behaviours[&endpoint] != Behaviour::Refuses;
+                let sign = if answers { Sign::Answering } else { Sign::Silent };
+                self.step(Event::Sign { endpoint, sign }, at_us);
+            }
+            Happening::Behave(endpoint, change) => {
+                self.behaviours.insert(endpoint, self.changes[change]);
+            }
+            Happening::Tick => {
+                self.step(Event::Tick, at_us);
+                self.plan(at_us + TICK_US, Happening::Tick);
+            }
+        }
+    }
+
+    fn arrive(&mut self, stream: usize, at_us: u64) {
+        let Stream { kind, caller, run_ms, deadline_ms, .. } = self.streams[stream];
+        let request = RequestKey(self.next_request);
+        self.next_request += 1;
+        let run_us = (self.exponential(run_ms) * 1_000.0) as u64;
+        let deadline_us = at_us + deadline_ms * US_PER_MS;
+        let open = Open { stream, arrived_us: at_us, deadline_us, run_us, sent: None };
+        self.open.insert(request, open);
+        let submission = Submission {
+            request,
+            service: SERVICE,
+            kind: KindKey(kind),
+            caller: CallerKey(caller),
+            is_idempotent: false,
+            is_forwarded: false,
+            deadline_ms: deadline_us / US_PER_MS,
+        };
+        self.step(Event::Submit(submission), at_us);
+    }
+
+    fn end(&mut self, request: RequestKey, endpoint: EndpointKey, code: u8, at_us: u64) {
+        *self.in_flight.entry(endpoint).or_default() -= 1;
+        let open = self.open[&request];
+        let ran_ms = at_us / US_PER_MS - open.sent.unwrap().0 / US_PER_MS;
+        let result = match code {
+            0 => SendResult::Done { ran_ms },
+            1 => SendResult::DoneFailed,
+            2 => SendResult::Declined,
+            _ => SendResult::NotSent,
+        };
+        if code < 2 {
+            let is_in_time = code == 0 && at_us <= open.deadline_us;
+            self.close(request, Outcome::Done, None, is_in_time, at_us);
+        }
+        self.step(Event::Ended { request, endpoint, result }, at_us);
+    }
+
+    fn step(&mut self, event: Event, at_us: u64) {
+        let mut out = Vec::new();
+        self.dispatcher.step(event, at_us / US_PER_MS, &mut out);
+        for action in out {
+            self.act(action, at_us);
+        }
+    }
+
+    fn act(&mut self, action: Action, at_us: u64) {
+        match action {
+            Action::Send { request, endpoint } => self.send(request, endpoint, at_us),
+            Action::Finish { request, outcome, reason, .. } => {
+                self.close(request, outcome, Some(reason), false, at_us);
+            }
+            Action::Probe { endpoint } => {
+                self.plan(at_us + US_PER_MS, Happening::ProbeAnswer(endpoint));
+            }
+            Action::Forward { .. } | Action::Abort { .. } => unreachable!("no peers, no cancels"),
+        }
+    }
+
+    fn send(&mut self, request: RequestKey, endpoint: EndpointKey, at_us: u64) {
+        let in_flight = self.in_flight.entry(endpoint).or_default();
+        *in_flight += 1;
+        assert!(*in_flight <= self.slots, "more in flight than slots");
+        self.report.sends.push((at_us, endpoint));
+        let open = self.open.get_mut(&request).unwrap();
+        open.sent = Some((at_us, endpoint));
+        let (run_us, code) = match self.behaviours[&endpoint] {
+            Behaviour::Runs => (open.run_us, 0),
+            Behaviour::FailsAtOnce => (US_PER_MS, 1),
+            Behaviour::Declines => (US_PER_MS, 2),
+            Behaviour::Refuses => (US_PER_MS / 10, 3),
+        };
+        self.plan(at_us + run_us, Happening::End(request, endpoint, code));
+    }
+
+    fn close(
+        &mut self,
+        request: RequestKey,
+        outcome: Outcome,
+        reason: Option<Reason>,
+        is_in_time: bool,
+        at_us: u64,
+    ) {
+        let open = self.open[&request];
+        self.open.remove(&request);
+        self.report.records.push(Record {
+            stream: open.stream,
+            arrived_us: open.arrived_us,
+            wait_us: open.sent.map(|(sent_us, _)| sent_us - open.arrived_us),
+            endpoint: open.sent.map(|(_, endpoint)| endpoint),
+            ended_us: at_us,
+            run_us: open.run_us,
+            outcome,
+            reason,
+            is_in_time,
+        });
+    }
+
+    fn plan_arrival(&mut self, stream: usize, now_us: u64) {
+        const IDLE_US: u64 = 10 * US_PER_MS;
+        const US_PER_S: f64 = 1_000_000.0;
+        let per_s = self.streams[stream].rate(now_us);
+        if per_s <= 0.0 {
+            // Nothing arrives now: look again a little later.
+            let next = self.streams[stream].rates.iter().map(|(from_ms, _)| from_ms * US_PER_MS);
+            if let Some(from_us) = next.filter(|from_us| *from_us > now_us).min() {
+                self.plan(from_us.max(now_us + IDLE_US), Happening::Arrival(stream));
+            }
+            return;
+        }
+        let gap_us = (self.exponential(US_PER_S / per_s)) as u64;
+        self.plan(now_us + gap_us, Happening::Arrival(stream));
+    }
+
+    fn plan(&mut self, at_us: u64, happening: Happening) {
+        self.agenda.push(Reverse((at_us, self.sequence, happening)));
+        self.sequence += 1;
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        let uniform: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
+        -uniform.ln() * mean
+    }
+}
