feat(ctl): check, plan, apply, rollback, drain, get, history, audit, status and collect

Declarations are cut into content-addressed parts behind a manifest; one compare-and-swap of the root record carries revision, digest and audit entry. Feeds read changed parts only and take documents from zone peers in an outage.

--- a/src/configs/membership.rs
+++ b/src/configs/membership.rs
@@ -33,3 +33,32 @@
         report.require(self.step_ms > 0, "step_ms", "expected at least 1");
     }
 }
+
+/// Settings of the exchange of configuration with other daemons.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PeersConfig {
+    /// Addresses of other daemons of the zone, `IP:port`.
+    pub addresses: Vec<String>,
+    /// Longest wait for an answer, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time between questions while the store is away, in milliseconds.
+    pub ask_every_ms: u64,
+}
+
+impl Default for PeersConfig {
+    fn default() -> Self {
+        Self { addresses: Vec::new(), timeout_ms: 1_000, ask_every_ms: 1_000 }
+    }
+}
+
+impl Validate for PeersConfig {
+    fn validate(&self, report: &mut Report<'_>) {
+        for (index, address) in self.addresses.iter().enumerate() {
+            let is_known = address.parse::<std::net::SocketAddr>().is_ok();
+            report.require(is_known, &format!("addresses[{index}]"), "expected IP:port");
+        }
+        report.require(self.timeout_ms > 0, "timeout_ms", "expected at least 1");
+        report.require(self.ask_every_ms > 0, "ask_every_ms", "expected at least 1");
+    }
+}
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -1,6 +1,16 @@
 //! The operators' command line: commands, their context, output and exit codes.
 
+pub mod apply;
+pub mod audit;
+pub mod change;
+pub mod check;
+pub mod collect;
+pub mod drain;
+pub mod get;
 pub mod jobs;
+pub mod plan;
+pub mod rollback;
+pub mod status;
 
 use std::io::Write as _;
 use std::path::{Path, PathBuf};
@@ -9,7 +19,10 @@
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use serde::Serialize;
 
+use crate::audit::trail::TrailError;
 use crate::configs::ctl::CtlConfig;
+use crate::declarations::feed::FeedError;
+use crate::declarations::publish::PublishError;
 use crate::findings::Findings;
 use crate::http::client::Pool;
 use crate::settings;
@@ -63,6 +76,37 @@
     }
 }
 
+impl From<FeedError> for CtlError {
+    fn from(error: FeedError) -> Self {
+        match error {
+            FeedError::Store(error) => Self::from(error),
+            other => Self::Refused(other.to_string()),
+        }
+    }
+}
+
+impl From<PublishError> for CtlError {
+    fn from(error: PublishError) -> Self {
+        match error {
+            PublishError::Raced(_) | PublishError::Unexpected { .. } => {
+                Self::Raced(error.to_string())
+            }
+            PublishError::NotAccepted(_) => Self::Away(error.to_string()),
+            PublishError::InDoubt { .. } => Self::InDoubt(error.to_string()),
+            PublishError::Unreadable(_) => Self::Refused(error.to_string()),
+        }
+    }
+}
+
+impl From<TrailError> for CtlError {
+    fn from(error: TrailError) -> Self {
+        match error {
+            TrailError::Store(error) => Self::from(error),
+            damaged @ TrailError::Damaged(_) => Self::Refused(damaged.to_string()),
+        }
+    }
+}
+
 impl From<StoreError> for CtlError {
     fn from(error: StoreError) -> Self {
         Self::Away(error.to_string())
@@ -142,6 +186,18 @@
                 .action(ArgAction::SetTrue)
                 .help("Print JSON"),
         )
+        .subcommands([
+            check::command(),
+            plan::command(),
+            apply::command(),
+            rollback::command(),
+            drain::command(),
+            get::command(),
+            audit::history_command(),
+            audit::command(),
+            status::command(),
+            collect::command(),
+        ])
         .subcommands(jobs::commands())
 }
 
@@ -166,9 +222,21 @@
         return Err(CtlError::Refused("no command".to_owned()));
     };
     let context = Context::new(config(arguments)?, is_json)?;
-    match jobs::run(&context, name, inner).await {
-        Some(result) => result,
-        None => Err(CtlError::Refused(format!("no command {name}"))),
+    match name {
+        "check" => check::run(&context, inner),
+        "plan" => plan::run(&context, inner).await,
+        "apply" => apply::run(&context, inner).await,
+        "rollback" => rollback::run(&context, inner).await,
+        "drain" => drain::run(&context, inner).await,
+        "get" => get::run(&context, inner).await,
+        "history" => audit::run_history(&context, inner).await,
+        "audit" => audit::run(&context, inner).await,
+        "status" => status::run(&context).await,
+        "collect" => collect::run(&context).await,
+        _ => match jobs::run(&context, name, inner).await {
+            Some(result) => result,
+            None => Err(CtlError::Refused(format!("no command {name}"))),
+        },
     }
 }
 
@@ -203,8 +271,21 @@
     let _ = writeln!(stderr, "{body}");
 }
 
+/// The argument that names files of declarations.
+fn files_argument() -> Arg {
+    Arg::new("files")
+        .value_name("FILE")
+        .num_args(1..)
+        .required(true)
+        .help("Files of declarations, merged")
+}
+
 /// The files that an argument names.
-#[allow(dead_code, reason = "used by the commands on files")]
-pub(crate) fn files(arguments: &ArgMatches) -> Vec<PathBuf> {
+fn files(arguments: &ArgMatches) -> Vec<PathBuf> {
     arguments.get_many::<String>("files").into_iter().flatten().map(PathBuf::from).collect()
 }
+
+/// A number given as an argument.
+fn number(arguments: &ArgMatches, name: &str) -> Option<u64> {
+    arguments.get_one::<u64>(name).copied()
+}
--- a/src/declarations.rs
+++ b/src/declarations.rs
@@ -1,6 +1,14 @@
 //! What operators declare: the inventory, services, teams and rules.
 
+pub mod check;
+pub mod collect;
+pub mod diff;
 pub mod feed;
+pub mod files;
+pub mod parts;
+pub mod peer;
+pub mod publish;
+pub mod read;
 
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/src/declarations/check.rs
@@ -0,0 +1,221 @@
+//! Checks merged declarations: names, references, sizes, addresses and rules.
+
+use crate::collections::HashMap;
+use crate::declarations::files::{Merged, Origin};
+use crate::declarations::{
+    EndpointDeclaration, RuleDeclaration, ServiceDeclaration, WorkerDeclaration,
+};
+use crate::findings::Findings;
+
+/// Longest name, in bytes.
+const NAME_LIMIT_BYTES: usize = 63;
+
+/// Most processor time of one worker, in thousandths of a core.
+const CPU_LIMIT_MILLIS: u64 = 4_096_000;
+
+/// Least memory of one worker, in bytes.
+const MEMORY_MIN_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Most memory of one worker, in bytes.
+const MEMORY_LIMIT_BYTES: u64 = 128 * 1024 * 1024 * 1024 * 1024;
+
+/// Most accelerators of one worker.
+const ACCELERATORS_LIMIT: u32 = 1_024;
+
+/// Most slots of one endpoint.
+const SLOTS_LIMIT: u32 = 65_536;
+
+/// Kinds of rules.
+const RULE_KINDS: [&str; 3] = ["apart", "whole", "stop_first"];
+
+/// Reports everything that is wrong with merged declarations.
+pub fn check(merged: &Merged, findings: &mut Findings) {
+    let mut checker = Checker { merged, findings, addresses: HashMap::default() };
+    checker.zones();
+    checker.workers();
+    checker.services();
+    checker.teams();
+    checker.rules();
+}
+
+struct Checker<'a> {
+    merged: &'a Merged,
+    findings: &'a mut Findings,
+    addresses: HashMap<String, String>,
+}
+
+impl<'a> Checker<'a> {
+    fn push(&mut self, origin: &Origin, field: &str, message: impl Into<String>) {
+        let (file, place, path) = self.merged.place(origin, field);
+        self.findings.push(file, place, path, message);
+    }
+
+    fn require(&mut self, holds: bool, origin: &Origin, field: &str, message: &str) {
+        if !holds {
+            self.push(origin, field, message);
+        }
+    }
+
+    /// Checks that names are well formed and unique.
+    fn names(&mut self, names: impl Iterator<Item = &'a str>, origins: &'a [Origin]) {
+        let mut first: HashMap<&str, &Origin> = HashMap::default();
+        for (name, origin) in names.zip(origins) {
+            self.name(name, origin, "name");
+            if let Some(first) = first.get(name) {
+                let (file, place, _) = self.merged.place(first, "name");
+                let message = format!("{name} is declared before at {file}:{}", place.line);
+                self.push(origin, "name", message);
+                continue;
+            }
+            first.insert(name, origin);
+        }
+    }
+
+    fn name(&mut self, name: &str, origin: &Origin, field: &str) {
+        let is_known = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
+        let is_sound = !name.is_empty()
+            && name.len() <= NAME_LIMIT_BYTES
+            && name.bytes().all(is_known)
+            && name.as_bytes()[0].is_ascii_alphanumeric();
+        let expected = "expected 1 to 63 letters, digits, '-', '_' or '.', a letter or digit first";
+        self.require(is_sound, origin, field, expected);
+    }
+
+    fn zone(&mut self, zone: &str, origin: &Origin, field: &str) {
+        let zones = &self.merged.declarations.zones;
+        if !zones.iter().any(|known| known.name == zone) {
+            self.push(origin, field, format!("zone {zone:?} is not declared"));
+        }
+    }
+
+    /// Checks that an address is well formed and that nothing else has it.
+    fn address(&mut self, address: &str, owner: String, origin: &Origin, field: &str) {
+        if address.parse::<std::net::SocketAddr>().is_err() {
+            self.push(origin, field, "expected IP:port");
+            return;
+        }
+        if let Some(other) = self.addresses.get(address) {
+            let message = format!("{other} has the same address");
+            self.push(origin, field, message);
+            return;
+        }
+        self.addresses.insert(address.to_owned(), owner);
+    }
+
+    fn zones(&mut self) {
+        let merged = self.merged;
+        let names = merged.declarations.zones.iter().map(|zone| zone.name.as_str());
+        self.names(names, &merged.origins.zones);
+    }
+
+    fn workers(&mut self) {
+        let merged = self.merged;
+        let workers = &merged.declarations.workers;
+        self.names(workers.iter().map(|worker| worker.name.as_str()), &merged.origins.workers);
+        for (worker, origin) in workers.iter().zip(&merged.origins.workers) {
+            self.zone(&worker.zone, origin, "zone");
+            self.name(&worker.rack, origin, "rack");
+            self.address(&worker.address, format!("worker {}", worker.name), origin, "address");
+            self.worker_sizes(worker, origin);
+        }
+    }
+
+    fn worker_sizes(&mut self, worker: &WorkerDeclaration, origin: &Origin) {
+        let cpu = (1..=CPU_LIMIT_MILLIS).contains(&worker.cpu_millis);
+        self.require(cpu, origin, "cpu_millis", "expected 1 to 4096000 thousandths of a core");
+        let memory = (MEMORY_MIN_BYTES..=MEMORY_LIMIT_BYTES).contains(&worker.memory_bytes);
+        self.require(memory, origin, "memory_bytes", "expected 16 MiB to 128 TiB, in bytes");
+        let accelerators = worker.accelerators <= ACCELERATORS_LIMIT;
+        self.require(accelerators, origin, "accelerators", "expected at most 1024");
+    }
+
+    fn services(&mut self) {
+        let merged = self.merged;
+        let services = &merged.declarations.services;
+        self.names(services.iter().map(|service| service.name.as_str()), &merged.origins.services);
+        for (service, origin) in services.iter().zip(&merged.origins.services) {
+            let is_ordered = service.long_ms == 0 || service.long_ms >= service.expected_ms;
+            self.require(is_ordered, origin, "long_ms", "expected at least expected_ms");
+            self.endpoints(service, origin);
+        }
+    }
+
+    fn endpoints(&mut self, service: &ServiceDeclaration, origin: &Origin) {
+        let mut first: HashMap<&str, usize> = HashMap::default();
+        for (index, endpoint) in service.endpoints.iter().enumerate() {
+            let field = |name: &str| format!("endpoints[{index}].{name}");
+            self.name(&endpoint.name, origin, &field("name"));
+            if let Some(before) = first.insert(endpoint.name.as_str(), index) {
+                let message = format!("{} is declared before as [{before}]", endpoint.name);
+                self.push(origin, &field("name"), message);
+            }
+            self.zone(&endpoint.zone, origin, &field("zone"));
+            let owner = format!("endpoint {}/{}", service.name, endpoint.name);
+            self.address(&endpoint.address, owner, origin, &field("address"));
+            self.endpoint_sizes(endpoint, origin, field);
+        }
+    }
+
+    fn endpoint_sizes(
+        &mut self,
+        endpoint: &EndpointDeclaration,
+        origin: &Origin,
+        field: impl Fn(&str) -> String,
+    ) {
+        let slots = (1..=SLOTS_LIMIT).contains(&endpoint.slots);
+        self.require(slots, origin, &field("slots"), "expected 1 to 65536");
+        let connections = endpoint.connections >= endpoint.slots;
+        let message = "expected at least as many as slots, each request needs its own";
+        self.require(connections, origin, &field("connections"), message);
+    }
+
+    fn teams(&mut self) {
+        let merged = self.merged;
+        let teams = &merged.declarations.teams;
+        self.names(teams.iter().map(|team| team.name.as_str()), &merged.origins.teams);
+        for (team, origin) in teams.iter().zip(&merged.origins.teams) {
+            let can_run = team.cpu_millis > 0 && team.memory_bytes > 0;
+            let message = "expected processor time and memory, or the team can run nothing";
+            self.require(can_run, origin, "", message);
+        }
+    }
+
+    fn rules(&mut self) {
+        let merged = self.merged;
+        let rules = &merged.declarations.rules;
+        self.names(rules.iter().map(|rule| rule.name.as_str()), &merged.origins.rules);
+        for (index, (rule, origin)) in rules.iter().zip(&merged.origins.rules).enumerate() {
+            self.rule(rule, origin);
+            let earlier = rules[..index].iter().find(|earlier| is_same(earlier, rule));
+            if let Some(earlier) = earlier {
+                self.push(origin, "", format!("rule {} says the same", earlier.name));
+            }
+        }
+    }
+
+    fn rule(&mut self, rule: &RuleDeclaration, origin: &Origin) {
+        let is_known = RULE_KINDS.contains(&rule.kind.as_str());
+        self.require(is_known, origin, "kind", "expected apart, whole or stop_first");
+        self.require(is_label(&rule.matches), origin, "matches", "expected key=value");
+        if rule.kind == "apart" {
+            self.require(is_label(&rule.other), origin, "other", "expected key=value");
+        } else if is_known {
+            let message = "only a rule of kind apart has other jobs";
+            self.require(rule.other.is_empty(), origin, "other", message);
+        }
+    }
+}
+
+fn is_label(label: &str) -> bool {
+    label.split_once('=').is_some_and(|(key, value)| !key.is_empty() && !value.is_empty())
+}
+
+/// Whether two rules say the same; `apart` does not depend on the order of its sides.
+fn is_same(left: &RuleDeclaration, right: &RuleDeclaration) -> bool {
+    let sides = |rule: &RuleDeclaration| {
+        let mut sides = [rule.matches.clone(), rule.other.clone()];
+        sides.sort();
+        sides
+    };
+    left.kind == right.kind && sides(left) == sides(right)
+}
--- /dev/null
+++ b/src/declarations/diff.rs
@@ -0,0 +1,142 @@
+//! The difference between two sets of declarations, and which workers a change empties.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::collections::HashMap;
+use crate::declarations::{Declarations, WorkerDeclaration};
+
+/// How an item differs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Only the new declarations have it.
+    Added,
+    /// Only the old declarations have it.
+    Removed,
+    /// Both have it, but not the same.
+    Changed,
+}
+
+/// One item that differs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Difference {
+    /// Section: zone, worker, service, team or rule.
+    pub section: String,
+    /// Name of the item.
+    pub name: String,
+    /// How it differs.
+    pub kind: Kind,
+    /// Fields that differ, for a changed item.
+    pub fields: Vec<String>,
+}
+
+/// Why work on a worker may have to move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// The worker is no longer declared.
+    Removed,
+    /// The worker is to be emptied.
+    Drained,
+    /// The worker has less of a resource.
+    Shrunk,
+    /// The worker is declared in another zone or rack, or at another address.
+    Moved,
+}
+
+/// A worker whose work a change may displace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Affected {
+    /// Name of the worker.
+    pub worker: String,
+    /// Zone of the worker before the change.
+    pub zone: String,
+    /// Why.
+    pub cause: Cause,
+}
+
+/// The items that differ, by section and name.
+///
+/// ```
+/// use hemlockrock::declarations::{diff, Declarations, TeamDeclaration};
+///
+/// let mut after = Declarations::default();
+/// after.teams.push(TeamDeclaration { name: "shops".into(), ..Default::default() });
+/// let found = diff::differences(&Declarations::default(), &after);
+/// assert_eq!(found[0].kind, diff::Kind::Added);
+/// ```
+pub fn differences(before: &Declarations, after: &Declarations) -> Vec<Difference> {
+    let mut found = Vec::new();
+    compare("zone", &before.zones, &after.zones, |zone| &zone.name, &mut found);
+    compare("worker", &before.workers, &after.workers, |worker| &worker.name, &mut found);
+    compare("service", &before.services, &after.services, |service| &service.name, &mut found);
+    compare("team", &before.teams, &after.teams, |team| &team.name, &mut found);
+    compare("rule", &before.rules, &after.rules, |rule| &rule.name, &mut found);
+    found
+}
+
+fn compare<T: Serialize + PartialEq>(
+    section: &str,
+    before: &[T],
+    after: &[T],
+    name: impl Fn(&T) -> &str,
+    found: &mut Vec<Difference>,
+) {
+    let begin = found.len();
+    let mut push = |item: &T, kind, fields| {
+        let (section, name) = (section.to_owned(), name(item).to_owned());
+        found.push(Difference { section, name, kind, fields });
+    };
+    let old: HashMap<&str, &T> = before.iter().map(|item| (name(item), item)).collect();
+    let new: HashMap<&str, &T> = after.iter().map(|item| (name(item), item)).collect();
+    for item in before.iter().filter(|item| !new.contains_key(name(item))) {
+        push(item, Kind::Removed, Vec::new());
+    }
+    for item in after {
+        match old.get(name(item)) {
+            None => push(item, Kind::Added, Vec::new()),
+            Some(old) if *old != item => push(item, Kind::Changed, fields(*old, item)),
+            Some(_) => {}
+        }
+    }
+    found[begin..].sort_by(|left, right| left.name.cmp(&right.name));
+}
+
+fn fields(before: &impl Serialize, after: &impl Serialize) -> Vec<String> {
+    let map = |item: Result<Value, serde_json::Error>| match item {
+        Ok(Value::Object(map)) => map,
+        _ => serde_json::Map::new(),
+    };
+    let (before, after) = (map(serde_json::to_value(before)), map(serde_json::to_value(after)));
+    let differing = after.iter().filter(|(key, value)| before.get(*key) != Some(*value));
+    differing.map(|(key, _)| key.clone()).collect()
+}
+
+/// The workers whose work a change may displace.
+pub fn affected(before: &Declarations, after: &Declarations) -> Vec<Affected> {
+    let new: HashMap<&str, &WorkerDeclaration> =
+        after.workers.iter().map(|worker| (worker.name.as_str(), worker)).collect();
+    let affected = before.workers.iter().filter_map(|worker| {
+        let cause = cause(worker, new.get(worker.name.as_str()).copied())?;
+        Some(Affected { worker: worker.name.clone(), zone: worker.zone.clone(), cause })
+    });
+    affected.collect()
+}
+
+fn cause(before: &WorkerDeclaration, after: Option<&WorkerDeclaration>) -> Option<Cause> {
+    let Some(after) = after else { return Some(Cause::Removed) };
+    let place = |worker: &WorkerDeclaration| {
+        (worker.zone.clone(), worker.rack.clone(), worker.address.clone())
+    };
+    if place(before) != place(after) {
+        return Some(Cause::Moved);
+    }
+    if after.drain && !before.drain {
+        return Some(Cause::Drained);
+    }
+    let is_less = after.cpu_millis < before.cpu_millis
+        || after.memory_bytes < before.memory_bytes
+        || after.accelerators < before.accelerators;
+    is_less.then_some(Cause::Shrunk)
+}
--- a/src/declarations/feed.rs
+++ b/src/declarations/feed.rs
@@ -1,38 +1,32 @@
-//! Publishes declarations in the store and feeds the accepted ones to a daemon.
+//! Feeds the accepted declarations to a daemon.
 //!
-//! The root record under [`ROOT`] names the parts that hold the document; a
-//! daemon takes a root only if its revision is higher than the one in force.
+//! A daemon takes a root record only if its revision is higher than the one
+//! in force, keeps the last one through outages, and takes a higher one from
+//! a peer while the store is away.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use async_std::task;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use sha2::{Digest as _, Sha256};
 
-use crate::declarations::Declarations;
-use crate::store::mirror::Mirror;
-use crate::store::{self, Expect, Priority, Put, PutOutcome, Store, StoreError};
-
-/// Key of the root record.
-pub const ROOT: &str = "cell/config/root";
-
-/// Prefix of the parts, which are named by the digest of their content.
-pub const PARTS: &str = "config/parts/";
+pub use crate::declarations::parts::PARTS;
+pub use crate::declarations::publish::{Root, ROOT};
 
-/// Largest part, in bytes.
-const PART_LIMIT_BYTES: usize = 500_000;
+use crate::clock;
+use crate::collections::{self, HashMap};
+use crate::declarations::parts::{self, PartsError};
+use crate::declarations::peer::{self, Peers};
+use crate::declarations::publish::{self, Change, PublishError};
+use crate::declarations::{read, Declarations};
+use crate::membership::Session;
+use crate::store::backoff::Backoff;
+use crate::store::mirror::Mirror;
+use crate::store::{Revision, Store, StoreError};
 
-/// The root record: which declarations are accepted.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Root {
-    /// Number of the accepted change, from 1.
-    pub revision: u64,
-    /// Digest of the whole document.
-    pub digest: String,
-    /// Keys of the parts, in order.
-    pub parts: Vec<String>,
-}
+/// Time between looks at the root record, in milliseconds.
+const LOOK_EVERY_MS: u64 = 50;
 
 /// Declarations in force.
 #[derive(Clone, Debug, Default)]
@@ -59,58 +53,130 @@
     Unreadable(String),
 }
 
+impl From<PartsError> for FeedError {
+    fn from(error: PartsError) -> Self {
+        Self::Unreadable(error.to_string())
+    }
+}
+
+impl From<PublishError> for FeedError {
+    fn from(error: PublishError) -> Self {
+        match error {
+            PublishError::Raced(_) | PublishError::Unexpected { .. } => Self::Raced,
+            PublishError::NotAccepted(error) => Self::Store(error),
+            PublishError::InDoubt { error, .. } => Self::Store(StoreError::Lost(error.to_string())),
+            PublishError::Unreadable(message) => Self::Unreadable(message),
+        }
+    }
+}
+
 /// Publishes declarations as the next revision and returns its number.
 ///
 /// # Errors
 /// [`FeedError`]; [`FeedError::Raced`] when another operator was first.
 pub async fn publish(store: &dyn Store, declarations: &Declarations) -> Result<u64, FeedError> {
-    let current = store::get(store, ROOT, Priority::Record).await?;
-    let before: Root = match &current {
-        Some(entry) => serde_json::from_slice(&entry.value).map_err(unreadable)?,
-        None => Root::default(),
-    };
-    let document = serde_json::to_vec(declarations).map_err(unreadable)?;
-    let mut parts = Vec::new();
-    for part in document.chunks(PART_LIMIT_BYTES) {
-        let key = format!("{PARTS}{}", digest(part));
-        let put = Put {
-            key: key.clone(),
-            value: Bytes::copy_from_slice(part),
-            expect: Expect::Any,
-            lease: None,
-        };
-        store::put(store, put, Priority::Record).await?;
-        parts.push(key);
+    let change = Change::new("program", "published by a program");
+    Ok(publish::publish_change(store, declarations, &change).await?.revision)
+}
+
+/// What a root record says about the document.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// Number of the accepted change.
+    pub revision: u64,
+    /// Digest of the whole document.
+    pub digest: String,
+    /// Key of the manifest.
+    pub manifest: String,
+}
+
+impl From<&Root> for Head {
+    fn from(root: &Root) -> Self {
+        let Root { revision, digest, manifest, .. } = root.clone();
+        Self { revision, digest, manifest }
     }
-    let root = Root { revision: before.revision + 1, digest: digest(&document), parts };
-    let expect = current.map_or(Expect::Absent, |entry| Expect::Modified(entry.modified));
-    let value = serde_json::to_vec(&root).map_err(unreadable)?;
-    let put = Put { key: ROOT.to_owned(), value: Bytes::from(value), expect, lease: None };
-    match store::put(store, put, Priority::Record).await? {
-        PutOutcome::Written(_) => Ok(root.revision),
-        PutOutcome::Conflict(_) => Err(FeedError::Raced),
+}
+
+/// A document as it was read: its head, and its manifest and parts by key.
+#[derive(Clone, Debug, Default)]
+pub struct Document {
+    /// Head of the document.
+    pub head: Head,
+    /// Manifest and parts, by key.
+    pub parts: HashMap<String, Bytes>,
+}
+
+impl Document {
+    /// Checks the document and puts it together.
+    ///
+    /// # Errors
+    /// A part is missing or damaged, or the digest is another one.
+    pub fn accept(&self) -> Result<Accepted, PartsError> {
+        let Head { revision, digest, manifest } = &self.head;
+        let missing = || PartsError::Missing(manifest.clone());
+        let value = self.parts.get(manifest).ok_or_else(missing)?;
+        if parts::digest(value) != *digest {
+            return Err(PartsError::Damaged(manifest.clone()));
+        }
+        let declarations = parts::unpack(value, |key| self.parts.get(key).cloned())?;
+        Ok(Accepted { revision: *revision, digest: digest.clone(), declarations })
     }
 }
 
 /// The declarations in force in this process, kept current.
 #[derive(Clone, Debug)]
 pub struct Feed {
-    current: Arc<Mutex<Arc<Accepted>>>,
+    shared: Arc<Shared>,
     changed: async_channel::Receiver<()>,
 }
 
+#[derive(Debug, Default)]
+struct Shared {
+    current: Mutex<Arc<Accepted>>,
+    document: Mutex<Arc<Document>>,
+    session: Mutex<Option<Session>>,
+}
+
 impl Feed {
     /// Starts to follow the root record in `mirror`.
     pub fn start(mirror: Mirror, store: Arc<dyn Store>) -> Self {
-        let current = Arc::new(Mutex::new(Arc::new(Accepted::default())));
+        Self::start_with_peers(mirror, store, Peers::none())
+    }
+
+    /// Starts to follow the root record in `mirror`, and asks `peers` while the store is away.
+    pub fn start_with_peers(mirror: Mirror, store: Arc<dyn Store>, peers: Peers) -> Self {
+        let shared = Arc::new(Shared::default());
         let (sender, changed) = async_channel::bounded(1);
-        task::spawn(follow(mirror, store, Arc::clone(&current), sender));
-        Self { current, changed }
+        let seed = collections::stable_hash(format!("{}-{}", std::process::id(), clock::now_us()));
+        let follower = Follower {
+            mirror,
+            store,
+            shared: Arc::clone(&shared),
+            sender,
+            seen: None,
+            peers,
+            pauses: Backoff::new(RETRY_MIN_MS, RETRY_MAX_MS, seed),
+            next_read_ms: 0,
+            next_ask_ms: 0,
+        };
+        task::spawn(follower.run());
+        Self { shared, changed }
     }
 
     /// The declarations in force.
     pub fn current(&self) -> Arc<Accepted> {
-        Arc::clone(&self.current.lock().unwrap_or_else(PoisonError::into_inner))
+        Arc::clone(&lock(&self.shared.current))
+    }
+
+    /// The document in force as it was read, for peers.
+    pub fn document(&self) -> Arc<Document> {
+        Arc::clone(&lock(&self.shared.document))
+    }
+
+    /// Tells the revision in force in the member record of `session` from now on.
+    pub fn report_to(&self, session: &Session) {
+        *lock(&self.shared.session) = Some(session.clone());
+        self.shared.report();
     }
 
     /// Waits for the next change; one waiter at a time is told.
@@ -119,55 +185,140 @@
     }
 }
 
-async fn follow(
+impl Shared {
+    fn revision(&self) -> u64 {
+        lock(&self.current).revision
+    }
+
+    /// Takes a document if its revision is higher than the one in force.
+    fn take(&self, document: Document) -> Result<bool, PartsError> {
+        let accepted = document.accept()?;
+        let mut current = lock(&self.current);
+        if accepted.revision <= current.revision {
+            return Ok(false);
+        }
+        *current = Arc::new(accepted);
+        *lock(&self.document) = Arc::new(document);
+        drop(current);
+        self.report();
+        Ok(true)
+    }
+
+    fn report(&self) {
+        let revision = self.revision();
+        if let Some(session) = &*lock(&self.session) {
+            session.update(|member| {
+                member.config_revision = member.config_revision.max(revision);
+            });
+        }
+    }
+}
+
+/// Shortest pause after a root that could not be read, in milliseconds.
+const RETRY_MIN_MS: u64 = 50;
+
+/// Longest pause after a root that could not be read, in milliseconds.
+const RETRY_MAX_MS: u64 = 1_000;
+
+struct Follower {
     mirror: Mirror,
     store: Arc<dyn Store>,
-    current: Arc<Mutex<Arc<Accepted>>>,
+    shared: Arc<Shared>,
     sender: async_channel::Sender<()>,
-) {
-    const LOOK_EVERY_MS: u64 = 50;
-    while !sender.is_closed() {
-        let in_force = current.lock().unwrap_or_else(PoisonError::into_inner).revision;
-        if let Some(root) = newer_root(&mirror, in_force) {
-            match read(store.as_ref(), &root).await {
-                Ok(accepted) => {
-                    let accepted = Arc::new(accepted);
-                    *current.lock().unwrap_or_else(PoisonError::into_inner) = accepted;
-                    let _ = sender.try_send(());
-                }
-                Err(error) => spdlog::warn!("revision {} not read: {}", root.revision, error),
+    /// Root record that was looked at last, by the revision of its write.
+    seen: Option<Revision>,
+    peers: Peers,
+    pauses: Backoff,
+    next_read_ms: u64,
+    next_ask_ms: u64,
+}
+
+impl Follower {
+    async fn run(mut self) {
+        while !self.sender.is_closed() {
+            self.look_at_store().await;
+            self.look_at_peers().await;
+            task::sleep(Duration::from_millis(LOOK_EVERY_MS)).await;
+        }
+    }
+
+    async fn look_at_store(&mut self) {
+        if clock::now_ms() < self.next_read_ms {
+            return;
+        }
+        let Some((modified, head)) = self.newer_head() else { return };
+        match self.read(&head).await {
+            Ok(()) => {
+                self.seen = Some(modified);
+                self.pauses.reset();
+            }
+            Err(error) => {
+                self.next_read_ms = clock::now_ms() + self.pauses.next_ms();
+                spdlog::debug!("revision {} not read: {}", head.revision, error);
             }
         }
-        task::sleep(std::time::Duration::from_millis(LOOK_EVERY_MS)).await;
     }
-}
 
-fn newer_root(mirror: &Mirror, in_force: u64) -> Option<Root> {
-    let snapshot = mirror.snapshot();
-    let entry = snapshot.entries.get(ROOT)?;
-    let root: Root = serde_json::from_slice(&entry.value).ok()?;
-    (root.revision > in_force).then_some(root)
-}
+    /// The head in the mirror, if it was not looked at and is higher than the one in force.
+    fn newer_head(&mut self) -> Option<(Revision, Head)> {
+        let snapshot = self.mirror.snapshot();
+        let entry = snapshot.entries.get(ROOT)?;
+        if self.seen == Some(entry.modified) {
+            return None;
+        }
+        let head = publish::decode_root(&entry.value).map(|root| Head::from(&root));
+        match head {
+            Ok(head) if head.revision > self.shared.revision() => Some((entry.modified, head)),
+            Ok(_) => {
+                self.seen = Some(entry.modified);
+                None
+            }
+            Err(error) => {
+                spdlog::error!("the root record cannot be read: {}", error);
+                self.seen = Some(entry.modified);
+                None
+            }
+        }
+    }
 
-async fn read(store: &dyn Store, root: &Root) -> Result<Accepted, FeedError> {
-    let mut document = Vec::new();
-    for key in &root.parts {
-        let entry = store::get(store, key.as_str(), Priority::Record).await?;
-        let entry = entry.ok_or_else(|| FeedError::Unreadable(format!("{key} is missing")))?;
-        document.extend_from_slice(&entry.value);
+    /// Reads the manifest and the parts that the document in force does not have.
+    async fn read(&self, head: &Head) -> Result<(), FeedError> {
+        let old = Arc::clone(&lock(&self.shared.document));
+        let document = read::document(self.store.as_ref(), head, &old).await?;
+        self.take(document)
     }
-    if digest(&document) != root.digest {
-        return Err(FeedError::Unreadable("the digest differs".to_owned()));
+
+    /// Asks a peer at the start, and from time to time while the store is away.
+    async fn look_at_peers(&mut self) {
+        let is_cut_off = !self.mirror.snapshot().is_current;
+        if self.shared.revision() > 0 && !is_cut_off || clock::now_ms() < self.next_ask_ms {
+            return;
+        }
+        let snapshot = self.mirror.snapshot();
+        let Some(address) = self.peers.next(&snapshot) else { return };
+        self.next_ask_ms = clock::now_ms() + self.pauses.spread_ms(self.peers.ask_every_ms());
+        let old = Arc::clone(&lock(&self.shared.document));
+        match peer::fetch(&self.peers, &address, &old).await {
+            Ok(Some(document)) => {
+                let revision = document.head.revision;
+                match self.take(document) {
+                    Ok(()) => spdlog::info!("revision {} taken from {}", revision, address),
+                    Err(error) => spdlog::warn!("{} sent a bad document: {}", address, error),
+                }
+            }
+            Ok(None) => {}
+            Err(error) => spdlog::debug!("{} not asked: {}", address, error),
+        }
     }
-    let declarations = serde_json::from_slice(&document).map_err(unreadable)?;
-    Ok(Accepted { revision: root.revision, digest: root.digest.clone(), declarations })
-}
 
-fn digest(bytes: &[u8]) -> String {
-    format!("{:x}", Sha256::digest(bytes))
+    fn take(&self, document: Document) -> Result<(), FeedError> {
+        if self.shared.take(document)? {
+            let _ = self.sender.try_send(());
+        }
+        Ok(())
+    }
 }
 
-#[allow(clippy::needless_pass_by_value, reason = "used with map_err")]
-fn unreadable(error: serde_json::Error) -> FeedError {
-    FeedError::Unreadable(error.to_string())
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/src/declarations/publish.rs
@@ -0,0 +1,402 @@
+//! Publishes declarations: parts first, then one compare-and-swap of the root record.
+
+use std::time::Duration;
+
+use async_std::task;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::audit::trail::{self, Sealed, TrailError};
+use crate::audit::{AuditEntry, Filter, Kind, SegmentLink};
+use crate::clock;
+use crate::collections::{self, HashSet};
+use crate::declarations::collect;
+use crate::declarations::parts::{self, Manifest, Packed, Part, PartsError};
+use crate::declarations::Declarations;
+use crate::store::backoff::Backoff;
+use crate::store::{self, Entry, Expect, Priority, Put, PutOutcome, Revision, Store, StoreError};
+
+/// Key of the root record.
+pub const ROOT: &str = "cell/config/root";
+
+/// Pauses between tries of a change, in milliseconds.
+const PAUSES_MS: (u64, u64) = (30, 1_000);
+
+/// The root record: which declarations are accepted, and the newest part of the audit trail.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Root {
+    /// Number of the accepted change, from 1.
+    pub revision: u64,
+    /// Digest of the whole document.
+    pub digest: String,
+    /// Key of the manifest, which lists the parts of the document.
+    pub manifest: String,
+    /// Newest entries of the audit trail, oldest first; the last one is this change.
+    pub recent: Vec<AuditEntry>,
+    /// Newest segment of older entries.
+    pub sealed: Option<SegmentLink>,
+}
+
+/// A change that an operator asks for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Change {
+    /// Id that no other change has; see [`Change::new_id`].
+    pub id: String,
+    /// What kind of change.
+    pub kind: Kind,
+    /// Who makes it.
+    pub who: String,
+    /// Host that it is made from.
+    pub from: String,
+    /// Why it is made.
+    pub why: String,
+    /// When it is made, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+    /// Revision that has to be in force for the change to be accepted.
+    pub expect: Option<u64>,
+    /// Longest time to settle the change with the store, in milliseconds.
+    pub limit_ms: u64,
+}
+
+impl Change {
+    /// A change by `who` for the reason `why`, made now, with an id of its own.
+    pub fn new(who: impl Into<String>, why: impl Into<String>) -> Self {
+        const LIMIT_MS: u64 = 15_000;
+        let (who, why) = (who.into(), why.into());
+        let id = Self::new_id(&who);
+        let at_unix_ms = clock::unix_ms();
+        Self { id, who, why, at_unix_ms, limit_ms: LIMIT_MS, ..Self::default() }
+    }
+
+    /// An id that no other change has.
+    pub fn new_id(who: &str) -> String {
+        let salt = rand::random::<u64>();
+        let text = format!("{who}-{}-{}-{salt}", clock::unix_ms(), std::process::id());
+        format!("{:016x}{:016x}", collections::stable_hash(&text), salt)
+    }
+
+    /// Makes the change depend on the revision in force.
+    #[must_use]
+    pub fn with_expect(mut self, revision: Option<u64>) -> Self {
+        self.expect = revision;
+        self
+    }
+}
+
+/// An accepted change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Receipt {
+    /// Revision that the change made.
+    pub revision: u64,
+    /// Digest of the declarations.
+    pub digest: String,
+    /// Id of the change.
+    pub change: String,
+}
+
+/// Why a change was not accepted, or not certainly.
+#[derive(Debug, thiserror::Error)]
+pub enum PublishError {
+    /// Another change was accepted first; this one was not.
+    #[error("revision {} by {} ({}) was accepted first: {}", .0.revision, .0.who, .0.from, .0.why)]
+    Raced(Box<AuditEntry>),
+    /// Another revision than the expected one is in force; the change was not accepted.
+    #[error("revision {expected} was expected, but {current} is in force")]
+    Unexpected {
+        /// Revision that the change depends on.
+        expected: u64,
+        /// Revision in force.
+        current: u64,
+    },
+    /// The store could not be reached; the change was not accepted.
+    #[error("the change was not accepted: {0}")]
+    NotAccepted(StoreError),
+    /// The store did not tell in time; the change may be accepted.
+    #[error("the change {id} may be accepted: {error}")]
+    InDoubt {
+        /// Id of the change.
+        id: String,
+        /// The last error.
+        error: StoreError,
+    },
+    /// A record cannot be read or written.
+    #[error("the configuration cannot be read: {0}")]
+    Unreadable(String),
+}
+
+impl From<PartsError> for PublishError {
+    fn from(error: PartsError) -> Self {
+        Self::Unreadable(error.to_string())
+    }
+}
+
+impl From<TrailError> for PublishError {
+    fn from(error: TrailError) -> Self {
+        match error {
+            TrailError::Store(error) => Self::NotAccepted(error),
+            damaged @ TrailError::Damaged(_) => Self::Unreadable(damaged.to_string()),
+        }
+    }
+}
+
+/// The root record with its entry, if any change was ever accepted.
+///
+/// # Errors
+/// [`PublishError::NotAccepted`] when the store is away, [`PublishError::Unreadable`].
+pub async fn read_root(store: &dyn Store) -> Result<Option<(Root, Entry)>, PublishError> {
+    let entry = store::get(store, ROOT, Priority::Record).await;
+    let Some(entry) = entry.map_err(PublishError::NotAccepted)? else { return Ok(None) };
+    Ok(Some((decode_root(&entry.value)?, entry)))
+}
+
+/// Publishes declarations as the next revision.
+///
+/// # Errors
+/// [`PublishError`] tells whether the change can have been accepted.
+pub async fn publish_change(
+    store: &dyn Store,
+    declarations: &Declarations,
+    change: &Change,
+) -> Result<Receipt, PublishError> {
+    let packed = parts::pack(declarations)?;
+    let publisher = Publisher { store, change, ends_at_ms: clock::now_ms() + change.limit_ms };
+    publisher.publish(&packed).await
+}
+
+/// One change on its way.
+struct Publisher<'a> {
+    store: &'a dyn Store,
+    change: &'a Change,
+    ends_at_ms: u64,
+}
+
+impl Publisher<'_> {
+    async fn publish(&self, packed: &Packed) -> Result<Receipt, PublishError> {
+        let base = self.base().await?;
+        let root = base.as_ref().map(|(root, _)| root.clone()).unwrap_or_default();
+        if let Some(expected) = self.change.expect.filter(|expected| *expected != root.revision) {
+            return Err(PublishError::Unexpected { expected, current: root.revision });
+        }
+        self.put_parts(&root, packed).await?;
+        let sealed = self.seal(&root).await?;
+        let next = next_root(&root, packed, self.change, sealed.as_ref());
+        let expect = match &base {
+            Some((_, entry)) => Expect::Modified(entry.modified),
+            None => Expect::Absent,
+        };
+        let (revision, written) = self.swap(&next, expect).await?;
+        if let (Some(sealed), Some(written)) = (sealed, written) {
+            self.clean(&root, &next, &sealed, written).await;
+        }
+        Ok(Receipt { revision, digest: packed.digest.clone(), change: self.change.id.clone() })
+    }
+
+    async fn base(&self) -> Result<Option<(Root, Entry)>, PublishError> {
+        let mut pauses = self.pauses();
+        loop {
+            match read_root(self.store).await {
+                Err(PublishError::NotAccepted(_)) if !self.is_over() => pause(&mut pauses).await,
+                result => return result,
+            }
+        }
+    }
+
+    /// Writes the parts that the root in force does not refer to already.
+    async fn put_parts(&self, root: &Root, packed: &Packed) -> Result<(), PublishError> {
+        let present = self.manifest(&root.manifest).await;
+        let present: HashSet<String> = present.parts.into_iter().collect();
+        for part in packed.parts.iter().chain([&packed.manifest]) {
+            if !present.contains(&part.key) && part.key != root.manifest {
+                self.put_part(part).await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// A manifest that cannot be read counts as empty, so that all parts are written again.
+    async fn manifest(&self, key: &str) -> Manifest {
+        if key.is_empty() {
+            return Manifest::default();
+        }
+        match store::get(self.store, key, Priority::Record).await {
+            Ok(Some(entry)) => parts::read_manifest(&entry.value).unwrap_or_default(),
+            _ => Manifest::default(),
+        }
+    }
+
+    async fn put_part(&self, part: &Part) -> Result<(), PublishError> {
+        let mut pauses = self.pauses();
+        loop {
+            let put = Put {
+                key: part.key.clone(),
+                value: part.value.clone(),
+                expect: Expect::Any,
+                lease: None,
+            };
+            match store::put(self.store, put, Priority::Record).await {
+                Ok(_) => return Ok(()),
+                Err(StoreError::TooLarge) => {
+                    return Err(PublishError::NotAccepted(StoreError::TooLarge))
+                }
+                Err(error) if self.is_over() => return Err(PublishError::NotAccepted(error)),
+                Err(_) => pause(&mut pauses).await,
+            }
+        }
+    }
+
+    /// Moves old entries of the audit trail to a segment when the root record is full of them.
+    async fn seal(&self, root: &Root) -> Result<Option<Sealed>, PublishError> {
+        if root.recent.len() < crate::audit::RECENT_LIMIT {
+            return Ok(None);
+        }
+        let mut pauses = self.pauses();
+        let last = loop {
+            let Some(link) = &root.sealed else { break None };
+            match trail::segment(self.store, link).await {
+                Ok(segment) => break Some((link, segment)),
+                Err(TrailError::Store(_)) if !self.is_over() => pause(&mut pauses).await,
+                Err(error) => return Err(self.overtaken(root).await.unwrap_or(error.into())),
+            }
+        };
+        let last = last.as_ref().map(|(link, segment)| (*link, segment));
+        let sealed = trail::seal(&root.recent, last);
+        if let Some(sealed) = &sealed {
+            let part = Part { key: sealed.link.key.clone(), value: sealed.value.clone() };
+            self.put_part(&part).await?;
+        }
+        Ok(sealed)
+    }
+
+    /// The change that was accepted since `root` was read, which may have removed what it names.
+    async fn overtaken(&self, root: &Root) -> Option<PublishError> {
+        let (current, _) = read_root(self.store).await.ok()??;
+        let first = current.recent.into_iter().last()?;
+        (current.revision > root.revision).then(|| PublishError::Raced(Box::new(first)))
+    }
+
+    /// Swaps the root record and settles lost answers by the id of the change. Returns the
+    /// revision of the change, and that of the store if this very write is known.
+    async fn swap(
+        &self,
+        next: &Root,
+        expect: Expect,
+    ) -> Result<(u64, Option<Revision>), PublishError> {
+        let value = serde_json::to_vec(next).map_err(|error| unreadable(&error))?;
+        let value = Bytes::from(value);
+        let mut pauses = self.pauses();
+        let mut is_lost = false;
+        loop {
+            let put = Put { key: ROOT.to_owned(), value: value.clone(), expect, lease: None };
+            let error = match store::put(self.store, put, Priority::Record).await {
+                Ok(PutOutcome::Written(revision)) => return Ok((next.revision, Some(revision))),
+                Ok(PutOutcome::Conflict(current)) => {
+                    return self.judge(current, is_lost).await.map(|revision| (revision, None));
+                }
+                Err(error) => error,
+            };
+            is_lost |= !error.is_certain();
+            if error == StoreError::TooLarge || self.is_over() {
+                return Err(self.gave_up(is_lost, error));
+            }
+            pause(&mut pauses).await;
+        }
+    }
+
+    fn gave_up(&self, is_lost: bool, error: StoreError) -> PublishError {
+        if is_lost {
+            return PublishError::InDoubt { id: self.change.id.clone(), error };
+        }
+        PublishError::NotAccepted(error)
+    }
+
+    /// What a conflict means: this change was accepted by an earlier try, or another one was first.
+    async fn judge(&self, current: Option<Entry>, is_lost: bool) -> Result<u64, PublishError> {
+        let Some(entry) = current else {
+            return Err(PublishError::Unreadable("the root record is gone".to_owned()));
+        };
+        let root = decode_root(&entry.value)?;
+        if is_lost {
+            let own = Filter { change: Some(self.change.id.clone()), ..Filter::default() };
+            if let Some(entry) = self.find(&root, &own).await? {
+                return Ok(entry.revision);
+            }
+        }
+        let first = root.recent.last().cloned().unwrap_or_default();
+        Err(PublishError::Raced(Box::new(first)))
+    }
+
+    async fn find(&self, root: &Root, own: &Filter) -> Result<Option<AuditEntry>, PublishError> {
+        let since = self.change.at_unix_ms;
+        let own = Filter { since_unix_ms: Some(since), limit: Some(1), ..own.clone() };
+        let mut pauses = self.pauses();
+        loop {
+            match trail::read(self.store, &root.recent, root.sealed.as_ref(), &own).await {
+                Ok(found) => return Ok(found.into_iter().next()),
+                Err(TrailError::Store(error)) if self.is_over() => {
+                    return Err(self.gave_up(true, error));
+                }
+                Err(TrailError::Store(_)) => pause(&mut pauses).await,
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+
+    /// Removes what only entries refer to that have left the root record.
+    async fn clean(&self, before: &Root, next: &Root, sealed: &Sealed, written: Revision) {
+        let old_segment = before.sealed.as_ref().filter(|link| {
+            link.first_revision == sealed.link.first_revision && link.key != sealed.link.key
+        });
+        let collector = collect::Collector::new(self.store, next, written);
+        let manifests = sealed.moved.iter().map(|entry| entry.manifest.clone());
+        if let Err(error) = collector.remove(manifests, old_segment).await {
+            spdlog::debug!("old parts not collected: {}", error);
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        clock::now_ms() >= self.ends_at_ms
+    }
+
+    fn pauses(&self) -> Backoff {
+        let (min_ms, max_ms) = PAUSES_MS;
+        Backoff::new(min_ms, max_ms, collections::stable_hash(&self.change.id))
+    }
+}
+
+async fn pause(pauses: &mut Backoff) {
+    task::sleep(Duration::from_millis(pauses.next_ms())).await;
+}
+
+/// The root that follows `root` by `change`.
+pub fn next_root(root: &Root, packed: &Packed, change: &Change, sealed: Option<&Sealed>) -> Root {
+    let revision = root.revision + 1;
+    let mut recent = sealed.map_or_else(|| root.recent.clone(), |sealed| sealed.recent.clone());
+    recent.push(AuditEntry {
+        revision,
+        change: change.id.clone(),
+        kind: change.kind,
+        who: change.who.clone(),
+        from: change.from.clone(),
+        why: change.why.clone(),
+        at_unix_ms: change.at_unix_ms,
+        before: root.digest.clone(),
+        after: packed.digest.clone(),
+        manifest: packed.manifest.key.clone(),
+    });
+    let sealed = sealed.map(|sealed| sealed.link.clone()).or_else(|| root.sealed.clone());
+    let digest = packed.digest.clone();
+    Root { revision, digest, manifest: packed.manifest.key.clone(), recent, sealed }
+}
+
+/// Reads a root record.
+///
+/// # Errors
+/// [`PublishError::Unreadable`].
+pub fn decode_root(value: &[u8]) -> Result<Root, PublishError> {
+    serde_json::from_slice(value).map_err(|error| unreadable(&error))
+}
+
+fn unreadable(error: &serde_json::Error) -> PublishError {
+    PublishError::Unreadable(error.to_string())
+}
--- a/src/membership/session.rs
+++ b/src/membership/session.rs
@@ -221,8 +221,10 @@
 async fn check_record(shared: &Shared, lease: LeaseId) -> Result<(), StoreError> {
     let key = shared.member().key();
     let entry = store::get(shared.store.as_ref(), key, Priority::Control).await?;
+    let held = *shared.held();
     match entry {
-        Some(entry) if entry.lease != Some(lease) && shared.held().has_joined => {
+        Some(entry) if held.written.is_some_and(|written| entry.modified < written) => Ok(()),
+        Some(entry) if entry.lease != Some(lease) && held.has_joined => {
             give_way(shared, lease).await
         }
         Some(_) => Ok(()),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -227,8 +227,9 @@
     }
 }
 
-/// Reports unknown keys and values of another kind than in `defaults`.
-fn check_shape(document: &Document, defaults: &Value, file: &str, findings: &mut Findings) {
+/// Reports unknown keys and values of another kind than in `defaults`. A list in `defaults` gives
+/// a sample of its items, and nothing there admits anything.
+pub fn check_shape(document: &Document, defaults: &Value, file: &str, findings: &mut Findings) {
     let mut walk = ShapeWalk { document, file, findings };
     walk.check(&document.value, defaults, "");
 }
