--- a/src/audit.rs
+++ b/src/audit.rs
@@ -22,7 +22,8 @@
 pub const TEXT_LIMIT_CHARS: usize = 200;
 
 /// What kind of change an entry records.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// New declarations were applied.
@@ -58,7 +59,8 @@
 }
 
 /// One accepted change.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AuditEntry {
     /// Revision that the change made.
     pub revision: u64,
@@ -83,7 +85,8 @@
 }
 
 /// Where a segment is.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SegmentLink {
     /// Key of the segment.
     pub key: String,
@@ -101,7 +104,8 @@
 }
 
 /// A bounded run of older entries.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Segment {
     /// The segment before this one.
     pub previous: Option<SegmentLink>,
--- a/src/audit/trail.rs
+++ b/src/audit/trail.rs
@@ -10,7 +10,8 @@
 pub const SEGMENTS: &str = "config/audit/";
 
 /// Why the trail could not be read.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum TrailError {
     /// The store gave no answer of its own.
     #[error(transparent)]
--- a/src/charts.rs
+++ b/src/charts.rs
@@ -7,7 +7,8 @@
 use crate::collections::{HashMap, HashSet};
 
 /// A life cycle: its states and which event leads from one to the next.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Chart {
     /// Name of the chart, the same as its file.
@@ -22,7 +23,8 @@
 }
 
 /// Why a chart file cannot be used or a step is not allowed.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum ChartError {
     /// The file is not a chart.
     #[error("chart cannot be read: {0}")]
--- a/src/configs/ctl.rs
+++ b/src/configs/ctl.rs
@@ -7,7 +7,8 @@
 use crate::settings::{Report, Validate};
 
 /// Settings of the operators' command line; arguments go before them.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct CtlConfig {
     /// The platform's store.
--- a/src/configs/log.rs
+++ b/src/configs/log.rs
@@ -11,7 +11,8 @@
 const FORMATS: [&str; 2] = ["text", "json"];
 
 /// Settings of the log.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogConfig {
     /// Least severe level that is written: error, warn, info, debug or trace.
--- a/src/configs/membership.rs
+++ b/src/configs/membership.rs
@@ -5,7 +5,8 @@
 use crate::settings::{Report, Validate};
 
 /// Settings of membership.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct MembershipConfig {
     /// Time to live of a session after its last renewal, in milliseconds.
@@ -35,7 +36,8 @@
 }
 
 /// Settings of the exchange of configuration with other daemons.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PeersConfig {
     /// Addresses of other daemons of the zone, `IP:port`.
--- a/src/configs/store.rs
+++ b/src/configs/store.rs
@@ -5,7 +5,8 @@
 use crate::settings::{Report, Validate};
 
 /// Settings of the store client.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct StoreConfig {
     /// Address of the platform's store, `IP:port`.
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -30,7 +30,8 @@
 use crate::store::{Store, StoreError};
 
 /// Why a command did not do what was asked.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum CtlError {
     /// The input is wrong; every finding is told.
     #[error("{0}")]
--- a/src/ctl/change.rs
+++ b/src/ctl/change.rs
@@ -37,7 +37,8 @@
 }
 
 /// What a change did.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub(super) struct Report {
     #[serde(flatten)]
     receipt: Receipt,
--- a/src/ctl/plan.rs
+++ b/src/ctl/plan.rs
@@ -33,14 +33,16 @@
     show(context, &declarations, None).await
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Plan {
     revision: u64,
     differences: Vec<Difference>,
     displaced: Vec<Displaced>,
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Displaced {
     #[serde(flatten)]
     affected: Affected,
@@ -48,7 +50,8 @@
 }
 
 /// Whether a worker runs something.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 enum Work {
     Running,
--- a/src/ctl/status.rs
+++ b/src/ctl/status.rs
@@ -13,7 +13,8 @@
     Command::new("status").about("Shows the daemons and the revision in force in each")
 }
 
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 struct Status {
     revision: u64,
     digest: String,
--- a/src/declarations/diff.rs
+++ b/src/declarations/diff.rs
@@ -7,7 +7,8 @@
 use crate::declarations::{Declarations, WorkerDeclaration};
 
 /// How an item differs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// Only the new declarations have it.
@@ -19,7 +20,8 @@
 }
 
 /// One item that differs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Difference {
     /// Section: zone, worker, service, team or rule.
     pub section: String,
@@ -32,7 +34,8 @@
 }
 
 /// Why work on a worker may have to move.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Cause {
     /// The worker is no longer declared.
@@ -46,7 +49,8 @@
 }
 
 /// A worker whose work a change may displace.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Affected {
     /// Name of the worker.
     pub worker: String,
--- a/src/declarations/feed.rs
+++ b/src/declarations/feed.rs
@@ -40,7 +40,8 @@
 }
 
 /// Why declarations could not be published or read.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum FeedError {
     /// The store gave no answer of its own.
     #[error(transparent)]
@@ -80,7 +81,8 @@
 }
 
 /// What a root record says about the document.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Head {
     /// Number of the accepted change.
     pub revision: u64,
--- a/src/declarations/parts.rs
+++ b/src/declarations/parts.rs
@@ -40,7 +40,8 @@
 }
 
 /// The parts of one document.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Manifest {
     /// Keys of the parts, in order.
     pub parts: Vec<String>,
@@ -58,7 +59,8 @@
 }
 
 /// Why parts do not form a document.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum PartsError {
     /// The content of a part is not what its key says.
     #[error("{0} holds other content than its name says")]
--- a/src/declarations/peer.rs
+++ b/src/declarations/peer.rs
@@ -25,7 +25,8 @@
 const ANSWERS_LIMIT: usize = 1_000;
 
 /// Asks for a document of a higher revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct PeerQuestion {
     /// Revision that the asking daemon has.
@@ -35,7 +36,8 @@
 }
 
 /// A part as peers send it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct PeerPart {
     /// Key of the part.
@@ -45,7 +47,8 @@
 }
 
 /// What a daemon has.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct PeerAnswer {
     /// Head of its document, if the revision is higher than asked.
--- a/src/declarations/publish.rs
+++ b/src/declarations/publish.rs
@@ -23,7 +23,8 @@
 const PAUSES_MS: (u64, u64) = (30, 1_000);
 
 /// The root record: which declarations are accepted, and the newest part of the audit trail.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Root {
     /// Number of the accepted change, from 1.
@@ -85,7 +86,8 @@
 }
 
 /// An accepted change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Receipt {
     /// Revision that the change made.
     pub revision: u64,
@@ -96,7 +98,8 @@
 }
 
 /// Why a change was not accepted, or not certainly.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum PublishError {
     /// Another change was accepted first; this one was not.
     #[error("revision {} by {} ({}) was accepted first: {}", .0.revision, .0.who, .0.from, .0.why)]
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -13,7 +13,8 @@
 use crate::{clock, http};
 
 /// Why an exchange gave no whole answer, and how far it got.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum ExchangeError {
     /// No byte of the request was sent.
     #[error("not sent: {0}")]
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -12,7 +12,8 @@
 pub const PREFIX: &str = "cell/members/";
 
 /// What a daemon does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
     /// The callers' door.
@@ -22,7 +23,8 @@
 }
 
 /// A daemon as its record describes it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Member {
     /// Name, unique among daemons of the role.
     pub name: String,
--- a/src/standin/hosts.rs
+++ b/src/standin/hosts.rs
@@ -12,7 +12,8 @@
 use crate::http::server;
 
 /// State of a host as the platform tells it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HostState {
     /// In service.
@@ -24,7 +25,8 @@
 }
 
 /// A host in the list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Host {
     /// Name of the host.
     pub name: String,
@@ -33,7 +35,8 @@
 }
 
 /// A change of the list, for `POST /standin/hosts`.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HostsChange {
     /// Delay with which changes are listed from now on, in milliseconds.
--- a/src/standin/store/faults.rs
+++ b/src/standin/store/faults.rs
@@ -7,7 +7,8 @@
 use crate::store::Operation;
 
 /// What goes wrong; fractions are of all calls to which a fault applies.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Seed of the choices.
@@ -104,7 +105,8 @@
 }
 
 /// Calls that the fake has taken.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Counters {
     /// Gets and lists.
     pub reads: u64,
