--- a/src/bin/hemlock-placer.rs
+++ b/src/bin/hemlock-placer.rs
@@ -1,3 +1,41 @@
-//! hemlock-placer.
+//! Places tasks on the workers of one availability zone.
 
-fn main() {}
+use std::io::Write as _;
+use std::path::Path;
+
+use clap::{Arg, ArgAction, Command};
+use hemlockrock::configs::placer::PlacerConfig;
+use hemlockrock::placer::PlacerDaemon;
+use hemlockrock::{drain, settings, telemetry};
+
+#[async_std::main]
+async fn main() -> eyre::Result<()> {
+    let arguments = command().get_matches();
+    let config: PlacerConfig = match arguments.get_one::<String>("settings") {
+        Some(path) => settings::load(Path::new(path))?,
+        None => PlacerConfig::default(),
+    };
+    if arguments.get_flag("check") {
+        writeln!(std::io::stdout(), "settings are sound")?;
+        return Ok(());
+    }
+    telemetry::start_log(&config.log)?;
+    let daemon = PlacerDaemon::start(config).await?;
+    writeln!(std::io::stdout(), "listening {}", daemon.address())?;
+    drain::requested().await?;
+    let drained = daemon.drain().await;
+    eyre::ensure!(drained.is_whole, "the drain was cut by its limit");
+    Ok(())
+}
+
+fn command() -> Command {
+    Command::new("hemlock-placer")
+        .about("Places tasks on the workers of one availability zone")
+        .arg(Arg::new("settings").long("settings").value_name("FILE").help("Settings file"))
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings and exit"),
+        )
+}
--- a/src/configs/placer.rs
+++ b/src/configs/placer.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::configs::drain::DrainConfig;
 use crate::configs::http::HttpConfig;
 use crate::configs::log::LogConfig;
 use crate::configs::membership::MembershipConfig;
@@ -21,8 +22,6 @@
     pub address: String,
     /// Token that calls between daemons carry; empty for none.
     pub token: String,
-    /// Longest time of a drain, in milliseconds.
-    pub drain_timeout_ms: u64,
     /// Time between ticks of the control thread, in milliseconds.
     pub tick_ms: u64,
     /// Longest wait for a worker's answer, in milliseconds.
@@ -39,6 +38,8 @@
     pub http: HttpConfig,
     /// Placement.
     pub place: PlaceConfig,
+    /// Graceful shutdown.
+    pub drain: DrainConfig,
     /// The log.
     pub log: LogConfig,
 }
@@ -50,7 +51,6 @@
             zone: "zone-1".to_owned(),
             address: "127.0.0.1:0".to_owned(),
             token: String::new(),
-            drain_timeout_ms: 10_000,
             tick_ms: 50,
             worker_timeout_ms: 2_000,
             submit_timeout_ms: 5_000,
@@ -59,6 +59,7 @@
             membership: MembershipConfig::default(),
             http: HttpConfig::default(),
             place: PlaceConfig::default(),
+            drain: DrainConfig::default(),
             log: LogConfig::default(),
         }
     }
@@ -78,6 +79,7 @@
         report.nested("membership", &self.membership);
         report.nested("http", &self.http);
         report.nested("place", &self.place);
+        report.nested("drain", &self.drain);
         report.nested("log", &self.log);
     }
 }
--- a/src/jobs/journal.rs
+++ b/src/jobs/journal.rs
@@ -20,6 +20,9 @@
 /// next write of the one before.
 pub const SLOTS: u64 = 64;
 
+/// Pause after a write that took no effect, in milliseconds.
+const PAUSE_AFTER_FAILURE_MS: u64 = 500;
+
 /// Prefix of the keys of all journals.
 pub const PREFIX: &str = "jobs/";
 
@@ -238,14 +241,15 @@
                 kept.stored = kept.stored.max(Some(stored.version));
             }
         }
-        let fresh = flight.fresh;
+        let fresh: HashSet<JobId> = flight.fresh.into_iter().collect();
         let stored = flight.records.clone();
         self.slots[flight.slot] = Slot { modified: Some(revision), records: flight.records };
         stored.into_iter().filter(|stored| fresh.contains(&stored.id)).collect()
     }
 
     /// The write on its way certainly took no effect; returns its new records, which wait again.
-    pub fn failed(&mut self) -> Vec<JobId> {
+    pub fn failed(&mut self, now_ms: u64) -> Vec<JobId> {
+        self.next_write_ms = now_ms + PAUSE_AFTER_FAILURE_MS;
         let Some(flight) = self.flight.take() else { return Vec::new() };
         for id in flight.fresh.iter().rev() {
             let Some(kept) = self.jobs.get_mut(id) else { continue };
--- a/src/placer.rs
+++ b/src/placer.rs
@@ -1,3 +1,12 @@
 //! The placer daemon: one active in each zone, the others stand by.
 
+mod active;
+mod control;
+pub mod daemon;
+mod links;
+pub mod message;
+mod metrics;
 pub mod wire;
+pub mod zone;
+
+pub use daemon::PlacerDaemon;
--- /dev/null
+++ b/src/placer/daemon.rs
@@ -0,0 +1,178 @@
+//! The placer as a running daemon: wiring of the control thread, the zone lease and the doors.
+
+use std::sync::mpsc::{channel, Sender};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+use async_std::task;
+use eyre::WrapErr as _;
+use tide::{Response, StatusCode};
+
+use crate::clock;
+use crate::configs::placer::PlacerConfig;
+use crate::declarations::feed::Feed;
+use crate::drain::{Drain, Drained};
+use crate::http::client::Pool;
+use crate::http::server::Server;
+use crate::jobs::door::Door;
+use crate::membership::{Member, Role, Session};
+use crate::placer::control::Control;
+use crate::placer::links::Caller;
+use crate::placer::message::Message;
+use crate::placer::metrics::Metrics;
+use crate::placer::zone::{Holder, Keeper};
+use crate::store::client::HttpStore;
+use crate::store::mirror::Mirror;
+use crate::store::Store;
+use crate::telemetry;
+
+/// Time for which open connections may linger at the end of a drain, in milliseconds.
+const LINGER_MS: u64 = 1_000;
+
+/// A running placer.
+#[derive(Clone, Debug)]
+pub struct PlacerDaemon {
+    config: PlacerConfig,
+    server: Server,
+    session: Session,
+    keeper: Keeper,
+    messages: Sender<Message>,
+    is_draining: Arc<AtomicBool>,
+}
+
+/// What the pages of the daemon read.
+#[derive(Clone, Debug)]
+struct Pages {
+    metrics: Metrics,
+    mirror: Mirror,
+    is_draining: Arc<AtomicBool>,
+}
+
+impl PlacerDaemon {
+    /// Starts a placer; it stands by until it acquires its zone.
+    ///
+    /// # Errors
+    /// The address cannot be bound, or the control thread cannot be started.
+    pub async fn start(config: PlacerConfig) -> eyre::Result<Self> {
+        let pool = Pool::new(config.http.clone());
+        let store: Arc<dyn Store> = Arc::new(HttpStore::new(config.store.clone(), pool.clone()));
+        let mirror = Mirror::start(Arc::clone(&store), config.store.watch_wait_ms);
+        let feed = Feed::start(mirror.clone(), Arc::clone(&store));
+        let (messages, inbox) = channel();
+        let metrics = Metrics::new()?;
+        let is_draining = Arc::new(AtomicBool::new(false));
+
+        let mut app = tide::with_state(Pages {
+            metrics: metrics.clone(),
+            mirror: mirror.clone(),
+            is_draining: Arc::clone(&is_draining),
+        });
+        pages(&mut app);
+        // The door needs the address, which is known once the listener is bound.
+        let address = bind_address(&config).await?;
+        let http = config.http.clone();
+        let door = Door::new(mirror.clone(), feed.clone(), pool.clone(), http, config.token.clone());
+        door.with_local(&config.zone, &address, messages.clone()).mount(&mut app);
+        let server = Server::start(&address, app, config.http.clone()).await;
+        let server = server.wrap_err_with(|| format!("cannot listen on {address}"))?;
+
+        let caller = Caller {
+            pool,
+            token: config.token.clone(),
+            timeout_ms: config.worker_timeout_ms,
+            results: messages.clone(),
+        };
+        let control =
+            Control::new(config.clone(), Arc::clone(&store), caller, metrics, messages.clone());
+        let thread = std::thread::Builder::new().name("control".to_owned());
+        thread.spawn(move || control.run(inbox)).wrap_err("control thread cannot be started")?;
+        task::spawn(follow_declarations(feed, messages.clone()));
+
+        let address = server.address().to_string();
+        let session = Session::start(
+            Arc::clone(&store),
+            config.membership.clone(),
+            member(&config, &address),
+        );
+        let holder = Holder { name: config.name.clone(), address };
+        let zone = config.zone.clone();
+        let keeper =
+            Keeper::start(&zone, holder, store, mirror, session.clone(), messages.clone());
+        Ok(Self { config, server, session, keeper, messages, is_draining })
+    }
+
+    /// Address that the daemon listens on.
+    pub fn address(&self) -> String {
+        self.server.address().to_string()
+    }
+
+    /// Shuts down: hands the zone over once all is recorded; tasks go on.
+    pub async fn drain(&self) -> Drained {
+        self.is_draining.store(true, Ordering::Release);
+        self.session.update(|member| member.is_leaving = true);
+        let drain = Drain::new(self.config.drain.clone()).settle().await;
+        let drain = drain.hand_over(self.hand_over()).await;
+        self.server.begin_drain();
+        let limit_ms = u64::try_from(drain.left().as_millis()).unwrap_or(LINGER_MS);
+        let finished = async { self.server.finish(limit_ms.min(LINGER_MS)).await };
+        let drained = drain.finish(finished).await;
+        let _ = self.messages.send(Message::Stop);
+        drained
+    }
+
+    /// Gives up the zone so that a stand-by takes it at once, then ends the session.
+    async fn hand_over(&self) {
+        self.keeper.stop();
+        let (reply, answer) = async_channel::bounded(1);
+        let _ = self.messages.send(Message::Drain(reply));
+        if let Ok(Some(epoch)) = answer.recv().await {
+            self.keeper.release(epoch).await;
+        }
+        self.session.stop().await;
+    }
+}
+
+fn member(config: &PlacerConfig, address: &str) -> Member {
+    Member {
+        name: config.name.clone(),
+        role: Role::Placer,
+        zone: config.zone.clone(),
+        address: address.to_owned(),
+        incarnation: clock::unix_ms(),
+        config_revision: 0,
+        is_leaving: false,
+    }
+}
+
+/// The address to listen on; a port is chosen first if the settings leave it open.
+async fn bind_address(config: &PlacerConfig) -> eyre::Result<String> {
+    if !config.address.ends_with(":0") {
+        return Ok(config.address.clone());
+    }
+    let listener = async_std::net::TcpListener::bind(&config.address).await;
+    let listener = listener.wrap_err_with(|| format!("cannot listen on {}", config.address))?;
+    Ok(listener.local_addr()?.to_string())
+}
+
+async fn follow_declarations(feed: Feed, messages: Sender<Message>) {
+    loop {
+        feed.changed().await;
+        if messages.send(Message::Declared(feed.current())).is_err() {
+            return;
+        }
+    }
+}
+
+fn pages(app: &mut tide::Server<Pages>) {
+    app.at("/healthz").get(|_| async { Ok(Response::new(StatusCode::Ok)) });
+    app.at("/readyz").get(|request: tide::Request<Pages>| async move {
+        let pages = request.state();
+        let is_ready = !pages.is_draining.load(Ordering::Acquire)
+            && pages.mirror.snapshot().revision.0 > 0;
+        let status = if is_ready { StatusCode::Ok } else { StatusCode::ServiceUnavailable };
+        Ok(Response::new(status))
+    });
+    app.at("/metrics").get(|request: tide::Request<Pages>| async move {
+        Ok(telemetry::metrics_response(&request.state().metrics.registry))
+    });
+}
--- /dev/null
+++ b/src/placer/links.rs
@@ -0,0 +1,103 @@
+//! Calls to workers: one on its way to each, everything else waits and goes with the next.
+
+use std::sync::mpsc::Sender;
+
+use async_std::task;
+
+use crate::collections::HashMap;
+use crate::http::client::Pool;
+use crate::http::rpc::{self, Call};
+use crate::inventory::WorkerKey;
+use crate::placer::message::{CallFailure, Called, Message};
+use crate::placer::wire::{self, WorkerCall};
+
+/// Where and how workers are called.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    pub(crate) pool: Pool,
+    pub(crate) token: String,
+    pub(crate) timeout_ms: u64,
+    pub(crate) results: Sender<Message>,
+}
+
+/// The calls of one holder.
+#[derive(Debug, Default)]
+pub(crate) struct Links {
+    links: HashMap<WorkerKey, Link>,
+    /// Workers with something to send.
+    due: Vec<WorkerKey>,
+}
+
+#[derive(Debug, Default)]
+struct Link {
+    outbox: WorkerCall,
+    is_busy: bool,
+    is_due: bool,
+}
+
+impl Links {
+    /// The call that goes to `worker` next.
+    pub(crate) fn outbox(&mut self, worker: WorkerKey) -> &mut WorkerCall {
+        let link = self.links.entry(worker).or_default();
+        if !link.is_due {
+            link.is_due = true;
+            self.due.push(worker);
+        }
+        &mut link.outbox
+    }
+
+    /// The call to `worker` ended; the next may go.
+    pub(crate) fn ended(&mut self, worker: WorkerKey) {
+        let Some(link) = self.links.get_mut(&worker) else { return };
+        link.is_busy = false;
+        if !link.outbox.is_empty() && !link.is_due {
+            link.is_due = true;
+            self.due.push(worker);
+        }
+    }
+
+    /// Takes the calls that can go now.
+    pub(crate) fn take_due(&mut self) -> Vec<(WorkerKey, WorkerCall)> {
+        let mut calls = Vec::new();
+        for worker in std::mem::take(&mut self.due) {
+            let Some(link) = self.links.get_mut(&worker) else { continue };
+            link.is_due = false;
+            if link.is_busy || link.outbox.is_empty() {
+                continue;
+            }
+            link.is_busy = true;
+            calls.push((worker, std::mem::take(&mut link.outbox)));
+        }
+        calls
+    }
+
+    /// Whether nothing is on its way or waits.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.links.values().all(|link| !link.is_busy && link.outbox.is_empty())
+    }
+}
+
+impl Caller {
+    /// Sends a call; its end comes as a message.
+    pub(crate) fn send(&self, address: String, worker: WorkerKey, call: WorkerCall) {
+        let caller = self.clone();
+        task::spawn(async move {
+            let result = caller.call(&address, &call).await;
+            let called = Called { epoch: call.epoch, worker, call, result };
+            let _ = caller.results.send(Message::Called(called));
+        });
+    }
+
+    async fn call(
+        &self,
+        address: &str,
+        call: &WorkerCall,
+    ) -> Result<wire::WorkerAnswer, CallFailure> {
+        let rpc_call =
+            Call { address, path: wire::PATH, token: &self.token, timeout_ms: self.timeout_ms };
+        rpc::call(&self.pool, &rpc_call, call).await.map_err(|error| match error.is_certain() {
+            true => CallFailure::NoEffect(error.to_string()),
+            false => CallFailure::Lost(error.to_string()),
+        })
+    }
+}
--- /dev/null
+++ b/src/placer/message.rs
@@ -0,0 +1,151 @@
+//! Messages to the control thread of a placer.
+
+use std::sync::Arc;
+
+use crate::declarations::feed::Accepted;
+use crate::inventory::WorkerKey;
+use crate::jobs::api::{JobView, SubmitAnswer, Submission, WorkerView};
+use crate::placer::wire::{WorkerAnswer, WorkerCall};
+use crate::placer::zone::ZoneNews;
+use crate::store::{Entry, Revision, StoreError};
+
+/// A message to the control thread.
+#[derive(Debug)]
+pub enum Message {
+    /// Declarations were accepted.
+    Declared(Arc<Accepted>),
+    /// Something happened to the lease of the zone.
+    Zone(ZoneNews),
+    /// The journal was read.
+    Listed {
+        /// Epoch for which it was read.
+        epoch: u64,
+        /// What the store holds.
+        result: Result<Vec<Entry>, StoreError>,
+    },
+    /// A write of the journal ended.
+    Written {
+        /// Epoch of the writer.
+        epoch: u64,
+        /// How it ended.
+        result: WriteResult,
+    },
+    /// A call to a worker ended.
+    Called(Called),
+    /// A caller asks.
+    Ask(Ask),
+    /// Give the zone up once all is recorded; the answer carries the epoch that was held.
+    Drain(async_channel::Sender<Option<u64>>),
+    /// End the control thread.
+    Stop,
+}
+
+/// How a conditional write of the journal ended; a lost answer has been settled before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WriteResult {
+    /// It took effect.
+    Written(Revision),
+    /// The slot was not as expected.
+    Conflict(Option<Entry>),
+    /// It certainly took no effect.
+    NoEffect(StoreError),
+}
+
+/// A call to a worker that ended.
+#[derive(Debug)]
+pub struct Called {
+    /// Epoch of the caller.
+    pub epoch: u64,
+    /// Worker.
+    pub worker: WorkerKey,
+    /// The call.
+    pub call: WorkerCall,
+    /// Answer, or whether the call certainly had no effect.
+    pub result: Result<WorkerAnswer, CallFailure>,
+}
+
+/// Why a call to a worker gave no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CallFailure {
+    /// It certainly had no effect.
+    #[error("not sent: {0}")]
+    NoEffect(String),
+    /// It may have had an effect.
+    #[error("no answer: {0}")]
+    Lost(String),
+}
+
+/// Why the control thread does not do what it was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AskError {
+    /// This placer does not hold the zone.
+    #[error("this placer does not hold the zone now")]
+    NotActive,
+    /// The job is not known.
+    #[error("no such job")]
+    NoSuchJob,
+    /// The cancellation is in force but not recorded yet.
+    #[error("the cancellation could not be recorded in time; ask again")]
+    NotRecorded,
+}
+
+/// Where an answer goes.
+pub type Reply<T> = async_channel::Sender<Result<T, AskError>>;
+
+/// What callers ask for.
+#[derive(Debug)]
+pub enum Ask {
+    /// Take a job.
+    Submit {
+        /// The job; its id is set.
+        submission: Box<Submission>,
+        /// Answer.
+        reply: Reply<SubmitAnswer>,
+    },
+    /// Show a job.
+    Get {
+        /// Id of the job.
+        id: String,
+        /// Answer.
+        reply: Reply<JobView>,
+    },
+    /// Show all jobs.
+    List {
+        /// Answer.
+        reply: Reply<Vec<JobView>>,
+    },
+    /// Cancel a job.
+    Cancel {
+        /// Id of the job.
+        id: String,
+        /// Answer, once the cancellation is recorded.
+        reply: Reply<JobView>,
+    },
+    /// Say why a job does not run.
+    Explain {
+        /// Id of the job.
+        id: String,
+        /// Answer.
+        reply: Reply<serde_json::Value>,
+    },
+    /// Show all workers.
+    Workers {
+        /// Answer.
+        reply: Reply<Vec<WorkerView>>,
+    },
+}
+
+impl Ask {
+    /// Answers with an error.
+    pub fn refuse(self, error: AskError) {
+        match self {
+            Self::Submit { reply, .. } => drop(reply.try_send(Err(error))),
+            Self::Get { reply, .. } | Self::Cancel { reply, .. } => {
+                drop(reply.try_send(Err(error)));
+            }
+            Self::List { reply } => drop(reply.try_send(Err(error))),
+            Self::Explain { reply, .. } => drop(reply.try_send(Err(error))),
+            Self::Workers { reply } => drop(reply.try_send(Err(error))),
+        }
+    }
+}
--- /dev/null
+++ b/src/placer/zone.rs
@@ -0,0 +1,202 @@
+//! The lease of a zone: one key that hangs on the holder's session; its creation is the epoch.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::membership::Session;
+use crate::placer::message::Message;
+use crate::store::mirror::{Mirror, Snapshot};
+use crate::store::{self, Entry, Expect, LeaseId, Priority, Put, PutOutcome, Revision, Store};
+
+/// Prefix of the keys of zone leases.
+pub const PREFIX: &str = "cell/placers/";
+
+/// Time between looks at who holds the zone, in milliseconds.
+const LOOK_EVERY_MS: u64 = 20;
+
+/// Pause after the store did not grant or refuse the zone, in milliseconds.
+const RETRY_MS: u64 = 200;
+
+/// The holder of a zone as its record describes it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Holder {
+    /// Name of the placer.
+    pub name: String,
+    /// Address of the placer, `IP:port`.
+    pub address: String,
+}
+
+/// The holder of `zone` in a copy of the store, if there is one.
+pub fn holder(snapshot: &Snapshot, zone: &str) -> Option<Holder> {
+    let entry = snapshot.entries.get(&key(zone))?;
+    serde_json::from_slice(&entry.value).ok()
+}
+
+/// Key of the lease of `zone`.
+pub fn key(zone: &str) -> String {
+    format!("{PREFIX}{zone}")
+}
+
+/// What a keeper tells the control thread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ZoneNews {
+    /// This process holds the zone under a new epoch.
+    Acquired {
+        /// Epoch.
+        epoch: u64,
+        /// Time until which the session holds, in milliseconds on the monotonic clock.
+        confirmed_until_ms: u64,
+    },
+    /// The store renewed the session that the zone hangs on.
+    Confirmed {
+        /// Epoch.
+        epoch: u64,
+        /// Time until which the session holds, in milliseconds on the monotonic clock.
+        confirmed_until_ms: u64,
+    },
+    /// Another process holds the zone.
+    Lost {
+        /// Epoch that this process held.
+        epoch: u64,
+    },
+}
+
+/// Acquires the zone when it is free and watches over it.
+#[derive(Clone, Debug)]
+pub(crate) struct Keeper {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    zone: String,
+    holder: Holder,
+    store: Arc<dyn Store>,
+    mirror: Mirror,
+    session: Session,
+    news: Sender<Message>,
+    is_stopped: AtomicBool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    epoch: Revision,
+    lease: LeaseId,
+    told_until_ms: u64,
+}
+
+impl Keeper {
+    pub(crate) fn start(
+        zone: &str,
+        holder: Holder,
+        store: Arc<dyn Store>,
+        mirror: Mirror,
+        session: Session,
+        news: Sender<Message>,
+    ) -> Self {
+        let zone = zone.to_owned();
+        let is_stopped = AtomicBool::new(false);
+        let shared = Shared { zone, holder, store, mirror, session, news, is_stopped };
+        let keeper = Self { shared: Arc::new(shared) };
+        task::spawn(keep(Arc::clone(&keeper.shared)));
+        keeper
+    }
+
+    /// Acquires nothing from now on.
+    pub(crate) fn stop(&self) {
+        self.shared.is_stopped.store(true, Ordering::Release);
+    }
+
+    /// Gives the zone up at once, if it is held under `epoch`.
+    pub(crate) async fn release(&self, epoch: u64) {
+        self.stop();
+        let expect = Expect::Modified(Revision(epoch));
+        let key = key(&self.shared.zone);
+        let _ = store::delete(self.shared.store.as_ref(), key, expect, Priority::Control).await;
+    }
+}
+
+async fn keep(shared: Arc<Shared>) {
+    let mut held: Option<Held> = None;
+    while !shared.is_stopped.load(Ordering::Acquire) {
+        held = match held {
+            Some(held) => shared.watch_over(held),
+            None => None,
+        };
+        if held.is_none_or(|held| shared.session.lease() != Some(held.lease)) {
+            held = shared.acquire().await.or(held);
+        }
+        task::sleep(Duration::from_millis(LOOK_EVERY_MS)).await;
+    }
+}
+
+impl Shared {
+    /// Tells about renewals, and about the loss of the zone once another holds it.
+    fn watch_over(&self, mut held: Held) -> Option<Held> {
+        let snapshot = self.mirror.snapshot();
+        let is_known = snapshot.is_current && snapshot.revision >= held.epoch;
+        let entry = snapshot.entries.get(&key(&self.zone));
+        if is_known && entry.is_some_and(|entry| entry.created > held.epoch) {
+            let is_ours = entry.is_some_and(|entry| self.is_ours(entry));
+            if !is_ours {
+                self.tell(ZoneNews::Lost { epoch: held.epoch.0 });
+                return None;
+            }
+        }
+        let confirmed_until_ms = self.session.valid_until_ms();
+        let is_renewed = confirmed_until_ms > held.told_until_ms;
+        if is_renewed && self.session.lease() == Some(held.lease) {
+            held.told_until_ms = confirmed_until_ms;
+            self.tell(ZoneNews::Confirmed { epoch: held.epoch.0, confirmed_until_ms });
+        }
+        Some(held)
+    }
+
+    /// Takes the zone if it is free, or finds that an earlier try with a lost answer took it.
+    async fn acquire(&self) -> Option<Held> {
+        let lease = self.session.lease()?;
+        let snapshot = self.mirror.snapshot();
+        if !snapshot.is_current {
+            return None;
+        }
+        if let Some(entry) = snapshot.entries.get(&key(&self.zone)) {
+            return self.is_ours(entry).then(|| self.acquired(entry.created, lease));
+        }
+        let value = Bytes::from(serde_json::to_vec(&self.holder).unwrap_or_default());
+        let put =
+            Put { key: key(&self.zone), value, expect: Expect::Absent, lease: Some(lease) };
+        match store::put(self.store.as_ref(), put, Priority::Control).await {
+            Ok(PutOutcome::Written(epoch)) => Some(self.acquired(epoch, lease)),
+            Ok(PutOutcome::Conflict(Some(entry))) if self.is_ours(&entry) => {
+                Some(self.acquired(entry.created, lease))
+            }
+            Ok(PutOutcome::Conflict(_)) => None,
+            Err(error) => {
+                spdlog::debug!("zone not acquired: {}", error, kv: { zone = self.zone.as_str() });
+                task::sleep(Duration::from_millis(RETRY_MS)).await;
+                None
+            }
+        }
+    }
+
+    fn acquired(&self, epoch: Revision, lease: LeaseId) -> Held {
+        let confirmed_until_ms = self.session.valid_until_ms();
+        self.tell(ZoneNews::Acquired { epoch: epoch.0, confirmed_until_ms });
+        Held { epoch, lease, told_until_ms: confirmed_until_ms }
+    }
+
+    fn is_ours(&self, entry: &Entry) -> bool {
+        entry.lease.is_some() && entry.lease == self.session.lease()
+    }
+
+    fn tell(&self, news: ZoneNews) {
+        let _ = self.news.send(Message::Zone(news));
+    }
+}
