--- a/src/placer/control.rs
+++ b/src/placer/control.rs
@@ -281,7 +281,7 @@
         }
         self.opening = None;
         self.metrics.is_active.set(0);
-        drop(reply.try_send(epoch));
+        let _ = reply.try_send(epoch);
     }
 
     fn end(self) {
--- /dev/null
+++ b/tests/jobs_cell/mod.rs
@@ -0,0 +1,236 @@
+//! A small cell for tests of jobs: the fakes in this process, the placers as real processes.
+#![allow(dead_code, reason = "each test binary uses its own part")]
+
+use std::time::{Duration, Instant};
+
+use hemlockrock::configs::http::HttpConfig;
+use hemlockrock::declarations::feed;
+use hemlockrock::declarations::{Declarations, WorkerDeclaration, ZoneDeclaration};
+use hemlockrock::http::client::{self, Pool, Reply};
+use hemlockrock::jobs::api::{JobView, SubmitAnswer, Submission};
+use hemlockrock::place::message::JobState;
+use hemlockrock::place::spec::{JobSpec, Resources};
+use hemlockrock::standin::store::StoreStandin;
+use hemlockrock::standin::worker::agent::{Run, RunEnd};
+use hemlockrock::standin::worker::{HostedWorker, Mode, WorkerConfig, WorkerStandin};
+use hemlockrock::store::client::HttpStore;
+use http_types::Method;
+
+use crate::support::{Process, Scratch};
+
+/// Zone of the cell.
+pub const ZONE: &str = "mid-1";
+
+/// Length of the session lease of a placer.
+pub const SESSION_TTL: Duration = Duration::from_millis(1_500);
+
+/// Length of the lease of a task.
+pub const TASK_LEASE: Duration = Duration::from_millis(3_000);
+
+/// Time in which anything that is not measured must happen.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Means of each worker.
+pub const MEANS: Resources = Resources::new(4_000, 8 << 30, 0);
+
+/// A cell with one zone.
+pub struct Cell {
+    pub store: StoreStandin,
+    pub workers: WorkerStandin,
+    pub placers: Vec<Process>,
+    pub pool: Pool,
+    scratch: Scratch,
+    store_address: String,
+    names: Vec<String>,
+}
+
+impl Cell {
+    /// A cell with `workers` workers and no placer.
+    pub async fn start(workers: usize) -> Self {
+        Self::start_behind(workers, None).await
+    }
+
+    /// A cell whose placers reach the store at another address, such as that of a proxy.
+    pub async fn start_behind(workers: usize, store_address: Option<String>) -> Self {
+        let store = StoreStandin::start("127.0.0.1:0").await.unwrap();
+        let names: Vec<String> = (0..workers).map(|number| format!("w{number:04}")).collect();
+        let hosted = names.iter().map(|name| HostedWorker::new(name, MEANS)).collect();
+        let config = WorkerConfig { workers: hosted, usage_lag_ms: 200, ..WorkerConfig::default() };
+        let workers = WorkerStandin::start(config).await.unwrap();
+        let pool = Pool::new(HttpConfig::default());
+        let store_address = store_address.unwrap_or_else(|| store.address());
+        let scratch = Scratch::new();
+        let cell =
+            Self { store, workers, placers: Vec::new(), pool, scratch, store_address, names };
+        cell.declare(|_| {}).await;
+        cell
+    }
+
+    /// Publishes declarations of the zone and its workers, with a change.
+    pub async fn declare(&self, change: impl FnOnce(&mut Declarations)) {
+        const PER_RACK: usize = 6;
+        let workers = self.names.iter().enumerate().map(|(number, name)| WorkerDeclaration {
+            name: name.clone(),
+            zone: ZONE.to_owned(),
+            rack: format!("r{}", number / PER_RACK),
+            address: self.workers.address(),
+            cpu_millis: MEANS.cpu_millis,
+            memory_bytes: MEANS.memory_bytes,
+            ..WorkerDeclaration::default()
+        });
+        let zone = ZoneDeclaration { name: ZONE.to_owned(), region: "mid".to_owned() };
+        let mut declared = Declarations {
+            zones: vec![zone],
+            workers: workers.collect(),
+            ..Declarations::default()
+        };
+        change(&mut declared);
+        let config = hemlockrock::configs::store::StoreConfig {
+            address: self.store.address(),
+            ..Default::default()
+        };
+        let store = HttpStore::new(config, self.pool.clone());
+        feed::publish(&store, &declared).await.unwrap();
+    }
+
+    /// Starts a placer as a process.
+    pub fn add_placer(&mut self, name: &str) -> usize {
+        let text = format!(
+            "name: {name}\nzone: {ZONE}\nworker_timeout_ms: 500\nsubmit_timeout_ms: 3000\n\
+             store: {{address: '{}', timeout_ms: 500, watch_wait_ms: 2000}}\n\
+             membership: {{session_ttl_ms: {}, renew_every_ms: 300}}\n\
+             place: {{task_lease_ms: {}, clock_margin_ms: 300, renew_every_ms: 400, \
+             silent_after_ms: 1500, holding_window_ms: 1500}}\n\
+             drain: {{balancer_delay_ms: 100}}\nlog: {{level: warn}}\n",
+            self.store_address,
+            SESSION_TTL.as_millis(),
+            TASK_LEASE.as_millis(),
+        );
+        let path = self.scratch.write(&format!("{name}.yaml"), &text);
+        let binary = env!("CARGO_BIN_EXE_hemlock-placer");
+        let process = Process::start(binary, &["--settings", path.to_str().unwrap()]);
+        self.placers.push(process);
+        self.placers.len() - 1
+    }
+
+    /// Name of the placer that holds the zone by the store's word, with its epoch.
+    pub fn holder(&self) -> Option<(String, u64)> {
+        use hemlockrock::store::{Answer, Operation};
+        let key = hemlockrock::placer::zone::key(ZONE);
+        let answer =
+            self.store.state().apply(Operation::Get { key }, hemlockrock::clock::now_ms());
+        let Answer::Entry { entry: Some(entry) } = answer else { return None };
+        let holder: hemlockrock::placer::zone::Holder =
+            serde_json::from_slice(&entry.value).unwrap();
+        Some((holder.name, entry.created.0))
+    }
+
+    /// Sends a call to a placer and returns the answer, if there was one.
+    pub async fn call(
+        &self,
+        placer: usize,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Option<Reply> {
+        let address = &self.placers[placer].address;
+        let mut request = client::request(method, address, path).unwrap();
+        request.set_body(body);
+        self.pool.send(address, request, 10_000).await.ok()
+    }
+
+    /// Submits a job once.
+    pub async fn submit(&self, placer: usize, job: &Submission) -> (u16, Option<SubmitAnswer>) {
+        let body = serde_json::to_vec(job).unwrap();
+        match self.call(placer, Method::Post, "/v1/jobs", body).await {
+            Some(reply) => (reply.status, serde_json::from_slice(&reply.body).ok()),
+            None => (0, None),
+        }
+    }
+
+    /// Submits a job until it is accepted.
+    pub async fn submit_until_accepted(&self, placer: usize, job: &Submission) -> SubmitAnswer {
+        let ends = Instant::now() + PATIENCE;
+        loop {
+            match self.submit(placer, job).await {
+                (200, Some(answer)) => return answer,
+                last => assert!(Instant::now() < ends, "not accepted in time: {last:?}"),
+            }
+            async_std::task::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// What a placer says of a job.
+    pub async fn job(&self, placer: usize, id: &str) -> Option<JobView> {
+        let reply = self.call(placer, Method::Get, &format!("/v1/jobs/{id}"), Vec::new()).await?;
+        serde_json::from_slice(&reply.body).ok()
+    }
+
+    /// Waits until a placer says that the job is in a state.
+    pub async fn wait_for_state(&self, placer: usize, id: &str, state: &JobState) {
+        let ends = Instant::now() + PATIENCE;
+        loop {
+            let job = self.job(placer, id).await;
+            if job.as_ref().is_some_and(|job| job.state == *state) {
+                return;
+            }
+            assert!(Instant::now() < ends, "{id} is not {state:?} in time: {job:?}");
+            async_std::task::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Changes the behaviour of a worker.
+    pub fn set_mode(&self, worker: usize, mode: Mode) {
+        self.workers.set_mode(&self.names[worker], mode);
+    }
+
+    /// Every attempt that really ran, over all workers.
+    pub fn runs(&self) -> Vec<Run> {
+        self.workers.records().into_iter().flat_map(|(_, truth)| truth.runs).collect()
+    }
+
+    /// Attempts of a job that really ran.
+    pub fn runs_of(&self, id: &str) -> Vec<Run> {
+        self.runs().into_iter().filter(|run| &*run.task.job_id == id).collect()
+    }
+
+    /// Attempts of a job that run now.
+    pub fn running_of(&self, id: &str) -> usize {
+        self.runs_of(id).iter().filter(|run| run.ended.is_none()).count()
+    }
+
+    /// Attempts that lapsed or were stopped.
+    pub fn cut_short(&self) -> usize {
+        let is_cut = |run: &Run| {
+            matches!(run.ended, Some((_, RunEnd::Lapsed | RunEnd::Stopped | RunEnd::Died)))
+        };
+        self.runs().iter().filter(|run| is_cut(run)).count()
+    }
+
+    /// Checks what must hold whatever happened: no task in two places, no worker over its means.
+    pub fn check(&self) {
+        for (name, truth) in self.workers.records() {
+            assert!(truth.max_reserved.fits(truth.means), "{name} held {:?}", truth.max_reserved);
+        }
+        let mut runs = self.runs();
+        runs.sort_by(|left, right| {
+            (&left.task, left.started_at_ms).cmp(&(&right.task, right.started_at_ms))
+        });
+        for pair in runs.windows(2).filter(|pair| pair[0].task == pair[1].task) {
+            let (first, second) = (&pair[0], &pair[1]);
+            let ended = first.ended.is_some_and(|(at_ms, _)| at_ms <= second.started_at_ms);
+            assert!(ended, "in two places: {first:?} and {second:?}");
+            let finished = matches!(
+                first.ended,
+                Some((_, RunEnd::Own(hemlockrock::place::message::End::Finished)))
+            );
+            assert!(!finished, "ran again after its end: {first:?} and {second:?}");
+        }
+    }
+}
+
+/// A batch job whose tasks each run for a time.
+pub fn sleeping(id: &str, tasks: u32, run_ms: u64) -> Submission {
+    let spec = JobSpec::new("range", tasks).with_resources(Resources::new(1_000, 1 << 30, 0));
+    Submission::new(id, spec, &["sleep", &run_ms.to_string()])
+}
