--- a/src/configs/entry.rs
+++ b/src/configs/entry.rs
@@ -12,7 +12,8 @@
 use crate::settings::{Report, Validate};
 
 /// Settings of the entry daemon.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EntryConfig {
     /// Name of this host, unique among entry hosts.
@@ -99,7 +100,8 @@
 }
 
 /// Settings of the ownership of endpoints and of the connections to them.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EndpointsConfig {
     /// Age of the last answer up to which an open connection is used again, in milliseconds.
@@ -147,7 +149,8 @@
 }
 
 /// Settings of the calls between entry hosts.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PeersConfig {
     /// Time between heartbeats, in milliseconds.
--- a/src/configs/ledger.rs
+++ b/src/configs/ledger.rs
@@ -5,7 +5,8 @@
 use crate::settings::{Report, Validate};
 
 /// Settings of the ledger of idempotency keys.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LedgerConfig {
     /// Places of a zone's log in the store; the oldest is overwritten when it is older than `retention_ms`.
--- a/src/http/error.rs
+++ b/src/http/error.rs
@@ -6,7 +6,8 @@
 use crate::findings::Findings;
 
 /// An error as callers and operators see it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, thiserror::Error)]
 #[error("{code}: {message}")]
 pub struct ApiError {
     /// HTTP status, not part of the body.
--- a/src/jobs/journal.rs
+++ b/src/jobs/journal.rs
@@ -27,7 +27,8 @@
 pub const PREFIX: &str = "jobs/";
 
 /// Why a journal cannot be opened.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum JournalError {
     /// A holder with a higher epoch has written.
     #[error("epoch {0} has taken over the journal")]
@@ -125,7 +126,7 @@
         epoch: u64,
         entries: &[Entry],
     ) -> Result<Self, JournalError> {
-                let mut journal = Self {
+        let mut journal = Self {
             config,
             prefix: Self::prefix(zone),
             epoch,
@@ -205,9 +206,10 @@
 
     /// Withdraws a record that was never sent to the store; returns whether that was so.
     pub fn withdraw(&mut self, id: &str) -> bool {
-        let in_flight = self.flight.as_ref().is_some_and(|flight| {
-            flight.records.iter().any(|stored| &*stored.id == id)
-        });
+        let in_flight = self
+            .flight
+            .as_ref()
+            .is_some_and(|flight| flight.records.iter().any(|stored| &*stored.id == id));
         let is_stored = self.jobs.get(id).is_some_and(|kept| kept.stored.is_some());
         if in_flight || is_stored || !self.jobs.contains_key(id) {
             return false;
@@ -311,9 +313,8 @@
 
     fn note_ended(&mut self) {
         let ended = self.jobs.values().filter(|kept| kept.record.is_ended());
-        self.ended = ended
-            .map(|kept| (kept.record.ended_at_ms, JobId::clone(&kept.record.id)))
-            .collect();
+        self.ended =
+            ended.map(|kept| (kept.record.ended_at_ms, JobId::clone(&kept.record.id))).collect();
     }
 
     fn begin_write(&mut self, now_ms: u64) -> Option<Write> {
--- a/src/place/message.rs
+++ b/src/place/message.rs
@@ -23,9 +23,8 @@
 pub type JobId = Arc<str>;
 
 /// One start of a task; unique over all holders of the zone.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct Attempt {
     /// Epoch of the holder that began it.
     pub epoch: u64,
@@ -34,7 +33,8 @@
 }
 
 /// A task by the name of its job and its number.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct TaskId {
     /// Job.
     pub job_id: JobId,
@@ -43,7 +43,8 @@
 }
 
 /// How a task ended by itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum End {
     /// With success.
@@ -53,7 +54,8 @@
 }
 
 /// What a worker says about an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AttemptState {
     /// It runs, throttled or not.
@@ -67,7 +69,8 @@
 }
 
 /// An attempt in the report of a worker.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptReport {
     /// Task.
     pub task: TaskId,
@@ -84,7 +87,8 @@
 }
 
 /// All that a worker runs, and what ended there and was not yet forgotten.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WorkerReport {
     /// The worker's own clock, in milliseconds, which starts and renewals carry back.
     pub token_ms: u64,
@@ -95,7 +99,8 @@
 }
 
 /// Why a worker did not begin a start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Refusal {
     /// The worker has seen a higher epoch.
@@ -111,7 +116,8 @@
 }
 
 /// How a running attempt is made to give way.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum StopMode {
     /// It goes on with less processor time.
@@ -123,7 +129,8 @@
 }
 
 /// Why a job will not run.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Rejection {
     /// The specification is not sound.
@@ -143,7 +150,8 @@
 }
 
 /// What a caller is told about its job.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JobState {
     /// Not all tasks were placed yet; none runs.
@@ -161,7 +169,8 @@
 }
 
 /// What must last of a job beside its specification.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct JobProgress {
     /// Number of the change, from 1.
--- a/src/standin/runner.rs
+++ b/src/standin/runner.rs
@@ -28,7 +28,8 @@
 const DOUBLE_AFTER_MS: u64 = 2;
 
 /// Settings of the fake endpoint.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RunnerConfig {
     /// Name of the endpoint.
@@ -56,7 +57,8 @@
 }
 
 /// How the fake endpoint behaves.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Mode {
     /// Runs and answers.
@@ -79,14 +81,16 @@
 }
 
 /// Asks for a mode.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ModeChange {
     /// The new mode.
     pub mode: Mode,
 }
 
 /// What the fake endpoint says about itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Health {
     /// Name of the endpoint.
     pub name: String,
@@ -99,7 +103,8 @@
 }
 
 /// What the fake endpoint answers to a request that it ran.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RunAnswer {
     /// Name of the endpoint.
     pub endpoint: String,
@@ -134,8 +139,7 @@
     /// The address cannot be bound.
     pub async fn start(config: RunnerConfig) -> std::io::Result<Self> {
         let listen = config.listen.clone();
-        let shared =
-            Arc::new(Shared { config, state: Mutex::default(), server: OnceLock::new() });
+        let shared = Arc::new(Shared { config, state: Mutex::default(), server: OnceLock::new() });
         let mut app = tide::with_state(Arc::clone(&shared));
         app.at("/").post(serve);
         app.at("/healthz").get(serve_health);
@@ -270,12 +274,7 @@
 }
 
 /// The answer of a run, broken as the mode asks.
-fn finish(
-    shared: &Shared,
-    mode: Mode,
-    answer: &RunAnswer,
-    link: Option<&CallerLink>,
-) -> Response {
+fn finish(shared: &Shared, mode: Mode, answer: &RunAnswer, link: Option<&CallerLink>) -> Response {
     let mut response = json(StatusCode::Ok, answer);
     match mode {
         Mode::Leaving => {
--- a/src/standin/runner/records.rs
+++ b/src/standin/runner/records.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// One request that began to run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Run {
     /// `Idempotency-Key` of the request; empty without one.
     pub key: String,
@@ -24,7 +25,8 @@
 }
 
 /// Everything that a fake endpoint ran.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Records {
     /// The runs in the order in which they began.
     pub runs: Vec<Run>,
--- a/src/store/api.rs
+++ b/src/store/api.rs
@@ -10,17 +10,18 @@
 pub const VALUE_LIMIT_BYTES: usize = 1_000_000;
 
 /// A point in the history of the whole store; grows with every write.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Revision(pub u64);
 
 /// A lease; keys that hang on it are removed when it ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseId(pub u64);
 
 /// A key with its value and history.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     /// Key.
     pub key: String,
@@ -35,7 +36,8 @@
 }
 
 /// State of a key that a write depends on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum Expect {
     /// Any state.
     Any,
@@ -46,7 +48,8 @@
 }
 
 /// One operation; each counts as one call.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Operation {
     /// Reads a key.
     Get {
@@ -107,10 +110,25 @@
     pub fn is_write(&self) -> bool {
         !matches!(self, Self::Get { .. } | Self::List { .. } | Self::Watch { .. })
     }
+
+    /// Name of the kind of operation, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Get { .. } => "get",
+            Self::List { .. } => "list",
+            Self::Put { .. } => "put",
+            Self::Delete { .. } => "delete",
+            Self::Grant { .. } => "grant",
+            Self::Renew { .. } => "renew",
+            Self::Revoke { .. } => "revoke",
+            Self::Watch { .. } => "watch",
+        }
+    }
 }
 
 /// One change of a key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Change {
     /// Revision of the change.
     pub revision: Revision,
@@ -121,7 +139,8 @@
 }
 
 /// Answer to an [`Operation`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub enum Answer {
     /// To `Get`.
     Entry {
@@ -188,7 +207,8 @@
 }
 
 /// Why an operation gave no answer of its own.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum StoreError {
     /// The operation certainly took no effect.
     #[error("the store is away: {0}")]
