--- a/src/route.rs
+++ b/src/route.rs
@@ -13,6 +13,7 @@
 mod message;
 mod peers;
 mod pool;
+mod quantile;
 mod queue;
 mod rate;
 mod request;
--- a/src/route/estimate.rs
+++ b/src/route/estimate.rs
@@ -1,6 +1,7 @@
 //! Run times of each kind of work, learned from what was seen.
 
 use super::message::KindKey;
+use super::quantile::RunTimes;
 use super::rate::Rate;
 use crate::collections::HashMap;
 
@@ -8,7 +9,7 @@
 const PRIOR_SAMPLES: f64 = 2.0;
 
 /// Samples over which an estimate looks back.
-const MEMORY_SAMPLES: f64 = 64.0;
+const MEMORY_SAMPLES: f64 = 128.0;
 
 /// Samples after which a kind is known.
 const PROVEN_SAMPLES: f64 = 3.0;
@@ -28,8 +29,20 @@
 /// Estimate that further kinds share.
 const OTHER_KINDS: KindKey = KindKey(u32::MAX);
 
-/// Time over which the arrivals of a kind are averaged, in milliseconds.
-const ARRIVALS_MS: f64 = 2_000.0;
+/// Time over which the arrivals of long work are averaged, in milliseconds.
+const ARRIVALS_MS: f64 = 8_000.0;
+
+/// Time over which the arrivals of short work are averaged, in milliseconds.
+const RECENT_MS: f64 = 1_000.0;
+
+/// Runs between two looks at the quantiles.
+const QUANTILES_EVERY: u32 = 16;
+
+/// Part of all runs that stay under the usual run time.
+const USUAL: f32 = 0.9;
+
+/// Part of all runs that stay under the tail.
+const TAIL: f32 = 0.99;
 
 /// Whether work is short or long, compared with the other work of its service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,54 +53,76 @@
     Long,
 }
 
-/// Mean and mean deviation of run times, in milliseconds.
+/// What is expected of a run, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Estimate {
-    /// Mean.
+    /// Mean run time.
     pub(super) mean_ms: f64,
-    /// Mean absolute deviation.
-    pub(super) deviation_ms: f64,
+    /// Run time that nine of ten runs stay under.
+    pub(super) usual_ms: f64,
+    /// Run time that 99 of 100 runs stay under.
+    pub(super) tail_ms: f64,
     samples: f64,
 }
 
 impl Estimate {
     /// An estimate without samples.
     fn with_prior(mean_ms: f64) -> Self {
-        Self { mean_ms, deviation_ms: mean_ms / 2.0, samples: 0.0 }
+        Self { mean_ms, usual_ms: mean_ms, tail_ms: mean_ms, samples: 0.0 }
     }
 
     fn record(&mut self, ran_ms: f64) {
         self.samples = (self.samples + 1.0).min(MEMORY_SAMPLES);
         let weight = 1.0 / (self.samples + PRIOR_SAMPLES).min(MEMORY_SAMPLES);
-        let difference_ms = ran_ms - self.mean_ms;
-        self.mean_ms += weight * difference_ms;
-        self.deviation_ms += weight * (difference_ms.abs() - self.deviation_ms);
-    }
-
-    fn is_proven(&self) -> bool {
-        self.samples >= PROVEN_SAMPLES
+        self.mean_ms += weight * (ran_ms - self.mean_ms);
     }
 
-    /// A run time that a run takes no longer than, more likely than not, in milliseconds.
-    pub(super) fn likely_ms(&self) -> f64 {
-        self.mean_ms + self.deviation_ms
+    fn is_settled(&self) -> bool {
+        self.samples >= MEMORY_SAMPLES
     }
 
-    /// A run time that most runs stay under, in milliseconds.
-    pub(super) fn tail_ms(&self) -> f64 {
-        const DEVIATIONS: f64 = 3.0;
-        self.mean_ms + DEVIATIONS * self.deviation_ms
+    fn is_proven(&self) -> bool {
+        self.samples >= PROVEN_SAMPLES
     }
 }
 
 #[derive(Debug)]
 struct Kind {
     estimate: Estimate,
+    run_times: RunTimes,
+    new_samples: u32,
+    recent_arrivals: Rate,
     arrivals: Rate,
     class: Class,
     in_flight: u32,
 }
 
+impl Kind {
+    fn new(prior_ms: f64, class: Class) -> Self {
+        Self {
+            estimate: Estimate::with_prior(prior_ms),
+            run_times: RunTimes::new(),
+            new_samples: 0,
+            recent_arrivals: Rate::new(RECENT_MS),
+            arrivals: Rate::new(ARRIVALS_MS),
+            class,
+            in_flight: 0,
+        }
+    }
+
+    fn record(&mut self, ran_ms: f64) {
+        self.estimate.record(ran_ms);
+        self.run_times.add(ran_ms);
+        self.new_samples += 1;
+        if self.new_samples >= QUANTILES_EVERY || !self.estimate.is_settled() {
+            self.new_samples = 0;
+            let estimate = &mut self.estimate;
+            estimate.usual_ms = self.run_times.quantile_ms(USUAL).unwrap_or(estimate.usual_ms);
+            estimate.tail_ms = self.run_times.quantile_ms(TAIL).unwrap_or(estimate.tail_ms);
+        }
+    }
+}
+
 /// The kinds of one service.
 #[derive(Debug)]
 pub(super) struct Kinds {
@@ -118,6 +153,7 @@
         let key = self.key(kind);
         let kind = self.entry(key);
         kind.arrivals.add(1.0, now_ms);
+        kind.recent_arrivals.add(1.0, now_ms);
         (kind.class, kind.estimate)
     }
 
@@ -162,7 +198,7 @@
         let ran_ms = (ran_ms as f64).max(MIN_RUN_MS);
         self.overall.record(ran_ms);
         let key = self.key(kind);
-        self.entry(key).estimate.record(ran_ms);
+        self.entry(key).record(ran_ms);
     }
 
     /// Records that a run has taken `elapsed_ms` and goes on.
@@ -201,10 +237,10 @@
         let mut demand = (0.0, 0.0);
         for key in &self.order {
             let Some(kind) = self.kinds.get(key) else { continue };
-            let slots = kind.arrivals.per_ms(now_ms) * kind.estimate.mean_ms;
+            let mean_ms = kind.estimate.mean_ms;
             match kind.class {
-                Class::Short => demand.0 += slots,
-                Class::Long => demand.1 += slots,
+                Class::Short => demand.0 += kind.recent_arrivals.per_ms(now_ms) * mean_ms,
+                Class::Long => demand.1 += kind.arrivals.per_ms(now_ms) * mean_ms,
             }
         }
         demand
@@ -250,12 +286,7 @@
         let order = &mut self.order;
         self.kinds.entry(key).or_insert_with(|| {
             order.push(key);
-            Kind {
-                estimate: Estimate::with_prior(prior_ms),
-                arrivals: Rate::new(ARRIVALS_MS),
-                class,
-                in_flight: 0,
-            }
+            Kind::new(prior_ms, class)
         })
     }
 }
--- a/src/route/results.rs
+++ b/src/route/results.rs
@@ -75,7 +75,7 @@
         now_ms: u64,
     ) {
         let service = &mut self.services[at];
-        let tail_ms = service.kinds.estimate(request.submission.kind).tail_ms() * HOLD_TAILS;
+        let tail_ms = service.kinds.estimate(request.submission.kind).tail_ms * HOLD_TAILS;
         let hold_ms = (tail_ms as u64).min(self.config.lost_hold_ms);
         let until_ms = sent_at_ms + hold_ms;
         if until_ms > now_ms {
--- a/src/route/sending.rs
+++ b/src/route/sending.rs
@@ -61,8 +61,11 @@
         if submission.deadline_ms <= now_ms {
             return Some(Reason::Expired);
         }
-        let kinds = &self.services[at].kinds;
-        let needed_ms = kinds.estimate(submission.kind).mean_ms;
+        let service = &self.services[at];
+        let kinds = &service.kinds;
+        let estimate = kinds.estimate(submission.kind);
+        let has_others = service.queued() > service.pool.free() as usize;
+        let needed_ms = if has_others { estimate.usual_ms } else { estimate.mean_ms };
         let left_ms = (submission.deadline_ms - now_ms) as f64;
         let is_hopeless = needed_ms > left_ms && !kinds.is_idle(submission.kind);
         (is_hopeless && self.is_full_policy()).then_some(Reason::DeadlineTooClose)
--- a/src/route/shares.rs
+++ b/src/route/shares.rs
@@ -4,7 +4,7 @@
 const RESERVE_ROOTS: f64 = 3.0;
 
 /// Part of the spare slots that the reserve of short work may take.
-const RESERVE_OF_SPARE: f64 = 0.6;
+const RESERVE_OF_SPARE: f64 = 0.75;
 
 /// Demand for short work under which nothing is held back, in slots.
 const MIN_SHORT_DEMAND: f64 = 0.001;
--- a/src/route/submit.rs
+++ b/src/route/submit.rs
@@ -13,6 +13,9 @@
 /// Shortest time after which another try is suggested, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 100;
 
+/// Multiple of the predicted wait that has to fit before the deadline.
+const WAIT_MARGIN: f64 = 1.25;
+
 /// Microseconds in a millisecond.
 const US_PER_MS: f64 = 1_000.0;
 
@@ -200,8 +203,10 @@
             return None;
         }
         let left_ms = (submission.deadline_ms - now_ms) as f64;
-        let needed_ms = wait_ms + estimate.likely_ms();
-        let explores = wait_ms <= 0.0 && service.kinds.is_idle(submission.kind);
+        let is_sent_at_once = wait_ms <= 0.0;
+        let run_ms = if is_sent_at_once { estimate.mean_ms } else { estimate.tail_ms };
+        let needed_ms = wait_ms * WAIT_MARGIN + run_ms;
+        let explores = is_sent_at_once && service.kinds.is_idle(submission.kind);
         (needed_ms > left_ms && !explores)
             .then(|| (Reason::DeadlineTooClose, finite_ms(needed_ms - left_ms)))
     }
--- a/tests/route/driver.rs
+++ b/tests/route/driver.rs
@@ -13,37 +13,37 @@
 use rand::{RngExt as _, SeedableRng as _};
 
 /// The one service of these tests.
-pub const SERVICE: ServiceKey = ServiceKey(1);
+pub(crate) const SERVICE: ServiceKey = ServiceKey(1);
 
 const US_PER_MS: u64 = 1_000;
 const TICK_US: u64 = 5 * US_PER_MS;
 
 /// Requests of one kind from one caller, arriving at random.
 #[derive(Clone, Debug)]
-pub struct Stream {
-    pub kind: u32,
-    pub caller: u32,
+pub(crate) struct Stream {
+    pub(crate) kind: u32,
+    pub(crate) caller: u32,
     /// Mean run time, in milliseconds; run times are exponential.
-    pub run_ms: f64,
+    pub(crate) run_ms: f64,
     /// Arrivals a second, from each of these times in milliseconds on.
-    pub rates: Vec<(u64, f64)>,
-    pub deadline_ms: u64,
+    pub(crate) rates: Vec<(u64, f64)>,
+    pub(crate) deadline_ms: u64,
 }
 
 impl Stream {
-    pub fn new(kind: u32, run_ms: f64, per_s: f64) -> Self {
+    pub(crate) fn new(kind: u32, run_ms: f64, per_s: f64) -> Self {
         Self { kind, caller: 0, run_ms, rates: vec![(0, per_s)], deadline_ms: 60_000 }
     }
 
-    pub fn with_caller(self, caller: u32) -> Self {
+    pub(crate) fn with_caller(self, caller: u32) -> Self {
         Self { caller, ..self }
     }
 
-    pub fn with_deadline_ms(self, deadline_ms: u64) -> Self {
+    pub(crate) fn with_deadline_ms(self, deadline_ms: u64) -> Self {
         Self { deadline_ms, ..self }
     }
 
-    pub fn with_rates(self, rates: &[(u64, f64)]) -> Self {
+    pub(crate) fn with_rates(self, rates: &[(u64, f64)]) -> Self {
         Self { rates: rates.to_vec(), ..self }
     }
 
@@ -55,7 +55,7 @@
 
 /// What an endpoint does to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Behaviour {
+pub(crate) enum Behaviour {
     Runs,
     FailsAtOnce,
     Declines,
@@ -65,69 +65,62 @@
 
 /// One finished or refused request.
 #[derive(Clone, Copy, Debug)]
-pub struct Record {
-    pub stream: usize,
-    pub arrived_us: u64,
+pub(crate) struct Record {
+    pub(crate) stream: usize,
+    pub(crate) arrived_us: u64,
     /// Time from arrival to its last send, if it was sent.
-    pub wait_us: Option<u64>,
-    pub endpoint: Option<EndpointKey>,
-    pub ended_us: u64,
-    pub run_us: u64,
-    pub outcome: Outcome,
-    pub reason: Option<Reason>,
-    pub is_in_time: bool,
+    pub(crate) wait_us: Option<u64>,
+    pub(crate) ended_us: u64,
+    pub(crate) run_us: u64,
+    pub(crate) outcome: Outcome,
+    pub(crate) reason: Option<Reason>,
+    pub(crate) is_in_time: bool,
 }
 
 /// Everything that one run showed.
 #[derive(Clone, Debug, Default)]
-pub struct Report {
-    pub records: Vec<Record>,
-    pub sends: Vec<(u64, EndpointKey)>,
+pub(crate) struct Report {
+    pub(crate) records: Vec<Record>,
+    pub(crate) sends: Vec<(u64, EndpointKey)>,
 }
 
 impl Report {
     /// Records that arrived within a span of time, in milliseconds.
-    pub fn between(&self, from_ms: u64, to_ms: u64) -> Report {
+    pub(crate) fn between(&self, from_ms: u64, to_ms: u64) -> Report {
         let span_us = from_ms * US_PER_MS..to_ms * US_PER_MS;
         let records = self.records.iter().filter(|one| span_us.contains(&one.arrived_us));
         let sends = self.sends.iter().filter(|(at_us, _)| span_us.contains(at_us));
         Report { records: records.copied().collect(), sends: sends.copied().collect() }
     }
 
-    pub fn of(&self, streams: impl Fn(usize) -> bool) -> Report {
+    pub(crate) fn of(&self, streams: impl Fn(usize) -> bool) -> Report {
         let records = self.records.iter().filter(|one| streams(one.stream));
         Report { records: records.copied().collect(), sends: self.sends.clone() }
     }
 
     /// The wait that `quantile` of the sent requests stay under, in milliseconds.
-    pub fn wait_ms(&self, quantile: f64) -> f64 {
+    pub(crate) fn wait_ms(&self, quantile: f64) -> f64 {
         let mut waits: Vec<u64> = self.records.iter().filter_map(|one| one.wait_us).collect();
         waits.sort_unstable();
         let at = (waits.len() as f64 * quantile) as usize;
         waits.get(at.min(waits.len().saturating_sub(1))).map_or(0.0, |us| *us as f64 / 1_000.0)
     }
 
-    /// Run time of requests that were answered in time, in milliseconds.
-    pub fn good_work_ms(&self) -> f64 {
-        let good = self.records.iter().filter(|one| one.is_in_time);
-        good.map(|one| one.run_us as f64 / 1_000.0).sum()
-    }
-
-    pub fn good(&self) -> usize {
+    pub(crate) fn good(&self) -> usize {
         self.records.iter().filter(|one| one.is_in_time).count()
     }
 
-    pub fn late(&self) -> usize {
+    pub(crate) fn late(&self) -> usize {
         let done = self.records.iter().filter(|one| one.outcome == Outcome::Done);
         done.filter(|one| !one.is_in_time).count()
     }
 
-    pub fn count(&self, reason: Reason) -> usize {
+    pub(crate) fn count(&self, reason: Reason) -> usize {
         self.records.iter().filter(|one| one.reason == Some(reason)).count()
     }
 
     /// Run time of answers that ended within a span of time, in milliseconds.
-    pub fn good_work_ended_ms(&self, from_ms: u64, to_ms: u64) -> f64 {
+    pub(crate) fn good_work_ended_ms(&self, from_ms: u64, to_ms: u64) -> f64 {
         let span_us = from_ms * US_PER_MS..to_ms * US_PER_MS;
         let good =
             self.records.iter().filter(|one| one.is_in_time && span_us.contains(&one.ended_us));
@@ -155,8 +148,8 @@
 
 /// Drives one dispatcher.
 #[derive(Debug)]
-pub struct Driver {
-    pub dispatcher: Dispatcher,
+pub(crate) struct Driver {
+    pub(crate) dispatcher: Dispatcher,
     streams: Vec<Stream>,
     behaviours: BTreeMap<EndpointKey, Behaviour>,
     changes: Vec<Behaviour>,
@@ -172,7 +165,7 @@
 
 impl Driver {
     /// A dispatcher that owns `endpoints` with `slots` each.
-    pub fn new(config: RouteConfig, endpoints: u32, slots: u32, seed: u64) -> Self {
+    pub(crate) fn new(config: RouteConfig, endpoints: u32, slots: u32, seed: u64) -> Self {
         let mut driver = Self {
             dispatcher: Dispatcher::new(config, seed),
             streams: Vec::new(),
@@ -198,7 +191,7 @@
     }
 
     /// Adds a stream of requests.
-    pub fn with_stream(mut self, stream: Stream) -> Self {
+    pub(crate) fn with_stream(mut self, stream: Stream) -> Self {
         self.streams.push(stream);
         let at = self.streams.len() - 1;
         self.plan_arrival(at, 0);
@@ -206,7 +199,7 @@
     }
 
     /// Lets an endpoint behave in another way from `at_ms` on.
-    pub fn with_change(mut self, endpoint: u32, at_ms: u64, behaviour: Behaviour) -> Self {
+    pub(crate) fn with_change(mut self, endpoint: u32, at_ms: u64, behaviour: Behaviour) -> Self {
         self.changes.push(behaviour);
         let happening = Happening::Behave(EndpointKey(endpoint), self.changes.len() - 1);
         self.plan(at_ms * US_PER_MS, happening);
@@ -214,7 +207,7 @@
     }
 
     /// Lets time pass until `until_ms` and tells what happened; checks the slots on the way.
-    pub fn run(mut self, until_ms: u64) -> Report {
+    pub(crate) fn run(mut self, until_ms: u64) -> Report {
         while let Some(Reverse((at_us, _, happening))) = self.agenda.pop() {
             if at_us > until_ms * US_PER_MS {
                 break;
@@ -269,7 +262,7 @@
     fn end(&mut self, request: RequestKey, endpoint: EndpointKey, code: u8, at_us: u64) {
         *self.in_flight.entry(endpoint).or_default() -= 1;
         let open = self.open[&request];
-        let ran_ms = at_us / US_PER_MS - open.sent.unwrap().0 / US_PER_MS;
+        let ran_ms = at_us / US_PER_MS - open.sent.expect("it was sent").0 / US_PER_MS;
         let result = match code {
             0 => SendResult::Done { ran_ms },
             1 => SendResult::DoneFailed,
@@ -309,7 +302,7 @@
         *in_flight += 1;
         assert!(*in_flight <= self.slots, "more in flight than slots");
         self.report.sends.push((at_us, endpoint));
-        let open = self.open.get_mut(&request).unwrap();
+        let open = self.open.get_mut(&request).expect("it is open");
         open.sent = Some((at_us, endpoint));
         let (run_us, code) = match self.behaviours[&endpoint] {
             Behaviour::Runs => (open.run_us, 0),
@@ -334,7 +327,6 @@
             stream: open.stream,
             arrived_us: open.arrived_us,
             wait_us: open.sent.map(|(sent_us, _)| sent_us - open.arrived_us),
-            endpoint: open.sent.map(|(_, endpoint)| endpoint),
             ended_us: at_us,
             run_us: open.run_us,
             outcome,
