--- a/src/demo/cell.rs
+++ b/src/demo/cell.rs
@@ -111,20 +111,20 @@
         self.workers.records()
     }
 
-    /// Shuts all daemons down in order.
+    /// Shuts all daemons down, the placer daemons first.
     pub async fn drain(&self) {
-        let entries: Vec<_> = self
-            .entries
-            .iter()
-            .cloned()
-            .map(|entry| task::spawn(async move { entry.drain().await }))
-            .collect();
+        let placers = self.placers.iter().cloned();
+        let placers: Vec<_> =
+            placers.map(|placer| task::spawn(async move { placer.drain().await })).collect();
+        for placer in placers {
+            placer.await;
+        }
+        let entries = self.entries.iter().cloned();
+        let entries: Vec<_> =
+            entries.map(|entry| task::spawn(async move { entry.drain().await })).collect();
         for entry in entries {
             entry.await;
         }
-        for placer in &self.placers {
-            placer.drain().await;
-        }
     }
 
     async fn publish(&self, config: &DemoConfig) -> eyre::Result<()> {
@@ -270,7 +270,7 @@
 
 fn means(config: &WorkersConfig, number: usize) -> Resources {
     let every = config.accelerators_every as usize;
-    let has_accelerators = every > 0 && number.is_multiple_of(every);
+    let has_accelerators = every > 0 && number % every == 0;
     let accelerators = if has_accelerators { config.accelerators } else { 0 };
     Resources::new(config.cpu_millis, config.memory_bytes, accelerators)
 }
--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -7,7 +7,8 @@
 use crate::route::ServiceLoad;
 
 /// State of an entry host.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Name of the host.
     pub name: String,
@@ -28,7 +29,8 @@
 }
 
 /// A heartbeat call: the sender's state, answered with the receiver's and its zone's.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Exchange {
     /// The one who speaks.
     pub own: Heartbeat,
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -23,7 +23,8 @@
 pub const CANCEL_PATH: &str = "/v1/peer/cancel";
 
 /// A request that is handed to the dispatcher of another entry host.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerRequest {
     /// Id that follows the request over all hops.
     pub id: String,
@@ -79,7 +80,8 @@
 }
 
 /// What became of a [`PeerRequest`]; also what the ledger keeps of a request's end.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerAnswer {
     /// The whole answer of an endpoint.
     Answered {
@@ -131,7 +133,8 @@
 }
 
 /// Asks a host to give up endpoints.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ReleaseRequest {
     /// Name of the host that takes them.
     pub asker: String,
@@ -140,14 +143,16 @@
 }
 
 /// Answer to a [`ReleaseRequest`], in its order.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct ReleaseAnswer {
     /// For each endpoint: requests still in flight there if it was given up, nothing if not.
     pub in_flight: Vec<Option<u32>>,
 }
 
 /// Asks a host to cancel what it holds under an idempotency key.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct CancelRequest {
     /// Service.
     pub service: String,
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -162,7 +162,8 @@
 /// Asks an endpoint for its busy slots on a connection of its own.
 pub async fn read_health(address: &str, timeout_ms: u64) -> Option<Said> {
     const MAX_HEALTH_BYTES: u64 = 64 * 1024;
-    #[derive(Default, Deserialize)]
+    #[derive(Default)]
+    #[derive(Deserialize)]
     #[serde(default)]
     struct Health {
         busy: Option<u32>,
--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -6,7 +6,7 @@
 use crate::collections::HashMap;
 use crate::configs::placer::PlacerConfig;
 use crate::declarations::Declarations;
-use crate::jobs::api::{JobView, SubmitAnswer, SubmitOutcome, Submission, WorkerView};
+use crate::jobs::api::{JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView};
 use crate::jobs::journal::{Journal, Met, Write};
 use crate::jobs::record::JobRecord;
 use crate::place::message::{JobId, JobProgress, JobState, Refusal, Rejection};
@@ -131,8 +131,12 @@
         for (worker, call) in self.links.take_due() {
             let Some(known) = self.placer.inventory().worker(worker) else { continue };
             let (worker_name, address) = (known.name.clone(), known.address.clone());
-            let call =
-                WorkerCall { worker: worker_name, epoch: self.epoch, lease_ms: self.lease_ms, ..call };
+            let call = WorkerCall {
+                worker: worker_name,
+                epoch: self.epoch,
+                lease_ms: self.lease_ms,
+                ..call
+            };
             self.metrics.starts.inc_by(call.starts.len() as u64);
             self.caller.send(address, worker, call);
         }
@@ -302,7 +306,8 @@
         let id = JobId::from(submission.id.as_str());
         let waiter = Waiter { reply, until_ms: clock::now_ms() + self.submit_timeout_ms };
         if let Some(known) = self.journal.get(&id) {
-            let is_same = *known.spec == submission.spec && *known.command == submission.command[..];
+            let is_same =
+                *known.spec == submission.spec && *known.command == submission.command[..];
             if !is_same {
                 let reason = "another job has this id".to_owned();
                 let answer = self.submit_answer(&id, SubmitOutcome::NotRun, Some(reason));
@@ -362,8 +367,8 @@
             drop(reply.try_send(Err(AskError::NoSuchJob)));
             return;
         };
-        let is_recorded = record.is_ended()
-            || (record.progress.is_cancelled && self.journal.is_settled());
+        let is_recorded =
+            record.is_ended() || (record.progress.is_cancelled && self.journal.is_settled());
         if is_recorded {
             drop(reply.try_send(self.view(id).ok_or(AskError::NoSuchJob)));
             return;
@@ -378,15 +383,15 @@
     fn time_out_waiters(&mut self) {
         let now_ms = clock::now_ms();
         let is_over = |until_ms: u64| until_ms <= now_ms;
-        let late = self.submits.iter().filter(|(_, waiters)| {
-            waiters.iter().any(|waiter| is_over(waiter.until_ms))
-        });
+        let late = self
+            .submits
+            .iter()
+            .filter(|(_, waiters)| waiters.iter().any(|waiter| is_over(waiter.until_ms)));
         let late: Vec<JobId> = late.map(|(id, _)| JobId::clone(id)).collect();
         for id in late {
             let reason = Some("the job could not be recorded in time".to_owned());
             let is_withdrawn = self.journal.withdraw(&id);
-            let outcome =
-                if is_withdrawn { SubmitOutcome::NotRun } else { SubmitOutcome::Unknown };
+            let outcome = if is_withdrawn { SubmitOutcome::NotRun } else { SubmitOutcome::Unknown };
             self.answer_submit(&id, outcome, reason);
         }
         self.cancels.retain(|_, waiters| {
--- a/src/placer/message.rs
+++ b/src/placer/message.rs
@@ -4,7 +4,7 @@
 
 use crate::declarations::feed::Accepted;
 use crate::inventory::WorkerKey;
-use crate::jobs::api::{JobView, SubmitAnswer, Submission, WorkerView};
+use crate::jobs::api::{JobView, Submission, SubmitAnswer, WorkerView};
 use crate::placer::wire::{WorkerAnswer, WorkerCall};
 use crate::placer::zone::ZoneNews;
 use crate::store::{Entry, Revision, StoreError};
@@ -65,7 +65,8 @@
 }
 
 /// Why a call to a worker gave no answer.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum CallFailure {
     /// It certainly had no effect.
     #[error("not sent: {0}")]
@@ -76,7 +77,8 @@
 }
 
 /// Why the control thread does not do what it was asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum AskError {
     /// This placer does not hold the zone.
     #[error("this placer does not hold the zone now")]
--- a/src/route/owner.rs
+++ b/src/route/owner.rs
@@ -5,7 +5,8 @@
 use crate::collections;
 
 /// An entry host that may own endpoints.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Candidate {
     /// Name of the host, unique in its zone.
     pub name: String,
