--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -92,9 +92,13 @@
             PublishError::Raced(_) | PublishError::Unexpected { .. } => {
                 Self::Raced(error.to_string())
             }
-            PublishError::NotAccepted(_) => Self::Away(error.to_string()),
+            PublishError::NotAccepted(_) | PublishError::NoTrail(TrailError::Store(_)) => {
+                Self::Away(error.to_string())
+            }
             PublishError::InDoubt { .. } => Self::InDoubt(error.to_string()),
-            PublishError::Unreadable(_) => Self::Refused(error.to_string()),
+            PublishError::NoTrail(_) | PublishError::Unreadable(_) => {
+                Self::Refused(error.to_string())
+            }
         }
     }
 }
--- a/src/declarations/check.rs
+++ b/src/declarations/check.rs
@@ -47,7 +47,10 @@
 impl<'a> Checker<'a> {
     fn push(&mut self, origin: &Origin, field: &str, message: impl Into<String>) {
         let (file, place, path) = self.merged.place(origin, field);
-        self.findings.push(file, place, path, message);
+        let mut known = self.findings.items.iter();
+        if !known.any(|finding| finding.file == file && finding.path == path) {
+            self.findings.push(file, place, path, message);
+        }
     }
 
     fn require(&mut self, holds: bool, origin: &Origin, field: &str, message: &str) {
--- a/src/declarations/feed.rs
+++ b/src/declarations/feed.rs
@@ -66,6 +66,7 @@
             PublishError::Raced(_) | PublishError::Unexpected { .. } => Self::Raced,
             PublishError::NotAccepted(error) => Self::Store(error),
             PublishError::InDoubt { error, .. } => Self::Store(StoreError::Lost(error.to_string())),
+            PublishError::NoTrail(error) => Self::Unreadable(error.to_string()),
             PublishError::Unreadable(message) => Self::Unreadable(message),
         }
     }
@@ -132,10 +133,67 @@
     changed: async_channel::Receiver<()>,
 }
 
+/// The document in force; it only ever gives way to one of a higher revision.
+#[derive(Clone, Debug, Default)]
+pub struct InForce {
+    accepted: Arc<Accepted>,
+    document: Arc<Document>,
+}
+
+impl InForce {
+    /// Takes a document if its revision is higher than the one in force; returns whether it did.
+    ///
+    /// # Errors
+    /// The document is damaged.
+    ///
+    /// ```
+    /// use hemlockrock::declarations::{feed, parts, Declarations};
+    ///
+    /// let packed = parts::pack(&Declarations::default())?;
+    /// let head = feed::Head {
+    ///     revision: 1,
+    ///     digest: packed.digest,
+    ///     manifest: packed.manifest.key.clone(),
+    /// };
+    /// let parts = packed.parts.into_iter().chain([packed.manifest]);
+    /// let parts = parts.map(|part| (part.key, part.value)).collect();
+    /// let document = feed::Document { head, parts };
+    /// let mut in_force = feed::InForce::default();
+    /// assert!(in_force.take(document.clone())?);
+    /// assert!(!in_force.take(document)?);
+    /// # Ok::<(), parts::PartsError>(())
+    /// ```
+    pub fn take(&mut self, document: Document) -> Result<bool, PartsError> {
+        if document.head.revision <= self.accepted.revision {
+            return Ok(false);
+        }
+        let accepted = document.accept()?;
+        Ok(self.put(accepted, document))
+    }
+
+    fn put(&mut self, accepted: Accepted, document: Document) -> bool {
+        if accepted.revision <= self.accepted.revision {
+            return false;
+        }
+        self.accepted = Arc::new(accepted);
+        self.document = Arc::new(document);
+        true
+    }
+
+    /// The declarations in force.
+    pub fn accepted(&self) -> Arc<Accepted> {
+        Arc::clone(&self.accepted)
+    }
+
+    /// The document in force as it was read.
+    pub fn document(&self) -> Arc<Document> {
+        Arc::clone(&self.document)
+    }
+}
+
 #[derive(Debug, Default)]
 struct Shared {
-    current: Mutex<Arc<Accepted>>,
-    document: Mutex<Arc<Document>>,
+    in_force: Mutex<InForce>,
     session: Mutex<Option<Session>>,
 }
 
@@ -167,12 +225,12 @@
 
     /// The declarations in force.
     pub fn current(&self) -> Arc<Accepted> {
-        Arc::clone(&lock(&self.shared.current))
+        lock(&self.shared.in_force).accepted()
     }
 
     /// The document in force as it was read, for peers.
     pub fn document(&self) -> Arc<Document> {
-        Arc::clone(&lock(&self.shared.document))
+        self.shared.document()
     }
 
     /// Tells the revision in force in the member record of `session` from now on.
@@ -189,21 +247,23 @@
 
 impl Shared {
     fn revision(&self) -> u64 {
-        lock(&self.current).revision
+        lock(&self.in_force).accepted.revision
+    }
+
+    fn document(&self) -> Arc<Document> {
+        lock(&self.in_force).document()
     }
 
-    /// Takes a document if its revision is higher than the one in force.
     fn take(&self, document: Document) -> Result<bool, PartsError> {
-        let accepted = document.accept()?;
-        let mut current = lock(&self.current);
-        if accepted.revision <= current.revision {
+        if document.head.revision <= self.revision() {
             return Ok(false);
         }
-        *current = Arc::new(accepted);
-        *lock(&self.document) = Arc::new(document);
-        drop(current);
-        self.report();
-        Ok(true)
+        let accepted = document.accept()?;
+        let taken = lock(&self.in_force).put(accepted, document);
+        if taken {
+            self.report();
+        }
+        Ok(taken)
     }
 
     fn report(&self) {
@@ -285,7 +345,7 @@
 
     /// Reads the manifest and the parts that the document in force does not have.
     async fn read(&self, head: &Head) -> Result<(), FeedError> {
-        let old = Arc::clone(&lock(&self.shared.document));
+        let old = self.shared.document();
         let document = read::document(self.store.as_ref(), head, &old).await?;
         self.take(document)
     }
@@ -299,7 +359,7 @@
         let snapshot = self.mirror.snapshot();
         let Some(address) = self.peers.next(&snapshot) else { return };
         self.next_ask_ms = clock::now_ms() + self.pauses.spread_ms(self.peers.ask_every_ms());
-        let old = Arc::clone(&lock(&self.shared.document));
+        let old = self.shared.document();
         match peer::fetch(&self.peers, &address, &old).await {
             Ok(Some(document)) => {
                 let revision = document.head.revision;
--- a/src/declarations/files.rs
+++ b/src/declarations/files.rs
@@ -65,12 +65,23 @@
         let path =
             if field.is_empty() { origin.path.clone() } else { format!("{}.{field}", origin.path) };
         match self.documents.get(origin.source) {
-            Some((name, document)) => (name, document.place(&path), path),
+            Some((name, document)) => (name, place(document, &path), path),
             None => ("", Place::default(), path),
         }
     }
 }
 
+/// Place of a path, or of the first field within it, as maps have no place of their own.
+fn place(document: &Document, path: &str) -> Place {
+    let place = document.place(path);
+    if place.line > 0 {
+        return place;
+    }
+    let within = format!("{path}.");
+    let inner = document.places.iter().filter(|(known, _)| known.starts_with(&within));
+    inner.map(|(_, place)| *place).filter(|place| place.line > 0).min().unwrap_or(place)
+}
+
 /// Reads, merges and checks files.
 ///
 /// # Errors
@@ -163,6 +174,17 @@
     })
 }
 
+/// An item of the fields that can be read, so that its other faults are found as well.
+fn readable_part<T: DeserializeOwned + Default>(value: &Value) -> T {
+    let fields = value.as_object().into_iter().flatten();
+    let sound = fields.filter(|(field, inner)| {
+        let single = json!({ field.as_str(): inner });
+        serde_json::from_value::<T>(single).is_ok()
+    });
+    let sound = sound.map(|(field, inner)| (field.clone(), inner.clone())).collect();
+    serde_json::from_value(Value::Object(sound)).unwrap_or_default()
+}
+
 struct Reader<'a> {
     name: &'a str,
     document: &'a Document,
@@ -183,7 +205,11 @@
                     items.push(item);
                     origins.push(Origin { source: self.source, path });
                 }
-                Err(error) => self.explain::<T>(value, &path, &error.to_string()),
+                Err(error) => {
+                    self.explain::<T>(value, &path, &error.to_string());
+                    items.push(readable_part(value));
+                    origins.push(Origin { source: self.source, path });
+                }
             }
         }
     }
@@ -217,6 +243,6 @@
     }
 
     fn push(&mut self, path: &str, message: String) {
-        self.findings.push(self.name, self.document.place(path), path, message);
+        self.findings.push(self.name, place(self.document, path), path, message);
     }
 }
--- a/src/declarations/publish.rs
+++ b/src/declarations/publish.rs
@@ -1,17 +1,22 @@
 //! Publishes declarations: parts first, then one compare-and-swap of the root record.
 
+mod error;
+
 use std::time::Duration;
 
 use async_std::task;
 use bytes::Bytes;
+use futures_lite::future;
 use serde::{Deserialize, Serialize};
 
+pub use error::PublishError;
+
 use crate::audit::trail::{self, Sealed, TrailError};
 use crate::audit::{AuditEntry, Filter, Kind, SegmentLink};
 use crate::clock;
 use crate::collections::{self, HashSet};
 use crate::declarations::collect;
-use crate::declarations::parts::{self, Manifest, Packed, Part, PartsError};
+use crate::declarations::parts::{self, Manifest, Packed, Part};
 use crate::declarations::Declarations;
 use crate::store::backoff::Backoff;
 use crate::store::{self, Entry, Expect, Priority, Put, PutOutcome, Revision, Store, StoreError};
@@ -19,8 +24,11 @@
 /// Key of the root record.
 pub const ROOT: &str = "cell/config/root";
 
-/// Pauses between tries of a change, in milliseconds.
-const PAUSES_MS: (u64, u64) = (30, 1_000);
+/// Shortest pause between tries of a change, in milliseconds.
+const PAUSE_MIN_MS: u64 = 30;
+
+/// Longest pause between tries of a change, in milliseconds.
+const PAUSE_MAX_MS: u64 = 1_000;
 
 /// The root record: which declarations are accepted, and the newest part of the audit trail.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -58,6 +66,8 @@
     pub expect: Option<u64>,
     /// Longest time to settle the change with the store, in milliseconds.
     pub limit_ms: u64,
+    /// Longest pause between tries, in milliseconds; 0 for none.
+    pub pause_max_ms: u64,
 }
 
 impl Change {
@@ -67,7 +77,8 @@
         let (who, why) = (who.into(), why.into());
         let id = Self::new_id(&who);
         let at_unix_ms = clock::unix_ms();
-        Self { id, who, why, at_unix_ms, limit_ms: LIMIT_MS, ..Self::default() }
+        let (limit_ms, pause_max_ms) = (LIMIT_MS, PAUSE_MAX_MS);
+        Self { id, who, why, at_unix_ms, limit_ms, pause_max_ms, ..Self::default() }
     }
 
     /// An id that no other change has.
@@ -97,52 +108,6 @@
     pub change: String,
 }
 
-/// Why a change was not accepted, or not certainly.
-#[derive(Debug)]
-#[derive(thiserror::Error)]
-pub enum PublishError {
-    /// Another change was accepted first; this one was not.
-    #[error("revision {} by {} ({}) was accepted first: {}", .0.revision, .0.who, .0.from, .0.why)]
-    Raced(Box<AuditEntry>),
-    /// Another revision than the expected one is in force; the change was not accepted.
-    #[error("revision {expected} was expected, but {current} is in force")]
-    Unexpected {
-        /// Revision that the change depends on.
-        expected: u64,
-        /// Revision in force.
-        current: u64,
-    },
-    /// The store could not be reached; the change was not accepted.
-    #[error("the change was not accepted: {0}")]
-    NotAccepted(StoreError),
-    /// The store did not tell in time; the change may be accepted.
-    #[error("the change {id} may be accepted: {error}")]
-    InDoubt {
-        /// Id of the change.
-        id: String,
-        /// The last error.
-        error: StoreError,
-    },
-    /// A record cannot be read or written.
-    #[error("the configuration cannot be read: {0}")]
-    Unreadable(String),
-}
-
-impl From<PartsError> for PublishError {
-    fn from(error: PartsError) -> Self {
-        Self::Unreadable(error.to_string())
-    }
-}
-
-impl From<TrailError> for PublishError {
-    fn from(error: TrailError) -> Self {
-        match error {
-            TrailError::Store(error) => Self::NotAccepted(error),
-            damaged @ TrailError::Damaged(_) => Self::Unreadable(damaged.to_string()),
-        }
-    }
-}
-
 /// The root record with its entry, if any change was ever accepted.
 ///
 /// # Errors
@@ -199,7 +164,9 @@
         let mut pauses = self.pauses();
         loop {
             match read_root(self.store).await {
-                Err(PublishError::NotAccepted(_)) if !self.is_over() => pause(&mut pauses).await,
+                Err(PublishError::NotAccepted(_)) if !self.is_over() => {
+                    self.pause(&mut pauses).await;
+                }
                 result => return result,
             }
         }
@@ -243,7 +210,7 @@
                     return Err(PublishError::NotAccepted(StoreError::TooLarge))
                 }
                 Err(error) if self.is_over() => return Err(PublishError::NotAccepted(error)),
-                Err(_) => pause(&mut pauses).await,
+                Err(_) => self.pause(&mut pauses).await,
             }
         }
     }
@@ -258,9 +225,11 @@
             let Some(link) = &root.sealed else { break None };
             match trail::segment(self.store, link).await {
                 Ok(segment) => break Some((link, segment)),
-                Err(TrailError::Store(_)) if !self.is_over() => pause(&mut pauses).await,
-                Err(error) => return Err(self.overtaken(root).await.unwrap_or(error.into())),
+                Err(error) if self.is_over() => return Err(PublishError::NoTrail(error)),
+                Err(TrailError::Store(_)) => {}
+                Err(TrailError::Damaged(_)) => self.check_not_overtaken(root).await?,
             }
+            self.pause(&mut pauses).await;
         };
         let last = last.as_ref().map(|(link, segment)| (*link, segment));
         let sealed = trail::seal(&root.recent, last);
@@ -271,11 +240,13 @@
         Ok(sealed)
     }
 
-    /// The change that was accepted since `root` was read, which may have removed what it names.
-    async fn overtaken(&self, root: &Root) -> Option<PublishError> {
-        let (current, _) = read_root(self.store).await.ok()??;
-        let first = current.recent.into_iter().last()?;
-        (current.revision > root.revision).then(|| PublishError::Raced(Box::new(first)))
+    /// Fails when a change was accepted since `root` was read, which may have removed what it names.
+    async fn check_not_overtaken(&self, root: &Root) -> Result<(), PublishError> {
+        let current = read_root(self.store).await.ok().flatten();
+        match current.map(|(root, _)| root) {
+            Some(current) if current.revision > root.revision => Err(raced(current)),
+            _ => Ok(()),
+        }
     }
 
     /// Swaps the root record and settles lost answers by the id of the change. Returns the
@@ -302,7 +273,7 @@
             if error == StoreError::TooLarge || self.is_over() {
                 return Err(self.gave_up(is_lost, error));
             }
-            pause(&mut pauses).await;
+            self.pause(&mut pauses).await;
         }
     }
 
@@ -320,28 +291,36 @@
         };
         let root = decode_root(&entry.value)?;
         if is_lost {
-            let own = Filter { change: Some(self.change.id.clone()), ..Filter::default() };
-            if let Some(entry) = self.find(&root, &own).await? {
+            if let Some(entry) = self.find(&root).await? {
                 return Ok(entry.revision);
             }
         }
-        let first = root.recent.last().cloned().unwrap_or_default();
-        Err(PublishError::Raced(Box::new(first)))
+        Err(raced(root))
     }
 
-    async fn find(&self, root: &Root, own: &Filter) -> Result<Option<AuditEntry>, PublishError> {
-        let since = self.change.at_unix_ms;
-        let own = Filter { since_unix_ms: Some(since), limit: Some(1), ..own.clone() };
+    /// The entry of this change, if it was ever accepted.
+    async fn find(&self, root: &Root) -> Result<Option<AuditEntry>, PublishError> {
+        let own = Filter {
+            change: Some(self.change.id.clone()),
+            since_unix_ms: Some(self.change.at_unix_ms),
+            limit: Some(1),
+            ..Filter::default()
+        };
+        let mut root = root.clone();
         let mut pauses = self.pauses();
         loop {
-            match trail::read(self.store, &root.recent, root.sealed.as_ref(), &own).await {
-                Ok(found) => return Ok(found.into_iter().next()),
-                Err(TrailError::Store(error)) if self.is_over() => {
-                    return Err(self.gave_up(true, error));
-                }
-                Err(TrailError::Store(_)) => pause(&mut pauses).await,
-                Err(error) => return Err(error.into()),
+            let error =
+                match trail::read(self.store, &root.recent, root.sealed.as_ref(), &own).await {
+                    Ok(found) => return Ok(found.into_iter().next()),
+                    Err(error) => error,
+                };
+            if self.is_over() {
+                return Err(self.gave_up(true, StoreError::Lost(error.to_string())));
+            }
+            if let Ok(Some((current, _))) = read_root(self.store).await {
+                root = if current.revision > root.revision { current } else { root };
             }
+            self.pause(&mut pauses).await;
         }
     }
 
@@ -357,18 +336,26 @@
         }
     }
 
+    async fn pause(&self, pauses: &mut Backoff) {
+        if self.change.pause_max_ms == 0 {
+            future::yield_now().await;
+            return;
+        }
+        task::sleep(Duration::from_millis(pauses.next_ms())).await;
+    }
+
     fn is_over(&self) -> bool {
         clock::now_ms() >= self.ends_at_ms
     }
 
     fn pauses(&self) -> Backoff {
-        let (min_ms, max_ms) = PAUSES_MS;
-        Backoff::new(min_ms, max_ms, collections::stable_hash(&self.change.id))
+        let seed = collections::stable_hash(&self.change.id);
+        Backoff::new(PAUSE_MIN_MS, self.change.pause_max_ms.max(PAUSE_MIN_MS), seed)
     }
 }
 
-async fn pause(pauses: &mut Backoff) {
-    task::sleep(Duration::from_millis(pauses.next_ms())).await;
+fn raced(root: Root) -> PublishError {
+    PublishError::Raced(Box::new(root.recent.into_iter().last().unwrap_or_default()))
 }
 
 /// The root that follows `root` by `change`.
