--- a/src/bin/hemlock-placer.rs
+++ b/src/bin/hemlock-placer.rs
@@ -3,14 +3,18 @@
 use std::io::Write as _;
 use std::path::Path;
 
-use clap::{Arg, ArgAction, Command};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use hemlockrock::configs::placer::PlacerConfig;
 use hemlockrock::placer::PlacerDaemon;
 use hemlockrock::{drain, settings, telemetry};
 
-#[async_std::main]
-async fn main() -> eyre::Result<()> {
+fn main() -> eyre::Result<()> {
     let arguments = command().get_matches();
+    #[allow(clippy::disallowed_methods, reason = "the top of a binary")]
+    async_std::task::block_on(run(&arguments))
+}
+
+async fn run(arguments: &ArgMatches) -> eyre::Result<()> {
     let config: PlacerConfig = match arguments.get_one::<String>("settings") {
         Some(path) => settings::load(Path::new(path))?,
         None => PlacerConfig::default(),
--- a/src/jobs/door.rs
+++ b/src/jobs/door.rs
@@ -20,7 +20,7 @@
 use crate::http::error::ApiError;
 use crate::http::{rpc, server};
 use crate::jobs::api::{
-    JobView, Listing, SubmitAnswer, SubmitOutcome, Submission, WorkerView, JOBS_PATH, WORKERS_PATH,
+    JobView, Listing, Submission, SubmitAnswer, SubmitOutcome, WorkerView, JOBS_PATH, WORKERS_PATH,
 };
 use crate::outcome::OUTCOME_HEADER;
 use crate::placer::message::{Ask, AskError, Message, Reply};
@@ -262,11 +262,7 @@
     Workers,
 }
 
-async fn answer<State>(
-    door: Arc<Door>,
-    mut request: Request<State>,
-    call: Call,
-) -> tide::Result {
+async fn answer<State>(door: Arc<Door>, mut request: Request<State>, call: Call) -> tide::Result {
     let is_passed = request.header(HOP_HEADER).is_some();
     let answered = handle(&door, &mut request, call, is_passed).await;
     Ok(answered.unwrap_or_else(|error| {
--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -6,13 +6,14 @@
 use crate::collections::HashMap;
 use crate::configs::placer::PlacerConfig;
 use crate::declarations::Declarations;
-use crate::jobs::api::{JobView, SubmitAnswer, SubmitOutcome, Submission, WorkerView};
+use crate::inventory::WorkerKey;
+use crate::jobs::api::{JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView};
 use crate::jobs::journal::{Journal, Met, Write};
 use crate::jobs::record::JobRecord;
 use crate::place::message::{JobId, JobProgress, JobState, Refusal, Rejection};
 use crate::place::{Action, Event, Placer};
 use crate::placer::links::{Caller, Links};
-use crate::placer::message::{Ask, AskError, Called, Reply, WriteResult};
+use crate::placer::message::{Ask, AskError, CallFailure, Called, Reply, WriteResult};
 use crate::placer::metrics::Metrics;
 use crate::placer::wire::{Start, Stop, WorkerCall};
 
@@ -42,6 +43,13 @@
     until_ms: u64,
 }
 
+/// Under which epoch the zone is held and until when the store says so.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Holding {
+    pub(crate) epoch: u64,
+    pub(crate) confirmed_until_ms: u64,
+}
+
 /// What follows from the end of a journal write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Standing {
@@ -55,13 +63,13 @@
     /// Begins to hold the zone with the jobs of a claimed journal.
     pub(crate) fn new(
         config: &PlacerConfig,
-        epoch: u64,
-        confirmed_until_ms: u64,
+        holding: Holding,
         journal: Journal,
         declarations: Arc<Declarations>,
         caller: Caller,
         metrics: Metrics,
     ) -> Self {
+        let Holding { epoch, confirmed_until_ms } = holding;
         let mut active = Self {
             zone: config.zone.clone(),
             epoch,
@@ -131,8 +139,12 @@
         for (worker, call) in self.links.take_due() {
             let Some(known) = self.placer.inventory().worker(worker) else { continue };
             let (worker_name, address) = (known.name.clone(), known.address.clone());
-            let call =
-                WorkerCall { worker: worker_name, epoch: self.epoch, lease_ms: self.lease_ms, ..call };
+            let call = WorkerCall {
+                worker: worker_name,
+                epoch: self.epoch,
+                lease_ms: self.lease_ms,
+                ..call
+            };
             self.metrics.starts.inc_by(call.starts.len() as u64);
             self.caller.send(address, worker, call);
         }
@@ -212,14 +224,9 @@
         }
     }
 
-    fn call_failed(
-        &mut self,
-        worker: crate::inventory::WorkerKey,
-        call: &WorkerCall,
-        failure: &crate::placer::message::CallFailure,
-    ) {
+    fn call_failed(&mut self, worker: WorkerKey, call: &WorkerCall, failure: &CallFailure) {
         spdlog::debug!("call failed: {}", failure, kv: { worker = call.worker.as_str() });
-        let is_certain = matches!(failure, crate::placer::message::CallFailure::NoEffect(_));
+        let is_certain = matches!(failure, CallFailure::NoEffect(_));
         for start in &call.starts {
             let attempt = start.attempt;
             match is_certain {
@@ -302,7 +309,8 @@
         let id = JobId::from(submission.id.as_str());
         let waiter = Waiter { reply, until_ms: clock::now_ms() + self.submit_timeout_ms };
         if let Some(known) = self.journal.get(&id) {
-            let is_same = *known.spec == submission.spec && *known.command == submission.command[..];
+            let is_same =
+                *known.spec == submission.spec && *known.command == submission.command[..];
             if !is_same {
                 let reason = "another job has this id".to_owned();
                 let answer = self.submit_answer(&id, SubmitOutcome::NotRun, Some(reason));
@@ -362,8 +370,8 @@
             drop(reply.try_send(Err(AskError::NoSuchJob)));
             return;
         };
-        let is_recorded = record.is_ended()
-            || (record.progress.is_cancelled && self.journal.is_settled());
+        let is_recorded =
+            record.is_ended() || (record.progress.is_cancelled && self.journal.is_settled());
         if is_recorded {
             drop(reply.try_send(self.view(id).ok_or(AskError::NoSuchJob)));
             return;
@@ -378,15 +386,15 @@
     fn time_out_waiters(&mut self) {
         let now_ms = clock::now_ms();
         let is_over = |until_ms: u64| until_ms <= now_ms;
-        let late = self.submits.iter().filter(|(_, waiters)| {
-            waiters.iter().any(|waiter| is_over(waiter.until_ms))
-        });
+        let late = self
+            .submits
+            .iter()
+            .filter(|(_, waiters)| waiters.iter().any(|waiter| is_over(waiter.until_ms)));
         let late: Vec<JobId> = late.map(|(id, _)| JobId::clone(id)).collect();
         for id in late {
             let reason = Some("the job could not be recorded in time".to_owned());
             let is_withdrawn = self.journal.withdraw(&id);
-            let outcome =
-                if is_withdrawn { SubmitOutcome::NotRun } else { SubmitOutcome::Unknown };
+            let outcome = if is_withdrawn { SubmitOutcome::NotRun } else { SubmitOutcome::Unknown };
             self.answer_submit(&id, outcome, reason);
         }
         self.cancels.retain(|_, waiters| {
--- a/src/placer/control.rs
+++ b/src/placer/control.rs
@@ -11,7 +11,7 @@
 use crate::declarations::feed::Accepted;
 use crate::jobs::journal::{Journal, JournalError, Met, Write};
 use crate::place::Event;
-use crate::placer::active::{Active, Standing};
+use crate::placer::active::{Active, Holding, Standing};
 use crate::placer::links::Caller;
 use crate::placer::message::{AskError, Message, WriteResult};
 use crate::placer::metrics::Metrics;
@@ -208,7 +208,7 @@
 
     fn written(&mut self, epoch: u64, result: WriteResult) {
         if self.opening.as_ref().is_some_and(|opening| opening.epoch == epoch) {
-            return self.claimed(epoch, result);
+            return self.claimed(epoch, &result);
         }
         let Some(active) = self.active_of(epoch) else { return };
         if active.written(result) == Standing::Superseded && self.opening.is_none() {
@@ -217,10 +217,10 @@
     }
 
     /// The claim of the journal ended: hold the zone, or read the journal again.
-    fn claimed(&mut self, epoch: u64, result: WriteResult) {
+    fn claimed(&mut self, epoch: u64, result: &WriteResult) {
         let Some(mut opening) = self.opening.take() else { return };
         let Some(mut journal) = opening.journal.take() else { return };
-        let revision = match &result {
+        let revision = match result {
             WriteResult::Written(revision) => Some(*revision),
             WriteResult::Conflict(current) => match journal.met(current.as_ref()) {
                 Met::Own(revision) => Some(revision),
@@ -248,8 +248,7 @@
         let jobs = journal.len();
         self.active = Some(Active::new(
             &self.config,
-            epoch,
-            opening.confirmed_until_ms,
+            Holding { epoch, confirmed_until_ms: opening.confirmed_until_ms },
             journal,
             Arc::new(self.declared.declarations.clone()),
             self.caller.clone(),
--- a/src/placer/daemon.rs
+++ b/src/placer/daemon.rs
@@ -1,7 +1,7 @@
 //! The placer as a running daemon: wiring of the control thread, the zone lease and the doors.
 
-use std::sync::mpsc::{channel, Sender};
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Sender};
 use std::sync::Arc;
 
 use async_std::task;
@@ -71,7 +71,8 @@
         // The door needs the address, which is known once the listener is bound.
         let address = bind_address(&config).await?;
         let http = config.http.clone();
-        let door = Door::new(mirror.clone(), feed.clone(), pool.clone(), http, config.token.clone());
+        let door =
+            Door::new(mirror.clone(), feed.clone(), pool.clone(), http, config.token.clone());
         door.with_local(&config.zone, &address, messages.clone()).mount(&mut app);
         let server = Server::start(&address, app, config.http.clone()).await;
         let server = server.wrap_err_with(|| format!("cannot listen on {address}"))?;
@@ -96,8 +97,7 @@
         );
         let holder = Holder { name: config.name.clone(), address };
         let zone = config.zone.clone();
-        let keeper =
-            Keeper::start(&zone, holder, store, mirror, session.clone(), messages.clone());
+        let keeper = Keeper::start(&zone, holder, store, mirror, session.clone(), messages.clone());
         Ok(Self { config, server, session, keeper, messages, is_draining })
     }
 
@@ -167,8 +167,8 @@
     app.at("/healthz").get(|_| async { Ok(Response::new(StatusCode::Ok)) });
     app.at("/readyz").get(|request: tide::Request<Pages>| async move {
         let pages = request.state();
-        let is_ready = !pages.is_draining.load(Ordering::Acquire)
-            && pages.mirror.snapshot().revision.0 > 0;
+        let is_ready =
+            !pages.is_draining.load(Ordering::Acquire) && pages.mirror.snapshot().revision.0 > 0;
         let status = if is_ready { StatusCode::Ok } else { StatusCode::ServiceUnavailable };
         Ok(Response::new(status))
     });
--- a/src/placer/message.rs
+++ b/src/placer/message.rs
@@ -4,7 +4,7 @@
 
 use crate::declarations::feed::Accepted;
 use crate::inventory::WorkerKey;
-use crate::jobs::api::{JobView, SubmitAnswer, Submission, WorkerView};
+use crate::jobs::api::{JobView, Submission, SubmitAnswer, WorkerView};
 use crate::placer::wire::{WorkerAnswer, WorkerCall};
 use crate::placer::zone::ZoneNews;
 use crate::store::{Entry, Revision, StoreError};
--- a/src/placer/zone.rs
+++ b/src/placer/zone.rs
@@ -170,8 +170,7 @@
             return self.is_ours(entry).then(|| self.acquired(entry.created, lease));
         }
         let value = Bytes::from(serde_json::to_vec(&self.holder).unwrap_or_default());
-        let put =
-            Put { key: key(&self.zone), value, expect: Expect::Absent, lease: Some(lease) };
+        let put = Put { key: key(&self.zone), value, expect: Expect::Absent, lease: Some(lease) };
         match store::put(self.store.as_ref(), put, Priority::Control).await {
             Ok(PutOutcome::Written(epoch)) => Some(self.acquired(epoch, lease)),
             Ok(PutOutcome::Conflict(Some(entry))) if self.is_ours(&entry) => {
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -1,4 +1,5 @@
 //! Jobs through real placer processes; the workers' own records are the oracle.
+#![allow(clippy::disallowed_methods, reason = "the test attribute blocks on the test")]
 
 mod jobs_cell;
 mod support;
--- a/tests/jobs_cell/mod.rs
+++ b/tests/jobs_cell/mod.rs
@@ -1,5 +1,7 @@
 //! A small cell for tests of jobs: the fakes in this process, the placers as real processes.
 #![allow(dead_code, reason = "each test binary uses its own part")]
+#![allow(unreachable_pub, reason = "shared by test binaries")]
+#![allow(clippy::unwrap_used, reason = "a test stops at what is missing")]
 
 use std::time::{Duration, Instant};
 
@@ -7,7 +9,7 @@
 use hemlockrock::declarations::feed;
 use hemlockrock::declarations::{Declarations, WorkerDeclaration, ZoneDeclaration};
 use hemlockrock::http::client::{self, Pool, Reply};
-use hemlockrock::jobs::api::{JobView, SubmitAnswer, Submission};
+use hemlockrock::jobs::api::{JobView, Submission, SubmitAnswer};
 use hemlockrock::place::message::JobState;
 use hemlockrock::place::spec::{JobSpec, Resources};
 use hemlockrock::standin::store::StoreStandin;
@@ -117,8 +119,7 @@
     pub fn holder(&self) -> Option<(String, u64)> {
         use hemlockrock::store::{Answer, Operation};
         let key = hemlockrock::placer::zone::key(ZONE);
-        let answer =
-            self.store.state().apply(Operation::Get { key }, hemlockrock::clock::now_ms());
+        let answer = self.store.state().apply(Operation::Get { key }, hemlockrock::clock::now_ms());
         let Answer::Entry { entry: Some(entry) } = answer else { return None };
         let holder: hemlockrock::placer::zone::Holder =
             serde_json::from_slice(&entry.value).unwrap();
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Starts the real binaries for tests: each on a free port, ended when its handle is dropped.
 #![allow(dead_code, reason = "each test binary uses its own part")]
+#![allow(unreachable_pub, reason = "shared by test binaries")]
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a test stops at what is missing")]
 
 use std::io::{BufRead as _, BufReader};
