--- a/src/configs/place.rs
+++ b/src/configs/place.rs
@@ -33,6 +33,28 @@
     pub silent_after_ms: u64,
     /// Time for which answers of the workers stand in for the store's word, in milliseconds.
     pub holding_window_ms: u64,
+    /// Searches for a worker in one step that may fail before the step is cut short.
+    pub searches_per_step: usize,
+    /// Tasks placed in one step before the step is cut short.
+    pub placements_per_step: usize,
+    /// Tasks of one job for which room is made in one step.
+    pub preemptions_per_step: usize,
+    /// Time in which room for an urgent task must be made before another worker is chosen, in milliseconds.
+    pub nomination_timeout_ms: u64,
+    /// Time between looks at where a waiting gang may start, in milliseconds.
+    pub claim_every_ms: u64,
+    /// Distinct workers on which a job may fail before it is given up.
+    pub poison_after_workers: usize,
+    /// Failures of one task before its job is given up.
+    pub poison_after_failures: u8,
+    /// Distinct jobs that may fail on a worker before it is on probation.
+    pub suspect_after_jobs: usize,
+    /// First wait before a failed job or a worker on probation is tried again, in milliseconds.
+    pub backoff_ms: u64,
+    /// Longest wait before a failed job or a worker on probation is tried again, in milliseconds.
+    pub max_backoff_ms: u64,
+    /// Age at which a running task counts as having started well, in milliseconds.
+    pub settled_after_ms: u64,
 }
 
 impl Default for PlaceConfig {
@@ -44,6 +66,17 @@
             renew_every_ms: 2_000,
             silent_after_ms: 5_000,
             holding_window_ms: 5_000,
+            searches_per_step: 512,
+            placements_per_step: 256,
+            preemptions_per_step: 64,
+            nomination_timeout_ms: 3_000,
+            claim_every_ms: 1_000,
+            poison_after_workers: 3,
+            poison_after_failures: 5,
+            suspect_after_jobs: 3,
+            backoff_ms: 500,
+            max_backoff_ms: 60_000,
+            settled_after_ms: 30_000,
         }
     }
 }
@@ -56,6 +89,14 @@
         report.require(silent, "silent_after_ms", "expected more than renew_every_ms");
         let margin = self.clock_margin_ms < self.task_lease_ms;
         report.require(margin, "clock_margin_ms", "expected less than task_lease_ms");
+        let counts = [self.searches_per_step, self.placements_per_step, self.preemptions_per_step];
+        report.require(!counts.contains(&0), "placements_per_step", "expected at least 1");
+        report.require(self.claim_every_ms > 0, "claim_every_ms", "expected at least 1");
+        let poison = self.poison_after_workers > 1 && self.poison_after_failures > 1;
+        report.require(poison, "poison_after_workers", "expected at least 2");
+        report.require(self.suspect_after_jobs > 1, "suspect_after_jobs", "expected at least 2");
+        let backoff = self.backoff_ms > 0 && self.backoff_ms <= self.max_backoff_ms;
+        report.require(backoff, "backoff_ms", "expected 1 to max_backoff_ms");
         report.require(self.holding_window_ms > 0, "holding_window_ms", "expected at least 1");
     }
 }
--- a/src/place/assign.rs
+++ b/src/place/assign.rs
@@ -1,37 +1,158 @@
 //! Places waiting tasks on workers.
 
+use std::sync::Arc;
+
+use super::index::{Entry, Row};
 use super::jobs::has_labels;
 use super::life::{TaskEvent, TaskState};
 use super::message::{Action, Attempt, TaskId};
-use super::placer::Placer;
-use super::spec::JobSpec;
+use super::placer::{Placer, Wake};
+use super::policy::{Scoring, Shape};
+use super::queue::{TeamKey, TeamPlace, LEVELS};
+use super::spec::{JobKind, Resources};
 use super::state::{JobKey, TaskKey};
-use crate::inventory::WorkerKey;
-use std::sync::Arc;
+use crate::collections::HashMap;
+use crate::configs::place::Policy;
+use crate::inventory::{RackKey, WorkerKey};
+
+/// Sizes that found no room in this pass; a larger one need not be tried.
+const REMEMBERED_SIZES: usize = 16;
+
+/// What one pass over the waiting jobs has learned.
+#[derive(Debug, Default)]
+struct Pass {
+    /// For each team, the last job that could not be placed.
+    after: HashMap<TeamKey, u64>,
+    /// Sizes that fit on no worker.
+    too_large: Vec<Resources>,
+    /// Searches that are left before the pass is cut short.
+    searches: usize,
+    /// Placements that are left before the pass is cut short.
+    placements: usize,
+}
+
+/// Tasks of the job on the rack, on the worker, then the score of the room.
+type SpreadScore = (u32, u32, f32);
+
+/// What became of a job in a pass.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// Something of it was placed.
+    Placed,
+    /// Nothing more of it can be placed now.
+    Blocked,
+}
 
 impl Placer {
-    /// Places as many waiting tasks as there is room for.
+    /// Places waiting tasks if something changed that may let them start.
     pub(crate) fn assign(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        let jobs: Vec<JobKey> = self.queue.values().copied().collect();
-        for key in jobs {
-            self.assign_job(key, now_ms, out);
+        let mut pass = Pass {
+            searches: self.config.searches_per_step,
+            placements: self.config.placements_per_step,
+            ..Pass::default()
+        };
+        match std::mem::take(&mut self.wake) {
+            Wake::Nothing => return,
+            Wake::Jobs(jobs) => self.assign_jobs(&jobs, &mut pass, now_ms, out),
+            Wake::All => self.assign_all(&mut pass, now_ms, out),
+        }
+        if pass.placements == 0 {
+            self.wake = Wake::All;
         }
     }
 
-    fn assign_job(&mut self, key: JobKey, now_ms: u64, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get(key) else { return };
-        if job.is_restored && self.is_locating {
-            return;
+    fn assign_jobs(
+        &mut self,
+        jobs: &[JobKey],
+        pass: &mut Pass,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        for &job in jobs {
+            while pass.placements > 0 && self.assign_one(job, pass, now_ms, out) == Outcome::Placed
+            {
+            }
         }
-        let spec = Arc::clone(&job.spec);
-        while let Some(task) = self.next_waiting(key) {
-            let Some(worker) = self.first_fit(&spec) else { return };
-            self.start(task, worker, &spec, now_ms, out);
+    }
+
+    fn assign_all(&mut self, pass: &mut Pass, now_ms: u64, out: &mut Vec<Action>) {
+        for level in (0..LEVELS).rev() {
+            pass.after.clear();
+            let mut place = None;
+            while pass.placements > 0 && pass.searches > 0 {
+                let Some(next) = self.queue.next_team(level, place) else { break };
+                self.assign_team(level, next, pass, now_ms, out);
+                place = Some(next);
+            }
+        }
+    }
+
+    /// Places one task, or one whole job, of a team; the team comes up again with its new use.
+    fn assign_team(
+        &mut self,
+        level: usize,
+        (_, team): TeamPlace,
+        pass: &mut Pass,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let mut after = pass.after.get(&team).copied().unwrap_or(0);
+        while pass.searches > 0 {
+            let Some((sequence, job)) = self.queue.next_job(team, level, after) else { break };
+            if self.assign_one(job, pass, now_ms, out) == Outcome::Placed {
+                break;
+            }
+            after = sequence;
+        }
+        pass.after.insert(team, after);
+    }
+
+    fn assign_one(
+        &mut self,
+        key: JobKey,
+        pass: &mut Pass,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) -> Outcome {
+        let Some(job) = self.jobs.get(key) else { return Outcome::Blocked };
+        if job.is_restored && self.is_locating || now_ms < job.not_before_ms {
+            return Outcome::Blocked;
+        }
+        let size = self.size_of(key);
+        let is_plain = job.is_plain() && !self.has_claim();
+        if is_plain && pass.too_large.iter().any(|known| known.fits(size)) {
+            return Outcome::Blocked;
+        }
+        if job.ruling.is_whole {
+            pass.searches = pass.searches.saturating_sub(job.spec.tasks as usize);
+            return self.assign_gang(key, now_ms, out);
+        }
+        let Some(mut task) = self.next_waiting(key) else {
+            self.dequeue(key);
+            return Outcome::Blocked;
+        };
+        if !self.queue.allows(self.jobs[key].team, size) {
+            return Outcome::Blocked;
         }
-        self.queue.remove(&self.queue_place(key));
+        if let Some(nominated) = self.ready_nomination(key, size) {
+            task = nominated;
+        }
+        if let Some(worker) = self.choose(key, task, size, now_ms) {
+            self.start(task, worker, size, now_ms, out);
+            self.use_spare(key, worker, size, self.expected_end_ms(&self.jobs[key], now_ms));
+            pass.placements -= 1;
+            return Outcome::Placed;
+        }
+        pass.searches -= 1;
+        if is_plain && pass.too_large.len() < REMEMBERED_SIZES {
+            pass.too_large.push(size);
+        }
+        self.preempt_for(task, size, now_ms, out);
+        Outcome::Blocked
     }
 
-    fn next_waiting(&mut self, key: JobKey) -> Option<TaskKey> {
+    /// The next waiting task of a job.
+    pub(crate) fn next_waiting(&mut self, key: JobKey) -> Option<TaskKey> {
         let job = self.jobs.get_mut(key)?;
         while let Some(&task) = job.waiting.front() {
             if self.tasks.get(task).is_some_and(|task| task.state == TaskState::Waiting) {
@@ -42,17 +163,107 @@
         None
     }
 
-    fn first_fit(&self, spec: &JobSpec) -> Option<WorkerKey> {
-        let fits = |(key, view): &(WorkerKey, &super::state::WorkerView)| {
-            view.state.takes_tasks()
-                && !view.needs_read
-                && spec.resources().fits(view.free())
-                && self
-                    .inventory
-                    .worker(*key)
-                    .is_some_and(|worker| !worker.is_draining && has_labels(worker, spec))
+    /// The worker for a task of this size, if one has room.
+    pub(crate) fn choose(
+        &self,
+        key: JobKey,
+        task: TaskKey,
+        size: Resources,
+        now_ms: u64,
+    ) -> Option<WorkerKey> {
+        let job = self.jobs.get(key)?;
+        if let Some(worker) = self.nominated_worker(task, size) {
+            return Some(worker);
+        }
+        let ends_ms = self.expected_end_ms(job, now_ms);
+        let admits = |_: Row, entry: &Entry| {
+            self.admits(key, entry.worker) && self.claim_admits(key, entry, size, ends_ms)
+        };
+        let row = match (self.config.policy, job.spec.kind) {
+            (Policy::FirstFit, _) => self.first_fit(size, admits),
+            (Policy::BestFit, _) => self.full_scan(&self.shape(size, Scoring::BestFit), admits),
+            (Policy::Full, JobKind::Service) => self.spread(key, size, admits),
+            (Policy::Full, _) => self.index.best(&self.shape(size, Scoring::Aligned), admits),
+        };
+        row.map(|row| self.index.entry(row).worker)
+    }
+
+    /// Whether labels, rules and earlier failures let a job onto a worker.
+    pub(crate) fn admits(&self, key: JobKey, worker: WorkerKey) -> bool {
+        let Some(job) = self.jobs.get(key) else { return false };
+        if job.is_plain() {
+            return true;
+        }
+        let labelled = job.spec.constraints.is_empty()
+            || self.inventory.worker(worker).is_some_and(|known| has_labels(known, &job.spec));
+        labelled && !job.failed_workers.contains(&worker) && self.is_apart(key, worker)
+    }
+
+    /// Whether no rule keeps the job off the worker for what runs there.
+    pub(crate) fn is_apart(&self, key: JobKey, worker: WorkerKey) -> bool {
+        let (Some(job), Some(view)) = (self.jobs.get(key), self.workers.get(worker)) else {
+            return false;
         };
-        self.workers.iter().find(fits).map(|(key, _)| key)
+        let marks = &job.ruling.marks;
+        marks.iter().all(|mark| view.marks.get(usize::from(mark ^ 1)).is_none_or(|held| *held == 0))
+    }
+
+    pub(crate) fn shape(&self, size: Resources, policy: Scoring) -> Shape {
+        Shape::new(size, policy, self.index.scale(), self.index.total_room(), self.open_capacity)
+    }
+
+    fn first_fit(
+        &self,
+        size: Resources,
+        mut admits: impl FnMut(Row, &Entry) -> bool,
+    ) -> Option<Row> {
+        let mut open = self.index.open();
+        open.find(|(row, entry)| size.fits(entry.room) && admits(*row, entry)).map(|(row, _)| row)
+    }
+
+    fn full_scan(&self, shape: &Shape, mut admits: impl FnMut(Row, &Entry) -> bool) -> Option<Row> {
+        let fits = self
+            .index
+            .open()
+            .filter(|(row, entry)| shape.size.fits(entry.room) && admits(*row, entry))
+            .map(|(row, entry)| (shape.score(entry.room, entry.capacity), row));
+        fits.min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)))
+            .map(|(_, row)| row)
+    }
+
+    /// The worker whose rack, then which itself, has the fewest tasks of the job.
+    fn spread(
+        &self,
+        key: JobKey,
+        size: Resources,
+        mut admits: impl FnMut(Row, &Entry) -> bool,
+    ) -> Option<Row> {
+        let job = self.jobs.get(key)?;
+        let mut on_rack: HashMap<RackKey, u32> = HashMap::default();
+        let mut on_worker: HashMap<WorkerKey, u32> = HashMap::default();
+        for task in job.tasks.iter().filter_map(|task| self.tasks.get(*task)) {
+            if !task.state.is_placed() {
+                continue;
+            }
+            let Some(worker) = self.inventory.worker(task.worker) else { continue };
+            *on_rack.entry(worker.rack).or_default() += 1;
+            *on_worker.entry(task.worker).or_default() += 1;
+        }
+        let shape = self.shape(size, Scoring::Aligned);
+        let mut best: Option<(SpreadScore, Row)> = None;
+        for (row, entry) in self.index.open() {
+            if !size.fits(entry.room) || !admits(row, entry) {
+                continue;
+            }
+            let Some(worker) = self.inventory.worker(entry.worker) else { continue };
+            let rack = on_rack.get(&worker.rack).copied().unwrap_or(0);
+            let here = on_worker.get(&entry.worker).copied().unwrap_or(0);
+            let score = (rack, here, shape.score(entry.room, entry.capacity));
+            if best.is_none_or(|known| (score, row) < known) {
+                best = Some((score, row));
+            }
+        }
+        best.map(|(_, row)| row)
     }
 
     /// Reserves the resources of a task on a worker and sends the start.
@@ -60,28 +271,57 @@
         &mut self,
         key: TaskKey,
         worker: WorkerKey,
-        spec: &Arc<JobSpec>,
+        size: Resources,
         now_ms: u64,
         out: &mut Vec<Action>,
     ) {
         if !self.task_event(key, TaskEvent::Reserve, now_ms) {
             return;
         }
+        self.drop_nomination(key);
         self.counter += 1;
         let attempt = Attempt { epoch: self.epoch.unwrap_or(0), counter: self.counter };
-        let reserved = spec.resources();
+        self.hold_on_worker(key, worker, attempt, size);
         let lease_ms = self.config.task_lease_ms + self.config.clock_margin_ms;
-        let task = &mut self.tasks[key];
+        let view = &mut self.workers[worker];
+        view.horizon_ms = view.horizon_ms.max(Some(view.token_at_ms + lease_ms));
+        let token_ms = view.token_ms;
+        self.tasks[key].generation = self.jobs[self.tasks[key].job].generation;
+        let task = &self.tasks[key];
+        let job = &self.jobs[task.job];
+        let id = TaskId { job_id: Arc::clone(&job.id), index: task.index };
+        let spec = Arc::clone(&job.spec);
+        out.push(Action::Start { worker, attempt, task: id, spec, reserved: size, token_ms });
+        if job.waiting_count == 0 {
+            let key = task.job;
+            self.dequeue(key);
+        }
+    }
+
+    /// Charges a worker and a team with a task.
+    pub(crate) fn hold_on_worker(
+        &mut self,
+        key: TaskKey,
+        worker: WorkerKey,
+        attempt: Attempt,
+        reserved: Resources,
+    ) {
+        let Some(task) = self.tasks.get_mut(key) else { return };
         task.attempt = attempt;
         task.worker = worker;
         task.reserved = reserved;
-        let id = TaskId { job_id: Arc::clone(&self.jobs[task.job].id), index: task.index };
+        let job = &self.jobs[task.job];
         self.attempts.insert(attempt, key);
-        let view = &mut self.workers[worker];
-        view.reserved = view.reserved.plus(reserved);
-        view.tasks.push(key);
-        view.horizon_ms = view.horizon_ms.max(Some(view.token_at_ms + lease_ms));
-        let (spec, token_ms) = (Arc::clone(spec), view.token_ms);
-        out.push(Action::Start { worker, attempt, task: id, spec, reserved, token_ms });
+        self.queue.charge(job.team, reserved);
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.reserved = view.reserved.plus(reserved);
+            view.tasks.push(key);
+            for mark in &job.ruling.marks {
+                if let Some(count) = view.marks.get_mut(usize::from(*mark)) {
+                    *count += 1;
+                }
+            }
+        }
+        self.refresh_room(worker);
     }
 }
--- /dev/null
+++ b/src/place/gang.rs
@@ -0,0 +1,304 @@
+//! Gangs: placed whole or not at all, with a claim for the one that has waited longest.
+//!
+//! A gang that finds no room claims the workers on which it is expected to
+//! start first. Others use them only for work that is expected to end before
+//! that start, or that leaves the gang's part free.
+
+use super::assign::Outcome;
+use super::index::Entry;
+use super::jobs::times_that_fit;
+use super::life::TaskState;
+use super::message::{Action, StopMode};
+use super::placer::Placer;
+use super::spec::Resources;
+use super::state::{Job, JobKey, TaskKey};
+use crate::collections::HashMap;
+use crate::inventory::WorkerKey;
+
+/// Part of a worker that is claimed.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    /// What the gang will take.
+    claimed: Resources,
+    /// What will be left beside it at the start of the gang.
+    spare: Resources,
+}
+
+/// Workers on which a waiting gang is expected to start.
+#[derive(Clone, Debug)]
+pub(crate) struct Claim {
+    job: JobKey,
+    /// Time at which the gang is expected to start, in milliseconds.
+    start_ms: u64,
+    /// Time at which the claim was last made, in milliseconds.
+    made_at_ms: u64,
+    parts: HashMap<WorkerKey, Part>,
+}
+
+/// When a worker is expected to get room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Opening {
+    at_ms: u64,
+    worker: WorkerKey,
+    released: Resources,
+}
+
+impl Placer {
+    /// Whether some gang has a claim.
+    pub(crate) fn has_claim(&self) -> bool {
+        self.claim.is_some()
+    }
+
+    /// Whether the claim of a gang lets this task onto a worker.
+    pub(crate) fn claim_admits(
+        &self,
+        key: JobKey,
+        entry: &Entry,
+        size: Resources,
+        ends_ms: u64,
+    ) -> bool {
+        let Some(claim) = &self.claim else { return true };
+        if claim.job == key {
+            return true;
+        }
+        let Some(part) = claim.parts.get(&entry.worker) else { return true };
+        let priority = |job: JobKey| self.jobs.get(job).map(|job| job.spec.priority);
+        if priority(key) > priority(claim.job) {
+            return true;
+        }
+        let is_patient = claim.start_ms > claim.made_at_ms;
+        is_patient && ends_ms <= claim.start_ms || size.fits(part.spare)
+    }
+
+    /// Takes a long task out of what its worker has beside the claim.
+    pub(crate) fn use_spare(&mut self, key: JobKey, worker: WorkerKey, size: Resources, ends: u64) {
+        let Some(claim) = &mut self.claim else { return };
+        if claim.job == key || ends <= claim.start_ms {
+            return;
+        }
+        if let Some(part) = claim.parts.get_mut(&worker) {
+            part.spare = part.spare.minus(size);
+        }
+    }
+
+    /// Drops the claim of a job.
+    pub(crate) fn drop_claim(&mut self, key: JobKey) {
+        if self.claim.as_ref().is_some_and(|claim| claim.job == key) {
+            self.claim = None;
+            self.wake = super::placer::Wake::All;
+        }
+    }
+
+    /// Places all waiting tasks of a gang, or none.
+    pub(crate) fn assign_gang(
+        &mut self,
+        key: JobKey,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) -> Outcome {
+        let Some(job) = self.jobs.get(key) else { return Outcome::Blocked };
+        let waiting = self.waiting_tasks(job);
+        let (team, placed) = (job.team, job.placed_count);
+        if waiting.is_empty() {
+            self.dequeue(key);
+            return Outcome::Blocked;
+        }
+        if placed > 0 && self.has_unsettled(key) {
+            return Outcome::Blocked;
+        }
+        let size = self.size_of(key);
+        let count = u32::try_from(waiting.len()).unwrap_or(u32::MAX);
+        if !self.queue.allows(team, size.times(count)) {
+            return Outcome::Blocked;
+        }
+        if let Some(workers) = self.choose_whole(key, &waiting, size, now_ms) {
+            for (task, worker) in waiting.into_iter().zip(workers) {
+                self.start(task, worker, size, now_ms, out);
+            }
+            self.drop_claim(key);
+            return Outcome::Placed;
+        }
+        if placed > 0 {
+            self.stop_members(key, now_ms, out);
+            return Outcome::Blocked;
+        }
+        if !self.preempt_whole(key, &waiting, size, now_ms, out) {
+            self.claim_for(key, size, count, now_ms);
+        }
+        Outcome::Blocked
+    }
+
+    fn waiting_tasks(&self, job: &Job) -> Vec<TaskKey> {
+        let waits =
+            |key: &TaskKey| self.tasks.get(*key).is_some_and(|t| t.state == TaskState::Waiting);
+        job.tasks.iter().copied().filter(waits).collect()
+    }
+
+    /// Whether some member is being stopped or may or may not run.
+    fn has_unsettled(&self, key: JobKey) -> bool {
+        let Some(job) = self.jobs.get(key) else { return false };
+        let unsettled = |state| matches!(state, TaskState::Stopping | TaskState::Unsure);
+        job.tasks.iter().any(|task| self.tasks.get(*task).is_some_and(|t| unsettled(t.state)))
+    }
+
+    /// Stops the members that run, so that the gang starts whole again later.
+    fn stop_members(&mut self, key: JobKey, now_ms: u64, out: &mut Vec<Action>) {
+        for task in self.jobs.get(key).map(|job| job.tasks.clone()).unwrap_or_default() {
+            if self.tasks.get(task).is_some_and(|task| task.state.is_placed()) {
+                self.stop_task(task, StopMode::Checkpoint, now_ms, out);
+            }
+        }
+    }
+
+    /// A worker for each task, all at once; nothing is reserved.
+    fn choose_whole(
+        &mut self,
+        key: JobKey,
+        waiting: &[TaskKey],
+        size: Resources,
+        now_ms: u64,
+    ) -> Option<Vec<WorkerKey>> {
+        if !self.may_hold(size, waiting.len()) {
+            return None;
+        }
+        let mut chosen: Vec<WorkerKey> = Vec::with_capacity(waiting.len());
+        let is_self_apart = self.is_self_apart(key);
+        for &task in waiting {
+            let candidate = self.choose(key, task, size, now_ms);
+            let Some(worker) = candidate else { break };
+            let view = &mut self.workers[worker];
+            view.tentative = view.tentative.plus(size);
+            chosen.push(worker);
+            if is_self_apart {
+                view.tentative = view.capacity;
+            }
+            self.refresh_room(worker);
+        }
+        for &worker in &chosen {
+            self.workers[worker].tentative = Resources::default();
+            self.refresh_room(worker);
+        }
+        (chosen.len() == waiting.len()).then_some(chosen)
+    }
+
+    fn is_self_apart(&self, key: JobKey) -> bool {
+        let Some(job) = self.jobs.get(key) else { return false };
+        let marks = &job.ruling.marks;
+        marks.iter().any(|mark| marks.contains(&(mark ^ 1)))
+    }
+
+    /// Whether the open workers have room for so many tasks, each by itself.
+    fn may_hold(&self, size: Resources, count: usize) -> bool {
+        let mut open = self.index.open();
+        let mut left = u64::try_from(count).unwrap_or(u64::MAX);
+        open.any(|(_, entry)| {
+            if size.fits(entry.room) {
+                left = left.saturating_sub(times_that_fit(size, entry.room));
+            }
+            left == 0
+        })
+    }
+
+    /// Claims workers for a gang, unless one that goes before it has a claim.
+    fn claim_for(&mut self, key: JobKey, size: Resources, count: u32, now_ms: u64) {
+        if let Some(claim) = &self.claim {
+            let is_fresh = now_ms < claim.made_at_ms + self.config.claim_every_ms;
+            if claim.job == key && is_fresh || claim.job != key && !self.goes_before(key, claim.job)
+            {
+                return;
+            }
+        }
+        self.claim = self.make_claim(key, size, u64::from(count), now_ms);
+    }
+
+    fn goes_before(&self, key: JobKey, other: JobKey) -> bool {
+        let rank = |key| {
+            self.jobs.get(key).map(|job| (job.spec.priority, std::cmp::Reverse(job.sequence)))
+        };
+        rank(key) > rank(other)
+    }
+
+    fn make_claim(&self, key: JobKey, size: Resources, count: u64, now_ms: u64) -> Option<Claim> {
+        let mut rooms: HashMap<WorkerKey, Resources> = HashMap::default();
+        let mut slots = 0_u64;
+        for (worker, view) in &self.workers {
+            if self.index.is_open(view.row) && self.admits(key, worker) {
+                slots += times_that_fit(size, view.free());
+                rooms.insert(worker, view.free());
+            }
+        }
+        let mut start_ms = now_ms;
+        for opening in self.openings(&rooms, now_ms) {
+            if slots >= count {
+                break;
+            }
+            let Some(room) = rooms.get_mut(&opening.worker) else { continue };
+            let before = times_that_fit(size, *room);
+            *room = room.plus(opening.released);
+            slots += times_that_fit(size, *room) - before;
+            start_ms = opening.at_ms;
+        }
+        if slots < count {
+            return None;
+        }
+        let parts = pick_parts(&rooms, size, count);
+        Some(Claim { job: key, start_ms, made_at_ms: now_ms, parts })
+    }
+
+    /// When tasks on these workers are expected to end, the first end first.
+    fn openings(&self, rooms: &HashMap<WorkerKey, Resources>, now_ms: u64) -> Vec<Opening> {
+        let mut openings = Vec::new();
+        for (worker, view) in self.workers.iter().filter(|(key, _)| rooms.contains_key(key)) {
+            for task in view.tasks.iter().filter_map(|key| self.tasks.get(*key)) {
+                let Some(job) = self.jobs.get(task.job) else { continue };
+                let end_ms = match task.state {
+                    TaskState::Stopping => now_ms,
+                    _ => self.expected_end_ms(job, task.since_ms),
+                };
+                if end_ms != u64::MAX {
+                    // A task that outlives its estimate is expected to last as long again.
+                    let over_ms = now_ms.saturating_sub(end_ms);
+                    let at_ms = end_ms.max(now_ms) + over_ms;
+                    openings.push(Opening { at_ms, worker, released: task.reserved });
+                }
+            }
+        }
+        openings.sort_unstable();
+        openings
+    }
+}
+
+/// Divides a gang over the workers that hold most of it.
+fn pick_parts(
+    rooms: &HashMap<WorkerKey, Resources>,
+    size: Resources,
+    count: u64,
+) -> HashMap<WorkerKey, Part> {
+    let mut by_slots: Vec<(u64, WorkerKey)> =
+        rooms.iter().map(|(worker, room)| (times_that_fit(size, *room), *worker)).collect();
+    by_slots.sort_unstable_by(|left, right| right.0.cmp(&left.0).then(left.1.cmp(&right.1)));
+    let mut parts = HashMap::default();
+    let mut left = count;
+    for (slots, worker) in by_slots {
+        let taken = slots.min(left);
+        if taken == 0 {
+            break;
+        }
+        left -= taken;
+        let claimed = size.times(u32::try_from(taken).unwrap_or(u32::MAX));
+        parts.insert(worker, Part { claimed, spare: rooms[&worker].minus(claimed) });
+    }
+    parts
+}
+
+impl Claim {
+    /// What is claimed on all workers together.
+    pub(crate) fn total(&self) -> Resources {
+        self.parts.values().fold(Resources::default(), |sum, part| sum.plus(part.claimed))
+    }
+
+    /// Job that the claim is for and the time at which it is expected to start.
+    pub(crate) fn expects(&self) -> (JobKey, u64) {
+        (self.job, self.start_ms)
+    }
+}
--- /dev/null
+++ b/src/place/health.rs
@@ -0,0 +1,156 @@
+//! Failures: jobs that fail everywhere and workers that fail everything are told apart.
+//!
+//! A job that fails on several workers, where other jobs succeed, is given up.
+//! A worker on which several jobs fail goes on probation, and what failed there
+//! is no longer held against the jobs.
+
+use super::life::{WorkerEvent, WorkerState};
+use super::message::{Action, JobState, Rejection, StopMode};
+use super::placer::{Placer, Wake};
+use super::state::{JobKey, TaskKey};
+use crate::inventory::WorkerKey;
+
+impl Placer {
+    /// Notes that a task of the job ended well, or has run long enough, on a worker.
+    pub(crate) fn succeeded(&mut self, key: JobKey, worker: WorkerKey, ran_ms: u64) {
+        self.learn_run(key, ran_ms);
+        self.went_well(key, worker);
+    }
+
+    pub(crate) fn went_well(&mut self, key: JobKey, worker: WorkerKey) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.failed_workers.clear();
+        }
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.failed_jobs.clear();
+            view.probation_failures = 0;
+            view.not_before_ms = 0;
+        }
+        self.worker_event(worker, WorkerEvent::Clear);
+    }
+
+    /// Notes that a task failed on a worker, and backs off.
+    pub(crate) fn failed(
+        &mut self,
+        task: TaskKey,
+        worker: WorkerKey,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(key) = self.tasks.get(task).map(|task| task.job) else { return };
+        let is_suspect = self.blame_worker(key, worker, now_ms);
+        if !is_suspect {
+            self.blame_job(key, task, worker);
+        }
+        let Some(job) = self.jobs.get(key) else { return };
+        let failures = self.tasks.get(task).map_or(0, |task| task.failures);
+        let is_service = job.spec.kind == super::spec::JobKind::Service;
+        let is_poison = job.failed_workers.len() >= self.config.poison_after_workers
+            || failures >= self.config.poison_after_failures;
+        if is_poison && !is_service {
+            self.give_up(key, now_ms, out);
+            return;
+        }
+        let wait_ms = self.backoff(u32::from(failures.saturating_sub(1)));
+        if !is_suspect {
+            self.delay(key, now_ms + wait_ms);
+        }
+    }
+
+    /// Whether the worker is on probation.
+    fn blame_worker(&mut self, key: JobKey, worker: WorkerKey, now_ms: u64) -> bool {
+        let limit = self.config.suspect_after_jobs;
+        let Some(view) = self.workers.get_mut(worker) else { return false };
+        if !view.failed_jobs.contains(&key) && view.failed_jobs.len() < limit {
+            view.failed_jobs.push(key);
+        }
+        if view.failed_jobs.len() < limit {
+            return false;
+        }
+        let is_new = view.state == WorkerState::Ready;
+        let failures = view.probation_failures;
+        view.probation_failures = failures.saturating_add(1);
+        let pardoned = std::mem::take(&mut view.failed_jobs);
+        let wait_ms = self.backoff(failures.saturating_add(2));
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.not_before_ms = now_ms + wait_ms;
+            view.failed_jobs.clone_from(&pardoned);
+        }
+        if is_new {
+            self.worker_event(worker, WorkerEvent::Suspect);
+            for key in pardoned {
+                if let Some(job) = self.jobs.get_mut(key) {
+                    job.failed_workers.retain(|held| *held != worker);
+                }
+            }
+        }
+        self.refresh_room(worker);
+        true
+    }
+
+    fn blame_job(&mut self, key: JobKey, task: TaskKey, worker: WorkerKey) {
+        if let Some(task) = self.tasks.get_mut(task) {
+            task.failures = task.failures.saturating_add(1);
+        }
+        if let Some(job) = self.jobs.get_mut(key) {
+            if !job.failed_workers.contains(&worker) {
+                job.failed_workers.push(worker);
+            }
+            // A service is tried everywhere again in time.
+            if job.failed_workers.len() > self.config.poison_after_workers {
+                job.failed_workers.remove(0);
+            }
+        }
+    }
+
+    /// Gives up a job whose tasks fail everywhere.
+    fn give_up(&mut self, key: JobKey, now_ms: u64, out: &mut Vec<Action>) {
+        self.dequeue(key);
+        self.drop_claim(key);
+        for task in self.jobs.get(key).map(|job| job.tasks.clone()).unwrap_or_default() {
+            if self.tasks.get(task).is_some_and(|task| task.state.is_placed()) {
+                self.stop_task(task, StopMode::Stop, now_ms, out);
+            } else {
+                self.task_event(task, super::life::TaskEvent::GiveUp, now_ms);
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.is_given_up = true;
+        }
+        self.end_job(key, JobState::Rejected(Rejection::Poison), out);
+    }
+
+    fn backoff(&self, failures: u32) -> u64 {
+        let factor = 1_u64 << failures.min(16);
+        self.config.backoff_ms.saturating_mul(factor).min(self.config.max_backoff_ms)
+    }
+
+    fn delay(&mut self, key: JobKey, until_ms: u64) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.not_before_ms = job.not_before_ms.max(until_ms);
+            self.delayed.insert((job.not_before_ms, key));
+        }
+    }
+
+    /// Lets jobs and workers be tried again whose wait is over.
+    pub(crate) fn wake_delayed(&mut self, now_ms: u64) {
+        while let Some(&(at_ms, key)) = self.delayed.first() {
+            if at_ms > now_ms {
+                break;
+            }
+            self.delayed.pop_first();
+            if self.jobs.contains_key(key) {
+                self.wake = Wake::All;
+            }
+        }
+        let due = |view: &super::state::WorkerView| {
+            view.not_before_ms > 0 && now_ms >= view.not_before_ms
+        };
+        let workers = self.workers.iter().filter(|(_, view)| due(view));
+        let workers: Vec<WorkerKey> = workers.map(|(key, _)| key).collect();
+        for key in workers {
+            self.workers[key].not_before_ms = 0;
+            self.refresh_room(key);
+        }
+    }
+}
--- /dev/null
+++ b/src/place/index.rs
@@ -0,0 +1,265 @@
+//! Workers by the room that they have left, so that good candidates are found without a full scan.
+//!
+//! Each worker that takes tasks is in one cell of a grid over its free
+//! accelerators, processor time and memory. Steps of the grid are fine for
+//! little room and coarse for much. Workers of one cell are nearly alike, so a
+//! few of each cell stand for the rest.
+
+use super::policy::Shape;
+use super::spec::Resources;
+use crate::inventory::WorkerKey;
+
+/// Number of a worker in the index.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct Row(pub(crate) u32);
+
+/// Steps of the grid for processor time and for memory.
+const LEVELS: usize = 29;
+
+/// Steps of the grid for accelerators: 0, 1, 2 to 3, 4 to 7, 8 and more.
+const ACCELERATOR_LEVELS: usize = 5;
+
+/// Workers of a cell that are looked at when all of them have room.
+const LOOKED_AT_INSIDE: usize = 4;
+
+/// Workers of a cell that are looked at when some of them may lack room.
+const LOOKED_AT_ON_EDGE: usize = 16;
+
+/// Cell of a worker that takes no tasks.
+const NO_CELL: usize = usize::MAX;
+
+/// A worker as the index sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) worker: WorkerKey,
+    pub(crate) room: Resources,
+    pub(crate) capacity: Resources,
+    cell: usize,
+    position: usize,
+}
+
+/// Workers by the room that they have left.
+#[derive(Clone, Debug)]
+pub(crate) struct Index {
+    entries: Vec<Entry>,
+    unused: Vec<Row>,
+    cells: Vec<Vec<Row>>,
+    /// For each accelerator and processor level, the memory levels that have workers.
+    masks: [[u32; LEVELS]; ACCELERATOR_LEVELS],
+    /// Largest capacity of each kind, the scale of the grid.
+    scale: Resources,
+    /// Room of all workers that take tasks.
+    total_room: Resources,
+}
+
+impl Default for Index {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+            unused: Vec::new(),
+            cells: vec![Vec::new(); ACCELERATOR_LEVELS * LEVELS * LEVELS],
+            masks: [[0; LEVELS]; ACCELERATOR_LEVELS],
+            scale: Resources::new(1, 1, 1),
+            total_room: Resources::default(),
+        }
+    }
+}
+
+impl Index {
+    /// Adds a worker that takes no tasks yet.
+    pub(crate) fn add(&mut self, worker: WorkerKey) -> Row {
+        let room = Resources::default();
+        let entry = Entry { worker, room, capacity: room, cell: NO_CELL, position: 0 };
+        if let Some(row) = self.unused.pop() {
+            self.entries[row.0 as usize] = entry;
+            return row;
+        }
+        self.entries.push(entry);
+        Row(u32::try_from(self.entries.len() - 1).unwrap_or(u32::MAX))
+    }
+
+    /// Removes a worker.
+    pub(crate) fn remove(&mut self, row: Row) {
+        self.leave(row);
+        self.unused.push(row);
+    }
+
+    /// Notes the capacity and the room of a worker; without room, it takes no tasks.
+    pub(crate) fn set(&mut self, row: Row, capacity: Resources, room: Option<Resources>) {
+        if !capacity.fits(self.scale) {
+            self.rescale(self.scale.larger(capacity));
+        }
+        self.entries[row.0 as usize].capacity = capacity;
+        let Some(room) = room else {
+            self.leave(row);
+            return;
+        };
+        let cell = self.cell_of(room);
+        if self.entries[row.0 as usize].cell != cell {
+            self.leave(row);
+            self.enter(row, cell);
+        } else {
+            self.total_room = self.total_room.minus(self.entries[row.0 as usize].room);
+        }
+        self.entries[row.0 as usize].room = room;
+        self.total_room = self.total_room.plus(room);
+    }
+
+    /// Whether a worker takes tasks.
+    pub(crate) fn is_open(&self, row: Row) -> bool {
+        self.entries[row.0 as usize].cell != NO_CELL
+    }
+
+    pub(crate) fn entry(&self, row: Row) -> &Entry {
+        &self.entries[row.0 as usize]
+    }
+
+    /// Room of all workers that take tasks.
+    pub(crate) fn total_room(&self) -> Resources {
+        self.total_room
+    }
+
+    /// Largest capacity of each kind.
+    pub(crate) fn scale(&self) -> Resources {
+        self.scale
+    }
+
+    /// Workers that take tasks, in the order of their numbers.
+    pub(crate) fn open(&self) -> impl Iterator<Item = (Row, &Entry)> {
+        let rows = self.entries.iter().enumerate();
+        rows.filter(|(_, entry)| entry.cell != NO_CELL)
+            .map(|(row, entry)| (Row(u32::try_from(row).unwrap_or(u32::MAX)), entry))
+    }
+
+    /// The best of a few workers of each cell that may hold `shape`; all workers are looked at
+    /// before the answer is none.
+    pub(crate) fn best(
+        &self,
+        shape: &Shape,
+        mut admits: impl FnMut(Row, &Entry) -> bool,
+    ) -> Option<Row> {
+        let (best, is_whole) = self.best_of(shape, false, &mut admits);
+        if best.is_some() || is_whole {
+            return best;
+        }
+        self.best_of(shape, true, &mut admits).0
+    }
+
+    /// The best worker, and whether no worker that may fit was left out.
+    fn best_of(
+        &self,
+        shape: &Shape,
+        is_full: bool,
+        admits: &mut impl FnMut(Row, &Entry) -> bool,
+    ) -> (Option<Row>, bool) {
+        let need = self.levels(shape.size);
+        let mut best: Option<(f32, Row)> = None;
+        let mut is_whole = true;
+        for accelerators in need.0..ACCELERATOR_LEVELS {
+            for cpu in need.1..LEVELS {
+                let mut mask = self.masks[accelerators][cpu] & (u32::MAX << need.2);
+                while mask != 0 {
+                    let memory = mask.trailing_zeros() as usize;
+                    mask &= mask - 1;
+                    let is_edge = accelerators == need.0 || cpu == need.1 || memory == need.2;
+                    let limit = match (is_full, is_edge) {
+                        (true, _) => usize::MAX,
+                        (false, true) => LOOKED_AT_ON_EDGE,
+                        (false, false) => LOOKED_AT_INSIDE,
+                    };
+                    let cell = &self.cells[cell_number(accelerators, cpu, memory)];
+                    is_whole &= cell.len() <= limit;
+                    for &row in cell.iter().take(limit) {
+                        let entry = &self.entries[row.0 as usize];
+                        if !shape.size.fits(entry.room) || !admits(row, entry) {
+                            continue;
+                        }
+                        let score = shape.score(entry.room, entry.capacity);
+                        if best.is_none_or(|known| (score, row) < known) {
+                            best = Some((score, row));
+                        }
+                    }
+                }
+            }
+        }
+        (best.map(|(_, row)| row), is_whole)
+    }
+
+    fn enter(&mut self, row: Row, cell: usize) {
+        let entry = &mut self.entries[row.0 as usize];
+        entry.cell = cell;
+        entry.position = self.cells[cell].len();
+        self.cells[cell].push(row);
+        let (accelerators, cpu, memory) = cell_levels(cell);
+        self.masks[accelerators][cpu] |= 1 << memory;
+    }
+
+    fn leave(&mut self, row: Row) {
+        let entry = &mut self.entries[row.0 as usize];
+        let (cell, position) = (entry.cell, entry.position);
+        if cell == NO_CELL {
+            return;
+        }
+        entry.cell = NO_CELL;
+        self.total_room = self.total_room.minus(entry.room);
+        self.cells[cell].swap_remove(position);
+        if let Some(&moved) = self.cells[cell].get(position) {
+            self.entries[moved.0 as usize].position = position;
+        }
+        if self.cells[cell].is_empty() {
+            let (accelerators, cpu, memory) = cell_levels(cell);
+            self.masks[accelerators][cpu] &= !(1 << memory);
+        }
+    }
+
+    fn rescale(&mut self, scale: Resources) {
+        self.scale = scale;
+        for number in 0..self.entries.len() {
+            let row = Row(u32::try_from(number).unwrap_or(u32::MAX));
+            let entry = &self.entries[number];
+            if entry.cell == NO_CELL {
+                continue;
+            }
+            let room = entry.room;
+            self.leave(row);
+            let cell = self.cell_of(room);
+            self.enter(row, cell);
+            self.total_room = self.total_room.plus(room);
+        }
+    }
+
+    fn cell_of(&self, room: Resources) -> usize {
+        let (accelerators, cpu, memory) = self.levels(room);
+        cell_number(accelerators, cpu, memory)
+    }
+
+    fn levels(&self, room: Resources) -> (usize, usize, usize) {
+        let accelerators = match room.accelerators {
+            0 => 0,
+            count => (count.ilog2() as usize + 1).min(ACCELERATOR_LEVELS - 1),
+        };
+        let cpu = level(room.cpu_millis, self.scale.cpu_millis);
+        (accelerators, cpu, level(room.memory_bytes, self.scale.memory_bytes))
+    }
+}
+
+/// Step of the grid for `amount` out of `scale`: single steps at first, then four an octave.
+fn level(amount: u64, scale: u64) -> usize {
+    const STEPS: u128 = 256;
+    let steps = u128::from(amount) * STEPS / u128::from(scale.max(1));
+    let steps = u32::try_from(steps.min(STEPS)).unwrap_or(0);
+    if steps < 8 {
+        return steps as usize;
+    }
+    let octave = steps.ilog2();
+    let quarter = (steps >> (octave - 2)) & 3;
+    (8 + (octave - 3) * 4 + quarter) as usize
+}
+
+const fn cell_number(accelerators: usize, cpu: usize, memory: usize) -> usize {
+    (accelerators * LEVELS + cpu) * LEVELS + memory
+}
+
+const fn cell_levels(cell: usize) -> (usize, usize, usize) {
+    (cell / LEVELS / LEVELS, cell / LEVELS % LEVELS, cell % LEVELS)
+}
--- a/src/place/jobs.rs
+++ b/src/place/jobs.rs
@@ -1,6 +1,5 @@
 //! Jobs: submission, cancellation, progress and what their callers are told.
 
-use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::sync::Arc;
 
@@ -11,7 +10,7 @@
 use super::placer::Placer;
 use super::spec::{JobKind, JobSpec, Resources};
 use super::state::{Job, JobKey, Task, TaskKey, Unforgotten};
-use crate::inventory::{Worker, WorkerKey};
+use crate::inventory::Worker;
 
 impl Placer {
     pub(crate) fn submit(
@@ -84,6 +83,10 @@
 
     fn add_job(&mut self, job_id: JobId, spec: Arc<JobSpec>, is_restored: bool) -> JobKey {
         self.sequence += 1;
+        let team = self.queue.team_key(&spec.team);
+        let limit = self.limit_of(&spec.team);
+        self.queue.set_limit(team, limit);
+        let ruling = self.rules.ruling(&spec);
         let key = self.jobs.insert(Job {
             id: Arc::clone(&job_id),
             spec,
@@ -93,9 +96,17 @@
             waiting_count: 0,
             placed_count: 0,
             running_count: 0,
+            stopping_count: 0,
             finished_count: 0,
             state: JobState::Waiting,
+            team,
+            ruling,
+            generation: 0,
+            failed_workers: Vec::new(),
+            not_before_ms: 0,
+            nominated: Vec::new(),
             is_cancelled: false,
+            is_given_up: false,
             is_restored,
             version: 0,
             is_dirty: false,
@@ -115,27 +126,23 @@
                 (false, true) => TaskState::Cancelled,
                 (false, false) => TaskState::Waiting,
             };
-            let task = self.tasks.insert(Task {
-                job: key,
-                index,
-                state,
-                attempt: Attempt::default(),
-                worker: WorkerKey::default(),
-                reserved: Resources::default(),
-                since_ms: now_ms,
-            });
-            job.tasks.push(task);
-            match state {
-                TaskState::Waiting => {
-                    job.waiting.push_back(task);
-                    job.waiting_count += 1;
-                }
-                TaskState::Finished => job.finished_count += 1,
-                _ => {}
-            }
+            let task = self.tasks.insert(Task::new(key, index, state, now_ms));
+            job.add(task, state);
         }
         if job.waiting_count > 0 {
-            self.queue.insert((Reverse(job.spec.priority), job.sequence), key);
+            self.enqueue(key);
+        }
+    }
+
+    /// Adds the replicas that a service lacks.
+    pub(crate) fn add_replicas(&mut self, key: JobKey, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        let known = u32::try_from(job.tasks.len()).unwrap_or(u32::MAX);
+        let last = job.tasks.iter().filter_map(|key| self.tasks.get(*key)).map(|task| task.index);
+        let first = last.max().map_or(0, |index| index + 1);
+        for index in (first..).take(job.spec.tasks.saturating_sub(known) as usize) {
+            let task = self.tasks.insert(Task::new(key, index, TaskState::Waiting, now_ms));
+            job.add(task, TaskState::Waiting);
         }
     }
 
@@ -147,7 +154,8 @@
         }
         job.is_cancelled = true;
         self.touch(key);
-        self.queue.remove(&self.queue_place(key));
+        self.dequeue(key);
+        self.drop_claim(key);
         for task in self.jobs.get(key).map(|job| job.tasks.clone()).unwrap_or_default() {
             match self.tasks.get(task).map(|task| task.state) {
                 Some(TaskState::Waiting) => {
@@ -195,9 +203,13 @@
         let Some(task) = self.tasks.get(key) else { return };
         let job = task.job;
         let is_waiting = task.state == TaskState::Waiting;
-        if is_waiting && self.jobs.get(job).is_some_and(|job| job.is_cancelled) {
+        let is_surplus = task.is_surplus;
+        let Some(known) = self.jobs.get(job) else { return };
+        if is_waiting && (known.is_cancelled || known.is_given_up) {
+            self.task_event(key, TaskEvent::Cancel, now_ms);
+            self.dequeue(job);
+        } else if is_waiting && is_surplus {
             self.task_event(key, TaskEvent::Cancel, now_ms);
-            self.queue.remove(&self.queue_place(job));
         }
         self.refresh_job(job, now_ms, out);
     }
@@ -213,13 +225,25 @@
             self.release_zone();
             return;
         }
-        self.attempt_event(attempt, TaskEvent::Refuse, now_ms, out);
+        let Some(&key) = self.attempts.get(&attempt) else { return };
+        let worker = self.tasks[key].worker;
+        if !self.task_event(key, TaskEvent::Refuse, now_ms) {
+            return;
+        }
+        match refusal {
+            Refusal::Failed => self.failed(key, worker, now_ms, out),
+            // What the worker holds is not what is known here.
+            Refusal::NoRoom | Refusal::Duplicate => self.need_read(worker, now_ms, out),
+            Refusal::Stale | Refusal::Fenced => {}
+        }
+        self.settle(key, now_ms, out);
     }
 
     pub(crate) fn ended(&mut self, attempt: Attempt, end: End, now_ms: u64, out: &mut Vec<Action>) {
         let Some(&key) = self.attempts.get(&attempt) else { return };
         let Some(task) = self.tasks.get(key) else { return };
         let (job_key, worker) = (task.job, task.worker);
+        let ran_ms = now_ms.saturating_sub(task.since_ms);
         let is_service =
             self.jobs.get(job_key).is_some_and(|job| job.spec.kind == JobKind::Service);
         let event = match end {
@@ -230,12 +254,14 @@
             return;
         }
         if event == TaskEvent::Finish {
+            self.succeeded(job_key, worker, ran_ms);
             self.touch(job_key);
             if let Some(job) = self.jobs.get_mut(job_key) {
                 job.unforgotten.push(Unforgotten { version: job.version, worker, attempt });
             }
         } else {
             out.push(Action::Forget { worker, attempts: vec![attempt] });
+            self.failed(key, worker, now_ms, out);
         }
         self.settle(key, now_ms, out);
     }
@@ -311,19 +337,13 @@
         }
     }
 
-    fn end_job(&mut self, key: JobKey, state: JobState, out: &mut Vec<Action>) {
+    pub(crate) fn end_job(&mut self, key: JobKey, state: JobState, out: &mut Vec<Action>) {
         self.touch(key);
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.state = state.clone();
         out.push(Action::JobState { job_id: Arc::clone(&job.id), state });
         self.flush_progress(out);
     }
-
-    pub(crate) fn queue_place(&self, key: JobKey) -> (Reverse<super::spec::Priority>, u64) {
-        self.jobs.get(key).map_or((Reverse(super::spec::Priority::Low), u64::MAX), |job| {
-            (Reverse(job.spec.priority), job.sequence)
-        })
-    }
 }
 
 /// Whether nothing more happens to a job in this state.
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -1,20 +1,38 @@
 //! The placer of one zone: takes events and answers with actions.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use slotmap::{SecondaryMap, SlotMap};
 
+use super::gang::Claim;
+use super::index::Index;
+use super::learn::Learned;
 use super::life::{TaskEvent, TaskState, WorkerEvent};
 use super::message::{Action, Attempt, Event, JobId, JobState};
-use super::spec::{Priority, Resources};
+use super::preempt::Nomination;
+use super::queue::Queue;
+use super::rules::Rules;
+use super::spec::Resources;
 use super::state::{Job, JobKey, Orphan, Task, TaskKey, WorkerView};
-use crate::collections::HashMap;
+use crate::collections::{HashMap, HashSet};
 use crate::configs::place::PlaceConfig;
 use crate::declarations::Declarations;
 use crate::inventory::{Change, Inventory, WorkerKey};
 use crate::quota::Shares;
 
+/// Which waiting jobs may have become placeable.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Wake {
+    /// None.
+    #[default]
+    Nothing,
+    /// These.
+    Jobs(Vec<JobKey>),
+    /// Any.
+    All,
+}
+
 /// Decides for one zone which worker runs which task.
 ///
 /// ```
@@ -57,8 +75,22 @@
     pub(crate) tasks: SlotMap<TaskKey, Task>,
     pub(crate) attempts: HashMap<Attempt, TaskKey>,
     pub(crate) orphans: HashMap<Attempt, Orphan>,
-    pub(crate) queue: BTreeMap<(std::cmp::Reverse<Priority>, u64), JobKey>,
+    pub(crate) queue: Queue,
+    pub(crate) index: Index,
+    pub(crate) rules: Rules,
+    pub(crate) learned: Learned,
+    pub(crate) nominations: HashMap<TaskKey, Nomination>,
+    /// Tasks whose stop is being weighed for a gang.
+    pub(crate) planned_victims: HashSet<TaskKey>,
+    pub(crate) claim: Option<Claim>,
+    /// Capacity of the workers that take tasks.
+    pub(crate) open_capacity: Resources,
+    pub(crate) wake: Wake,
+    /// Jobs that wait for a time before they are tried again.
+    pub(crate) delayed: BTreeSet<(u64, JobKey)>,
     pub(crate) dirty_jobs: Vec<JobKey>,
+    /// Services of which some replicas run an earlier specification.
+    pub(crate) renewing: Vec<JobKey>,
     /// Whether tasks of restored jobs may still run on workers that were not read.
     pub(crate) is_locating: bool,
     pub(crate) is_restored: bool,
@@ -84,8 +116,18 @@
             tasks: SlotMap::with_key(),
             attempts: HashMap::default(),
             orphans: HashMap::default(),
-            queue: BTreeMap::new(),
+            queue: Queue::default(),
+            index: Index::default(),
+            rules: Rules::default(),
+            learned: Learned::default(),
+            nominations: HashMap::default(),
+            planned_victims: HashSet::default(),
+            claim: None,
+            open_capacity: Resources::default(),
+            wake: Wake::Nothing,
+            delayed: BTreeSet::new(),
             dirty_jobs: Vec::new(),
+            renewing: Vec::new(),
             is_locating: false,
             is_restored: false,
             inherited_until_ms: None,
@@ -102,7 +144,7 @@
             Event::Holding { epoch, confirmed_until_ms } => {
                 self.hold(epoch, confirmed_until_ms, now_ms, out);
             }
-            Event::Quota(shares) => self.shares = Some(shares),
+            Event::Quota(shares) => self.set_shares(shares),
             Event::Fenced => self.release_zone(),
             _ if self.epoch.is_none() => return,
             event => self.step_holding(event, now_ms, out),
@@ -116,7 +158,7 @@
         match event {
             Event::Submit { job_id, spec } => self.submit(job_id, spec, now_ms, out),
             Event::Cancel { job_id } => self.cancel(&job_id, now_ms, out),
-            Event::Replace { .. } => {}
+            Event::Replace { job_id, spec } => self.replace(&job_id, spec, now_ms, out),
             Event::Restored { job_id, spec, progress } => {
                 self.restore(job_id, spec, &progress, now_ms);
             }
@@ -159,15 +201,26 @@
         self.workers.get(worker).map_or(Resources::default(), |view| view.reserved)
     }
 
+    /// Whether work was left over that the next step should go on with.
+    pub fn has_work(&self) -> bool {
+        self.wake != Wake::Nothing
+    }
+
     fn declare(&mut self, declarations: Arc<Declarations>, now_ms: u64) {
-        for change in self.inventory.apply(&declarations) {
+        let changes = self.inventory.apply(&declarations);
+        if declarations.rules != self.declarations.rules {
+            self.set_rules(&declarations.rules);
+        }
+        self.declarations = declarations;
+        for change in changes {
             match change {
                 Change::Added(key) => self.add_worker(key, now_ms),
                 Change::Changed(key) => self.change_worker(key),
                 Change::Removed(key) => self.worker_event(key, WorkerEvent::Remove),
             }
         }
-        self.declarations = declarations;
+        self.refresh_limits();
+        self.wake = Wake::All;
     }
 
     /// Moves a task through its chart and keeps the reservations and counts in step.
@@ -181,7 +234,16 @@
         task.since_ms = now_ms;
         let job_key = task.job;
         if before.is_placed() && !after.is_placed() {
-            self.release(key);
+            self.release(key, before);
+        } else if after == TaskState::Stopping {
+            let (worker, reserved) = (task.worker, task.reserved);
+            if let Some(view) = self.workers.get_mut(worker) {
+                view.leaving = view.leaving.plus(reserved);
+            }
+            self.refresh_room(worker);
+        }
+        if before == TaskState::Waiting {
+            self.drop_nomination(key);
         }
         self.count(job_key, key, before, after);
         true
@@ -197,23 +259,58 @@
         let finished = |state| state == TaskState::Finished;
         step(&mut job.waiting_count, waits(before), waits(after));
         step(&mut job.running_count, runs(before), runs(after));
+        let stops = |state| state == TaskState::Stopping;
+        step(&mut job.stopping_count, stops(before), stops(after));
         step(&mut job.finished_count, finished(before), finished(after));
         step(&mut job.placed_count, before.is_placed(), after.is_placed());
         if waits(after) && !waits(before) {
             job.waiting.push_back(key);
-            let place = (std::cmp::Reverse(job.spec.priority), job.sequence);
-            self.queue.insert(place, job_key);
+            self.enqueue(job_key);
         }
     }
 
-    fn release(&mut self, key: TaskKey) {
-        let Some(task) = self.tasks.get_mut(key) else { return };
+    /// Lets a job be tried for placement.
+    pub(crate) fn enqueue(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else { return };
+        self.queue.add(job.team, job.spec.priority, job.sequence, key);
+        match &mut self.wake {
+            Wake::All => {}
+            Wake::Jobs(jobs) if jobs.len() < WOKEN_JOBS => jobs.push(key),
+            Wake::Jobs(_) => self.wake = Wake::All,
+            Wake::Nothing => self.wake = Wake::Jobs(vec![key]),
+        }
+    }
+
+    /// Takes a job out of the queue; its waiting tasks, if any, are not tried.
+    pub(crate) fn dequeue(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else { return };
+        self.queue.remove(job.team, job.spec.priority, job.sequence);
+    }
+
+    fn release(&mut self, key: TaskKey, before: TaskState) {
+        let Some(task) = self.tasks.get(key) else { return };
+        let (worker, reserved, job_key) = (task.worker, task.reserved, task.job);
         self.attempts.remove(&task.attempt);
-        if let Some(view) = self.workers.get_mut(task.worker) {
-            view.reserved = view.reserved.minus(task.reserved);
+        let Some(job) = self.jobs.get(job_key) else { return };
+        self.queue.refund(job.team, reserved);
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.reserved = view.reserved.minus(reserved);
+            if before == TaskState::Stopping {
+                view.leaving = view.leaving.minus(reserved);
+            }
             if let Some(position) = view.tasks.iter().position(|held| *held == key) {
                 view.tasks.swap_remove(position);
             }
+            for mark in &job.ruling.marks {
+                if let Some(count) = view.marks.get_mut(usize::from(*mark)) {
+                    *count = count.saturating_sub(1);
+                }
+            }
         }
+        self.refresh_room(worker);
+        self.wake = Wake::All;
     }
 }
+
+/// Jobs that are woken one by one; more wake the whole queue.
+const WOKEN_JOBS: usize = 16;
--- /dev/null
+++ b/src/place/preempt.rs
@@ -0,0 +1,277 @@
+//! Urgent work takes the place of stoppable work, by least loss.
+
+use super::life::TaskState;
+use super::message::{Action, StopMode};
+use super::placer::{Placer, Wake};
+use super::spec::{Priority, Resources};
+use super::state::{JobKey, TaskKey, WorkerView};
+use crate::inventory::WorkerKey;
+
+/// Age from which a task is checkpointed rather than stopped, in milliseconds.
+const CHECKPOINT_FROM_MS: u64 = 5_000;
+
+/// Cost of a start and of reading a checkpoint, as lost run time, in milliseconds.
+const RESTART_COST_MS: u64 = 2_000;
+
+/// Workers that are looked at for one task.
+const WORKERS_LOOKED_AT: usize = 512;
+
+/// A worker on which room is made for a task.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Nomination {
+    pub(crate) worker: WorkerKey,
+    size: Resources,
+    since_ms: u64,
+}
+
+/// Tasks whose stop makes room on a worker.
+#[derive(Clone, Debug)]
+struct Victims {
+    worker: WorkerKey,
+    tasks: Vec<TaskKey>,
+    /// Tasks that no rule offers first, then lost run time in milliseconds.
+    loss: (usize, u64),
+}
+
+impl Placer {
+    /// Makes room for waiting tasks of an urgent job, each on a worker of its own choice.
+    pub(crate) fn preempt_for(
+        &mut self,
+        task: TaskKey,
+        size: Resources,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(key) = self.tasks.get(task).map(|task| task.job) else { return };
+        let Some(job) = self.jobs.get(key) else { return };
+        if job.spec.priority < Priority::Urgent {
+            return;
+        }
+        let waiting: Vec<TaskKey> = job.waiting.iter().copied().collect();
+        let mut made = 0;
+        for task in waiting {
+            if made == self.config.preemptions_per_step {
+                break;
+            }
+            let waits = self.tasks.get(task).is_some_and(|task| task.state == TaskState::Waiting);
+            if !waits || self.nominations.contains_key(&task) {
+                continue;
+            }
+            let Some(victims) = self.least_loss(key, size, now_ms) else { break };
+            self.nominate(task, size, &victims, now_ms, out);
+            made += 1;
+        }
+    }
+
+    /// Makes room for all tasks of an urgent gang, or for none.
+    pub(crate) fn preempt_whole(
+        &mut self,
+        key: JobKey,
+        waiting: &[TaskKey],
+        size: Resources,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let urgent = self.jobs.get(key).is_some_and(|job| job.spec.priority == Priority::Urgent);
+        if !urgent || waiting.len() > self.config.preemptions_per_step {
+            return false;
+        }
+        let open = waiting.iter().filter(|task| !self.nominations.contains_key(task));
+        let open: Vec<TaskKey> = open.copied().collect();
+        let mut plan: Vec<(TaskKey, Victims)> = Vec::new();
+        for &task in &open {
+            let Some(victims) = self.least_loss(key, size, now_ms) else { break };
+            self.pencil_in(&victims, size);
+            plan.push((task, victims));
+        }
+        for (_, victims) in &plan {
+            self.rub_out(victims, size);
+        }
+        if plan.len() < open.len() {
+            return false;
+        }
+        for (task, victims) in plan {
+            self.nominate(task, size, &victims, now_ms, out);
+        }
+        true
+    }
+
+    /// Counts victims as leaving while the rest of a gang is planned.
+    fn pencil_in(&mut self, victims: &Victims, size: Resources) {
+        let leaving = self.reserved_by(&victims.tasks);
+        self.planned_victims.extend(victims.tasks.iter().copied());
+        if let Some(view) = self.workers.get_mut(victims.worker) {
+            view.leaving = view.leaving.plus(leaving);
+            view.nominated = view.nominated.plus(size);
+        }
+    }
+
+    fn rub_out(&mut self, victims: &Victims, size: Resources) {
+        let leaving = self.reserved_by(&victims.tasks);
+        for task in &victims.tasks {
+            self.planned_victims.remove(task);
+        }
+        if let Some(view) = self.workers.get_mut(victims.worker) {
+            view.leaving = view.leaving.minus(leaving);
+            view.nominated = view.nominated.minus(size);
+        }
+    }
+
+    fn reserved_by(&self, tasks: &[TaskKey]) -> Resources {
+        let reserved = tasks.iter().filter_map(|key| self.tasks.get(*key));
+        reserved.fold(Resources::default(), |sum, task| sum.plus(task.reserved))
+    }
+
+    fn nominate(
+        &mut self,
+        task: TaskKey,
+        size: Resources,
+        victims: &Victims,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        for &victim in &victims.tasks {
+            let age_ms =
+                self.tasks.get(victim).map_or(0, |task| now_ms - task.since_ms.min(now_ms));
+            let mode =
+                if age_ms >= CHECKPOINT_FROM_MS { StopMode::Checkpoint } else { StopMode::Stop };
+            self.stop_task(victim, mode, now_ms, out);
+        }
+        let worker = victims.worker;
+        self.nominations.insert(task, Nomination { worker, size, since_ms: now_ms });
+        if let Some(job) = self.tasks.get(task).and_then(|task| self.jobs.get_mut(task.job)) {
+            job.nominated.push(task);
+        }
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.nominated = view.nominated.plus(size);
+        }
+        self.refresh_room(worker);
+    }
+
+    /// The worker on which room for `size` costs least.
+    fn least_loss(&self, key: JobKey, size: Resources, now_ms: u64) -> Option<Victims> {
+        let mut best: Option<Victims> = None;
+        let mut looked_at = 0;
+        for (_, entry) in self.index.open() {
+            if !size.fits(entry.capacity) || !self.admits(key, entry.worker) {
+                continue;
+            }
+            let Some(view) = self.workers.get(entry.worker) else { continue };
+            let Some(victims) = self.victims(key, entry.worker, view, size, now_ms) else {
+                continue;
+            };
+            looked_at += 1;
+            if best.as_ref().is_none_or(|known| victims.loss < known.loss) {
+                best = Some(victims);
+            }
+            if looked_at == WORKERS_LOOKED_AT {
+                break;
+            }
+        }
+        best
+    }
+
+    fn victims(
+        &self,
+        key: JobKey,
+        worker: WorkerKey,
+        view: &WorkerView,
+        size: Resources,
+        now_ms: u64,
+    ) -> Option<Victims> {
+        let priority = self.jobs.get(key)?.spec.priority;
+        let mut offered: Vec<(bool, Priority, u64, TaskKey, Resources)> = Vec::new();
+        for &held in &view.tasks {
+            let task = self.tasks.get(held)?;
+            let job = self.jobs.get(task.job)?;
+            let may_stop = job.spec.is_stoppable
+                && job.spec.priority < priority
+                && !self.planned_victims.contains(&held);
+            if !may_stop || !matches!(task.state, TaskState::Running | TaskState::Starting) {
+                continue;
+            }
+            let age_ms = now_ms.saturating_sub(task.since_ms);
+            let lost_ms = if age_ms >= CHECKPOINT_FROM_MS { 0 } else { age_ms };
+            let loss_ms = RESTART_COST_MS + lost_ms;
+            let last = !job.ruling.stops_first;
+            offered.push((last, job.spec.priority, loss_ms, held, task.reserved));
+        }
+        offered.sort_unstable_by_key(|(last, priority, loss_ms, held, _)| {
+            (*last, *priority, *loss_ms, *held)
+        });
+        // Room that counts: what is free or being freed, less what others were promised.
+        let mut room = view.free().plus(view.leaving).minus(view.nominated);
+        let mut taken: Vec<(bool, u64, TaskKey, Resources)> = Vec::new();
+        for (last, _, loss_ms, held, reserved) in offered {
+            if size.fits(room) {
+                break;
+            }
+            room = room.plus(reserved);
+            taken.push((last, loss_ms, held, reserved));
+        }
+        if !size.fits(room) {
+            return None;
+        }
+        // Those whose stop turned out not to be needed go on.
+        let mut index = 0;
+        while index < taken.len() {
+            let without = room.minus(taken[index].3);
+            if size.fits(without) {
+                room = without;
+                taken.remove(index);
+            } else {
+                index += 1;
+            }
+        }
+        let loss_ms = taken.iter().map(|(_, loss_ms, _, _)| loss_ms).sum();
+        let unoffered = taken.iter().filter(|(last, ..)| *last).count();
+        let tasks = taken.into_iter().map(|(_, _, held, _)| held).collect();
+        Some(Victims { worker, tasks, loss: (unoffered, loss_ms) })
+    }
+
+    /// The worker chosen for a task beforehand, once it has room.
+    pub(crate) fn nominated_worker(&self, task: TaskKey, size: Resources) -> Option<WorkerKey> {
+        let nomination = self.nominations.get(&task)?;
+        let view = self.workers.get(nomination.worker)?;
+        (self.index.is_open(view.row) && size.fits(view.free())).then_some(nomination.worker)
+    }
+
+    /// A waiting task of the job for which room was made.
+    pub(crate) fn ready_nomination(&self, key: JobKey, size: Resources) -> Option<TaskKey> {
+        let nominated = &self.jobs.get(key)?.nominated;
+        nominated.iter().copied().find(|task| self.nominated_worker(*task, size).is_some())
+    }
+
+    pub(crate) fn drop_nomination(&mut self, task: TaskKey) {
+        let Some(nomination) = self.nominations.remove(&task) else { return };
+        if let Some(job) = self.tasks.get(task).and_then(|task| self.jobs.get_mut(task.job)) {
+            job.nominated.retain(|held| *held != task);
+        }
+        if let Some(view) = self.workers.get_mut(nomination.worker) {
+            view.nominated = view.nominated.minus(nomination.size);
+        }
+        self.refresh_room(nomination.worker);
+    }
+
+    /// Drops the nominations for a worker that went silent.
+    pub(crate) fn drop_nominations_on(&mut self, worker: WorkerKey) {
+        self.drop_nominations(|nomination| nomination.worker == worker);
+    }
+
+    /// Drops nominations whose room was not made in time.
+    pub(crate) fn expire_nominations(&mut self, now_ms: u64) {
+        let limit_ms = self.config.nomination_timeout_ms;
+        self.drop_nominations(|nomination| now_ms >= nomination.since_ms + limit_ms);
+    }
+
+    fn drop_nominations(&mut self, is_dropped: impl Fn(&Nomination) -> bool) {
+        let dropped = self.nominations.iter().filter(|(_, nomination)| is_dropped(nomination));
+        let mut dropped: Vec<TaskKey> = dropped.map(|(task, _)| *task).collect();
+        if dropped.is_empty() {
+            return;
+        }
+        dropped.sort_unstable();
+        dropped.into_iter().for_each(|task| self.drop_nomination(task));
+        self.wake = Wake::All;
+    }
+}
--- /dev/null
+++ b/src/place/report.rs
@@ -0,0 +1,187 @@
+//! Reports of workers: what they run is taken over, confirmed, or stopped.
+
+use super::life::{TaskEvent, TaskState, WorkerEvent, WorkerState};
+use super::message::{Action, Attempt, AttemptReport, AttemptState, End, StopMode, WorkerReport};
+use super::placer::{Placer, Wake};
+use super::state::{Orphan, TaskKey};
+use crate::inventory::WorkerKey;
+
+impl Placer {
+    pub(crate) fn report(
+        &mut self,
+        worker: WorkerKey,
+        report: &WorkerReport,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(view) = self.workers.get_mut(worker) else { return };
+        view.heard_at_ms = now_ms;
+        view.token_ms = report.token_ms;
+        view.token_at_ms = now_ms;
+        // A report without our barrier answers a call of an earlier epoch.
+        let is_ours = Some(report.barrier.epoch) == self.epoch;
+        if view.state == WorkerState::Unread && !is_ours && report.barrier.epoch != 0 {
+            return;
+        }
+        let barrier_now = Attempt { epoch: self.epoch.unwrap_or(0), counter: self.counter };
+        if report.barrier >= barrier_now || view.state != WorkerState::Ready {
+            view.needs_read = false;
+        }
+        self.worker_event(worker, WorkerEvent::Read);
+        for item in &report.attempts {
+            self.reported(worker, item, now_ms, out);
+        }
+        self.settle_absent(worker, report, now_ms, out);
+        self.settle_orphans(worker, report);
+        self.take_usage(worker, report, now_ms, out);
+        self.refresh_room(worker);
+        self.update_locating(now_ms);
+    }
+
+    fn reported(
+        &mut self,
+        worker: WorkerKey,
+        item: &AttemptReport,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.attempts.contains_key(&item.attempt) && !self.adopt(worker, item, now_ms, out) {
+            self.report_unknown(worker, item, out);
+            return;
+        }
+        let attempt = item.attempt;
+        let Some(&key) = self.attempts.get(&attempt) else { return };
+        match item.state {
+            AttemptState::Running | AttemptState::Stopping => {
+                if self.tasks[key].state == TaskState::Stopping {
+                    out.push(Action::Stop { worker, attempt, mode: StopMode::Stop });
+                } else {
+                    self.attempt_event(attempt, TaskEvent::Confirm, now_ms, out);
+                }
+            }
+            AttemptState::Stopped => {
+                self.attempt_event(attempt, TaskEvent::Absent, now_ms, out);
+                out.push(Action::Forget { worker, attempts: vec![attempt] });
+            }
+            AttemptState::Ended(end) => self.ended(attempt, end, now_ms, out),
+        }
+    }
+
+    /// Takes over a running attempt of an earlier holder for its waiting task.
+    fn adopt(
+        &mut self,
+        worker: WorkerKey,
+        item: &AttemptReport,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(key) = self.adoptable(item) else { return false };
+        if !self.task_event(key, TaskEvent::Adopt, now_ms) {
+            return false;
+        }
+        self.drop_orphan(item.attempt);
+        self.hold_on_worker(key, worker, item.attempt, item.reserved);
+        if let Some(task) = self.tasks.get_mut(key) {
+            task.since_ms = now_ms.saturating_sub(item.age_ms);
+        }
+        self.settle(key, now_ms, out);
+        true
+    }
+
+    fn adoptable(&self, item: &AttemptReport) -> Option<TaskKey> {
+        if item.state == AttemptState::Stopped {
+            return None;
+        }
+        let job = self.jobs.get(*self.job_ids.get(&item.task.job_id)?)?;
+        let has_index =
+            |key: &TaskKey| self.tasks.get(*key).is_some_and(|t| t.index == item.task.index);
+        let near = job.tasks.get(item.task.index as usize).copied().filter(has_index);
+        let key = near.or_else(|| job.tasks.iter().copied().find(has_index))?;
+        (self.tasks.get(key)?.state == TaskState::Waiting && job.is_restored).then_some(key)
+    }
+
+    fn report_unknown(&mut self, worker: WorkerKey, item: &AttemptReport, out: &mut Vec<Action>) {
+        let attempt = item.attempt;
+        match item.state {
+            AttemptState::Stopped | AttemptState::Ended(End::Failed) => {
+                out.push(Action::Forget { worker, attempts: vec![attempt] });
+            }
+            AttemptState::Ended(End::Finished) => {
+                if self.is_restored && !self.is_unforgotten(item) {
+                    out.push(Action::Forget { worker, attempts: vec![attempt] });
+                }
+            }
+            AttemptState::Running | AttemptState::Stopping => {
+                self.add_orphan(worker, item);
+                if self.is_restored {
+                    out.push(Action::Stop { worker, attempt, mode: StopMode::Stop });
+                }
+            }
+        }
+    }
+
+    fn is_unforgotten(&self, item: &AttemptReport) -> bool {
+        let job = self.job_ids.get(&item.task.job_id).and_then(|key| self.jobs.get(*key));
+        job.is_some_and(|job| job.unforgotten.iter().any(|kept| kept.attempt == item.attempt))
+    }
+
+    fn add_orphan(&mut self, worker: WorkerKey, item: &AttemptReport) {
+        if self.orphans.contains_key(&item.attempt) {
+            return;
+        }
+        let orphan = Orphan { worker, task: item.task.clone(), reserved: item.reserved };
+        self.orphans.insert(item.attempt, orphan);
+        if let Some(view) = self.workers.get_mut(worker) {
+            view.reserved = view.reserved.plus(item.reserved);
+            view.orphans.push(item.attempt);
+        }
+        self.refresh_room(worker);
+    }
+
+    fn drop_orphan(&mut self, attempt: Attempt) {
+        let Some(orphan) = self.orphans.remove(&attempt) else { return };
+        if let Some(view) = self.workers.get_mut(orphan.worker) {
+            view.reserved = view.reserved.minus(orphan.reserved);
+            view.orphans.retain(|held| *held != attempt);
+        }
+        self.refresh_room(orphan.worker);
+        self.wake = Wake::All;
+    }
+
+    /// Tasks held here that the report does not list: gone for certain if the barrier covers them.
+    fn settle_absent(
+        &mut self,
+        worker: WorkerKey,
+        report: &WorkerReport,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(view) = self.workers.get(worker) else { return };
+        for key in view.tasks.clone() {
+            let Some(task) = self.tasks.get(key) else { continue };
+            let attempt = task.attempt;
+            if report.attempts.iter().any(|item| item.attempt == attempt) {
+                continue;
+            }
+            if attempt <= report.barrier {
+                self.attempt_event(attempt, TaskEvent::Absent, now_ms, out);
+            } else if task.state != TaskState::Starting {
+                self.workers[worker].needs_read = true;
+            }
+        }
+    }
+
+    fn settle_orphans(&mut self, worker: WorkerKey, report: &WorkerReport) {
+        let Some(view) = self.workers.get(worker) else { return };
+        for attempt in view.orphans.clone() {
+            let runs = report.attempts.iter().any(|item| {
+                let state = item.state;
+                item.attempt == attempt
+                    && matches!(state, AttemptState::Running | AttemptState::Stopping)
+            });
+            if !runs {
+                self.drop_orphan(attempt);
+            }
+        }
+    }
+}
--- a/src/place/state.rs
+++ b/src/place/state.rs
@@ -5,8 +5,11 @@
 
 use slotmap::new_key_type;
 
+use super::index::Row;
 use super::life::{TaskState, WorkerState};
 use super::message::{Attempt, JobId, JobState, TaskId};
+use super::queue::TeamKey;
+use super::rules::Ruling;
 use super::spec::{JobSpec, Resources};
 use crate::inventory::WorkerKey;
 
@@ -28,6 +31,14 @@
     pub(crate) reserved: Resources,
     /// Time at which the state was entered, in milliseconds.
     pub(crate) since_ms: u64,
+    /// Failures of its own, without a success between.
+    pub(crate) failures: u8,
+    /// Whether it was made to run with less processor time.
+    pub(crate) is_throttled: bool,
+    /// Number of the specification that it was started with.
+    pub(crate) generation: u32,
+    /// Replica beyond the number that is wanted; it ends when it has stopped.
+    pub(crate) is_surplus: bool,
 }
 
 /// A job and its tasks.
@@ -44,9 +55,22 @@
     /// Tasks that hold resources.
     pub(crate) placed_count: u32,
     pub(crate) running_count: u32,
+    pub(crate) stopping_count: u32,
     pub(crate) finished_count: u32,
+    pub(crate) team: TeamKey,
+    pub(crate) ruling: Ruling,
+    /// Number of its specification; a service may get others.
+    pub(crate) generation: u32,
+    /// Workers on which its tasks failed, without a success since.
+    pub(crate) failed_workers: Vec<WorkerKey>,
+    /// Time before which it is not tried again, in milliseconds.
+    pub(crate) not_before_ms: u64,
+    /// Waiting tasks for which room is being made.
+    pub(crate) nominated: Vec<TaskKey>,
     pub(crate) state: JobState,
     pub(crate) is_cancelled: bool,
+    /// Whether its tasks failed everywhere; what runs of it is stopped.
+    pub(crate) is_given_up: bool,
     /// Read from the store at takeover: its tasks may run on workers that were not yet read.
     pub(crate) is_restored: bool,
     /// Number of the last change of the progress.
@@ -56,6 +80,46 @@
     pub(crate) unforgotten: Vec<Unforgotten>,
 }
 
+impl Task {
+    pub(crate) fn new(job: JobKey, index: u32, state: TaskState, now_ms: u64) -> Self {
+        Self {
+            job,
+            index,
+            state,
+            attempt: Attempt::default(),
+            worker: WorkerKey::default(),
+            reserved: Resources::default(),
+            since_ms: now_ms,
+            failures: 0,
+            is_throttled: false,
+            generation: 0,
+            is_surplus: false,
+        }
+    }
+}
+
+impl Job {
+    /// Adds a new task in one of the states that hold nothing.
+    pub(crate) fn add(&mut self, task: TaskKey, state: TaskState) {
+        self.tasks.push(task);
+        match state {
+            TaskState::Waiting => {
+                self.waiting.push_back(task);
+                self.waiting_count += 1;
+            }
+            TaskState::Finished => self.finished_count += 1,
+            _ => {}
+        }
+    }
+
+    /// Whether every worker with room will do.
+    pub(crate) fn is_plain(&self) -> bool {
+        self.spec.constraints.is_empty()
+            && self.ruling.marks.is_empty()
+            && self.failed_workers.is_empty()
+    }
+}
+
 /// An ended attempt that its worker keeps until the progress is stored.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Unforgotten {
@@ -78,6 +142,21 @@
     pub(crate) state: WorkerState,
     pub(crate) capacity: Resources,
     pub(crate) reserved: Resources,
+    /// Part of the reservations whose tasks are being stopped.
+    pub(crate) leaving: Resources,
+    /// Room that is being made for tasks chosen for this worker.
+    pub(crate) nominated: Resources,
+    /// Room that a gang in the course of placement has taken.
+    pub(crate) tentative: Resources,
+    pub(crate) row: Row,
+    /// Tasks on it by the side of the rule that keeps them apart.
+    pub(crate) marks: Vec<u32>,
+    /// Jobs that failed on it, without a success since.
+    pub(crate) failed_jobs: Vec<JobKey>,
+    /// Time before which a worker on probation gets no task, in milliseconds.
+    pub(crate) not_before_ms: u64,
+    /// Failures in a row while on probation.
+    pub(crate) probation_failures: u32,
     pub(crate) tasks: Vec<TaskKey>,
     pub(crate) orphans: Vec<Attempt>,
     pub(crate) token_ms: u64,
@@ -92,11 +171,19 @@
 }
 
 impl WorkerView {
-    pub(crate) fn new(capacity: Resources, now_ms: u64) -> Self {
+    pub(crate) fn new(row: Row, capacity: Resources, marks: usize, now_ms: u64) -> Self {
         Self {
             state: WorkerState::Unread,
             capacity,
             reserved: Resources::default(),
+            leaving: Resources::default(),
+            nominated: Resources::default(),
+            tentative: Resources::default(),
+            row,
+            marks: vec![0; marks],
+            failed_jobs: Vec::new(),
+            not_before_ms: 0,
+            probation_failures: 0,
             tasks: Vec::new(),
             orphans: Vec::new(),
             token_ms: 0,
@@ -110,6 +197,15 @@
 
     /// Room that is not reserved; zero where the worker shrank below its reservations.
     pub(crate) fn free(&self) -> Resources {
-        self.capacity.minus(self.reserved)
+        self.capacity.minus(self.reserved.plus(self.tentative))
+    }
+
+    /// Room for tasks that were not chosen for this worker beforehand.
+    pub(crate) fn room(&self) -> Resources {
+        if self.nominated.is_zero() {
+            return self.free();
+        }
+        let held = self.reserved.plus(self.tentative).plus(self.nominated).minus(self.leaving);
+        self.free().smaller(self.capacity.minus(held))
     }
 }
--- /dev/null
+++ b/src/place/upkeep.rs
@@ -0,0 +1,209 @@
+//! Upkeep at each tick: drained workers are emptied, services get their new specification.
+
+use std::sync::Arc;
+
+use super::life::{TaskState, WorkerEvent, WorkerState};
+use super::message::{Action, JobId, StopMode};
+use super::placer::{Placer, Wake};
+use super::rules::Rules;
+use super::spec::{JobKind, JobSpec, Resources};
+use super::state::{Job, JobKey, TaskKey};
+use crate::declarations::RuleDeclaration;
+use crate::inventory::WorkerKey;
+use crate::quota::Shares;
+
+/// Replicas of a service that may be down at once for its renewal, as a part of all; at least 1.
+const REPLICAS_PER_DOWN: u32 = 10;
+
+impl Placer {
+    pub(crate) fn upkeep(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        self.empty_drained(now_ms, out);
+        self.renew_services(now_ms, out);
+        self.forget_workers();
+    }
+
+    /// Stops what may be stopped on drained and removed workers; the rest runs to its end.
+    fn empty_drained(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let drained: Vec<WorkerKey> = self
+            .inventory
+            .workers()
+            .filter(|(_, worker)| worker.is_draining || worker.is_removed)
+            .map(|(key, _)| key)
+            .collect();
+        for key in drained {
+            let Some(view) = self.workers.get(key) else { continue };
+            for task in view.tasks.clone() {
+                if self.may_move(task) {
+                    self.stop_task(task, StopMode::Checkpoint, now_ms, out);
+                }
+            }
+        }
+    }
+
+    fn may_move(&self, key: TaskKey) -> bool {
+        let Some(task) = self.tasks.get(key) else { return false };
+        let Some(job) = self.jobs.get(task.job) else { return false };
+        if task.state != TaskState::Running {
+            return false;
+        }
+        match job.spec.kind {
+            JobKind::Service => may_take_down(job),
+            JobKind::Batch | JobKind::Gang => job.spec.is_stoppable,
+        }
+    }
+
+    /// Stops replicas that run an earlier specification, a few at a time.
+    fn renew_services(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let renewing = std::mem::take(&mut self.renewing);
+        for key in renewing {
+            if self.renew_service(key, now_ms, out) {
+                self.renewing.push(key);
+            }
+        }
+    }
+
+    /// Whether some replica still runs an earlier specification.
+    fn renew_service(&mut self, key: JobKey, now_ms: u64, out: &mut Vec<Action>) -> bool {
+        let Some(job) = self.jobs.get(key) else { return false };
+        let generation = job.generation;
+        let is_old = |task: &TaskKey| {
+            let task = self.tasks.get(*task);
+            task.is_some_and(|task| task.state.is_placed() && task.generation != generation)
+        };
+        let old: Vec<TaskKey> = job.tasks.iter().copied().filter(is_old).collect();
+        for &task in &old {
+            if !self.jobs.get(key).is_some_and(may_take_down) {
+                break;
+            }
+            if self.tasks[task].state == TaskState::Running {
+                self.stop_task(task, StopMode::Stop, now_ms, out);
+            }
+        }
+        !old.is_empty()
+    }
+
+    /// Gives a service another specification, or another number of replicas.
+    pub(crate) fn replace(
+        &mut self,
+        job_id: &JobId,
+        spec: Arc<JobSpec>,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(&key) = self.job_ids.get(job_id) else { return };
+        let Some(job) = self.jobs.get(key) else { return };
+        let is_service = job.spec.kind == JobKind::Service && spec.kind == JobKind::Service;
+        if !is_service || job.is_cancelled || self.rejection(&spec).is_some() {
+            return;
+        }
+        let mut same_size = (*spec).clone();
+        same_size.tasks = job.spec.tasks;
+        let is_renewed = same_size != *job.spec;
+        self.dequeue(key);
+        let ruling = self.rules.ruling(&spec);
+        let team = self.queue.team_key(&spec.team);
+        let job = &mut self.jobs[key];
+        if team != job.team || ruling.marks != job.ruling.marks {
+            // Another team or rule would change what running replicas count against.
+            self.enqueue(key);
+            return;
+        }
+        job.ruling = ruling;
+        job.spec = spec;
+        job.generation += u32::from(is_renewed);
+        self.resize_service(key, now_ms, out);
+        if is_renewed {
+            self.renewing.push(key);
+        }
+        self.enqueue(key);
+        self.refresh_job(key, now_ms, out);
+    }
+
+    fn resize_service(&mut self, key: JobKey, now_ms: u64, out: &mut Vec<Action>) {
+        let wanted = self.jobs[key].spec.tasks as usize;
+        let known = self.jobs[key].tasks.len();
+        if wanted > known {
+            self.add_replicas(key, now_ms);
+        }
+        for task in self.jobs[key].tasks.split_off(wanted.min(known)) {
+            if self.tasks[task].state.is_placed() {
+                self.tasks[task].is_surplus = true;
+                self.stop_task(task, StopMode::Stop, now_ms, out);
+                self.jobs[key].tasks.push(task);
+            } else {
+                self.task_event(task, super::life::TaskEvent::Cancel, now_ms);
+            }
+        }
+    }
+
+    /// Forgets removed workers on which nothing can run any more.
+    fn forget_workers(&mut self) {
+        let gone: Vec<WorkerKey> = self
+            .workers
+            .iter()
+            .filter(|(_, view)| view.state == WorkerState::Leaving)
+            .filter(|(_, view)| view.tasks.is_empty() && view.orphans.is_empty())
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            if self.is_locating {
+                return;
+            }
+            self.worker_event(key, WorkerEvent::Forget);
+            if let Some(view) = self.workers.remove(key) {
+                self.index.remove(view.row);
+            }
+            self.inventory.forget(key);
+        }
+    }
+
+    pub(crate) fn set_rules(&mut self, declared: &[RuleDeclaration]) {
+        self.rules = Rules::new(declared);
+        let marks = self.rules.mark_count();
+        for view in self.workers.values_mut() {
+            view.marks = vec![0; marks];
+        }
+        for job in self.jobs.values_mut() {
+            job.ruling = self.rules.ruling(&job.spec);
+        }
+        for task in self.tasks.values().filter(|task| task.state.is_placed()) {
+            let Some(view) = self.workers.get_mut(task.worker) else { continue };
+            for mark in &self.jobs[task.job].ruling.marks {
+                view.marks[usize::from(*mark)] += 1;
+            }
+        }
+    }
+
+    pub(crate) fn set_shares(&mut self, shares: Arc<Shares>) {
+        self.shares = Some(shares);
+        self.refresh_limits();
+        self.wake = Wake::All;
+    }
+
+    /// Brings the limits of all teams in step with the shares of the zone.
+    pub(crate) fn refresh_limits(&mut self) {
+        let workers = self.inventory.workers();
+        let total =
+            workers.fold(Resources::default(), |sum, (_, worker)| sum.plus(worker.capacity));
+        self.queue.set_total(total);
+        let names: Vec<String> = self.queue.teams().map(|team| team.name.clone()).collect();
+        for name in names {
+            let limit = self.limit_of(&name);
+            let key = self.queue.team_key(&name);
+            self.queue.set_limit(key, limit);
+        }
+    }
+
+    /// What a team may use here, if quotas are in force.
+    pub(crate) fn limit_of(&self, team: &str) -> Option<Resources> {
+        let shares = self.shares.as_ref()?;
+        Some(shares.teams.get(team).copied().unwrap_or_default())
+    }
+}
+
+/// Whether one more replica of a service may be stopped.
+fn may_take_down(job: &Job) -> bool {
+    let allowed = (job.spec.tasks / REPLICAS_PER_DOWN).max(1);
+    let down = job.waiting_count + job.stopping_count;
+    down < allowed
+}
--- a/src/place/workers.rs
+++ b/src/place/workers.rs
@@ -1,9 +1,9 @@
 //! Workers: reads, reports, silence, renewals and the certain end of leases.
 
-use super::life::{TaskEvent, TaskState, WorkerEvent, WorkerState};
-use super::message::{Action, Attempt, AttemptReport, AttemptState, End, StopMode, WorkerReport};
-use super::placer::Placer;
-use super::state::{Orphan, TaskKey, WorkerView};
+use super::life::{TaskEvent, WorkerEvent, WorkerState};
+use super::message::{Action, Attempt, StopMode};
+use super::placer::{Placer, Wake};
+use super::state::WorkerView;
 use crate::inventory::WorkerKey;
 
 impl Placer {
@@ -27,7 +27,9 @@
         self.inherited_until_ms = None;
         let keys: Vec<WorkerKey> = self.inventory.workers().map(|(key, _)| key).collect();
         for key in keys {
-            self.workers.remove(key);
+            if let Some(view) = self.workers.remove(key) {
+                self.index.remove(view.row);
+            }
             self.add_worker(key, now_ms);
         }
         self.call_workers(now_ms, out);
@@ -43,9 +45,17 @@
         self.orphans.clear();
         self.queue.clear();
         self.dirty_jobs.clear();
+        self.renewing.clear();
+        self.nominations.clear();
+        self.delayed.clear();
+        self.claim = None;
+        self.wake = Wake::Nothing;
+        let marks = self.rules.mark_count();
         for view in self.workers.values_mut() {
-            *view = WorkerView::new(view.capacity, 0);
+            *view = WorkerView::new(view.row, view.capacity, marks, 0);
         }
+        let keys: Vec<WorkerKey> = self.workers.keys().collect();
+        keys.into_iter().for_each(|key| self.refresh_room(key));
     }
 
     pub(crate) fn add_worker(&mut self, key: WorkerKey, now_ms: u64) {
@@ -56,12 +66,39 @@
                 self.worker_event(key, WorkerEvent::Declare);
             }
             None => {
-                self.workers.insert(key, WorkerView::new(worker.capacity, now_ms));
-                if worker.is_removed {
+                let (capacity, is_removed) = (worker.capacity, worker.is_removed);
+                let row = self.index.add(key);
+                let marks = self.rules.mark_count();
+                self.workers.insert(key, WorkerView::new(row, capacity, marks, now_ms));
+                if is_removed {
                     self.worker_event(key, WorkerEvent::Remove);
                 }
             }
         }
+        self.refresh_room(key);
+    }
+
+    /// Brings the index in step with what a worker can take.
+    pub(crate) fn refresh_room(&mut self, key: WorkerKey) {
+        let (Some(view), Some(worker)) = (self.workers.get(key), self.inventory.worker(key)) else {
+            return;
+        };
+        let probes = view.state == WorkerState::Probation;
+        let is_open = view.state.takes_tasks()
+            && !view.needs_read
+            && !worker.is_draining
+            && !(probes && (view.not_before_ms > 0 || !view.tasks.is_empty()));
+        let was_open = self.index.is_open(view.row);
+        if is_open && !was_open {
+            self.open_capacity = self.open_capacity.plus(view.capacity);
+            self.wake = Wake::All;
+        } else if was_open && !is_open {
+            self.open_capacity = self.open_capacity.minus(self.index.entry(view.row).capacity);
+        } else if is_open {
+            let known = self.index.entry(view.row).capacity;
+            self.open_capacity = self.open_capacity.minus(known).plus(view.capacity);
+        }
+        self.index.set(view.row, view.capacity, is_open.then(|| view.room()));
     }
 
     pub(crate) fn change_worker(&mut self, key: WorkerKey) {
@@ -69,12 +106,14 @@
         if let Some(view) = self.workers.get_mut(key) {
             view.capacity = worker.capacity;
         }
+        self.refresh_room(key);
     }
 
     pub(crate) fn worker_event(&mut self, key: WorkerKey, event: WorkerEvent) {
         let Some(view) = self.workers.get_mut(key) else { return };
         if let Some(after) = view.state.after(event) {
             view.state = after;
+            self.refresh_room(key);
         }
     }
 
@@ -85,18 +124,24 @@
         for task in view.tasks.clone() {
             self.task_event(task, TaskEvent::Lose, now_ms);
         }
+        self.drop_nominations_on(key);
+        self.refresh_room(key);
     }
 
     pub(crate) fn lost_reply(&mut self, attempt: Attempt, now_ms: u64, out: &mut Vec<Action>) {
         let Some(&key) = self.attempts.get(&attempt) else { return };
         self.task_event(key, TaskEvent::Lose, now_ms);
-        let worker = self.tasks[key].worker;
+        self.need_read(self.tasks[key].worker, now_ms, out);
+    }
+
+    /// Lets a worker get no tasks until it was read.
+    pub(crate) fn need_read(&mut self, worker: WorkerKey, now_ms: u64, out: &mut Vec<Action>) {
         let barrier = self.barrier();
-        if let Some(view) = self.workers.get_mut(worker) {
-            view.needs_read = true;
-            view.next_call_ms = now_ms + self.config.renew_every_ms;
-            out.push(Action::Read { worker, barrier });
-        }
+        let Some(view) = self.workers.get_mut(worker) else { return };
+        view.needs_read = true;
+        view.next_call_ms = now_ms + self.config.renew_every_ms;
+        out.push(Action::Read { worker, barrier });
+        self.refresh_room(worker);
     }
 
     /// The latest attempt that was begun.
@@ -104,181 +149,6 @@
         Attempt { epoch: self.epoch.unwrap_or(0), counter: self.counter }
     }
 
-    pub(crate) fn report(
-        &mut self,
-        worker: WorkerKey,
-        report: &WorkerReport,
-        now_ms: u64,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(view) = self.workers.get_mut(worker) else { return };
-        view.heard_at_ms = now_ms;
-        view.token_ms = report.token_ms;
-        view.token_at_ms = now_ms;
-        // A report without our barrier answers a call of an earlier epoch.
-        let is_ours = Some(report.barrier.epoch) == self.epoch;
-        if view.state == WorkerState::Unread && !is_ours && report.barrier.epoch != 0 {
-            return;
-        }
-        let barrier_now = Attempt { epoch: self.epoch.unwrap_or(0), counter: self.counter };
-        if report.barrier >= barrier_now || view.state != WorkerState::Ready {
-            view.needs_read = false;
-        }
-        self.worker_event(worker, WorkerEvent::Read);
-        for item in &report.attempts {
-            self.reported(worker, item, now_ms, out);
-        }
-        self.settle_absent(worker, report, now_ms, out);
-        self.settle_orphans(worker, report);
-        self.update_locating(now_ms);
-    }
-
-    fn reported(
-        &mut self,
-        worker: WorkerKey,
-        item: &AttemptReport,
-        now_ms: u64,
-        out: &mut Vec<Action>,
-    ) {
-        if !self.attempts.contains_key(&item.attempt) && !self.adopt(worker, item, now_ms, out) {
-            self.report_unknown(worker, item, out);
-            return;
-        }
-        let attempt = item.attempt;
-        let Some(&key) = self.attempts.get(&attempt) else { return };
-        match item.state {
-            AttemptState::Running | AttemptState::Stopping => {
-                if self.tasks[key].state == TaskState::Stopping {
-                    out.push(Action::Stop { worker, attempt, mode: StopMode::Stop });
-                } else {
-                    self.attempt_event(attempt, TaskEvent::Confirm, now_ms, out);
-                }
-            }
-            AttemptState::Stopped => {
-                self.attempt_event(attempt, TaskEvent::Absent, now_ms, out);
-                out.push(Action::Forget { worker, attempts: vec![attempt] });
-            }
-            AttemptState::Ended(end) => self.ended(attempt, end, now_ms, out),
-        }
-    }
-
-    /// Takes over a running attempt of an earlier holder for its waiting task.
-    fn adopt(
-        &mut self,
-        worker: WorkerKey,
-        item: &AttemptReport,
-        now_ms: u64,
-        out: &mut Vec<Action>,
-    ) -> bool {
-        let Some(key) = self.adoptable(item) else { return false };
-        if !self.task_event(key, TaskEvent::Adopt, now_ms) {
-            return false;
-        }
-        self.drop_orphan(item.attempt);
-        let task = &mut self.tasks[key];
-        task.attempt = item.attempt;
-        task.worker = worker;
-        task.reserved = item.reserved;
-        self.attempts.insert(item.attempt, key);
-        if let Some(view) = self.workers.get_mut(worker) {
-            view.reserved = view.reserved.plus(item.reserved);
-            view.tasks.push(key);
-        }
-        self.settle(key, now_ms, out);
-        true
-    }
-
-    fn adoptable(&self, item: &AttemptReport) -> Option<TaskKey> {
-        if item.state == AttemptState::Stopped {
-            return None;
-        }
-        let job = self.jobs.get(*self.job_ids.get(&item.task.job_id)?)?;
-        let key = *job.tasks.get(item.task.index as usize)?;
-        (self.tasks.get(key)?.state == TaskState::Waiting && job.is_restored).then_some(key)
-    }
-
-    fn report_unknown(&mut self, worker: WorkerKey, item: &AttemptReport, out: &mut Vec<Action>) {
-        let attempt = item.attempt;
-        match item.state {
-            AttemptState::Stopped | AttemptState::Ended(End::Failed) => {
-                out.push(Action::Forget { worker, attempts: vec![attempt] });
-            }
-            AttemptState::Ended(End::Finished) => {
-                if self.is_restored && !self.is_unforgotten(item) {
-                    out.push(Action::Forget { worker, attempts: vec![attempt] });
-                }
-            }
-            AttemptState::Running | AttemptState::Stopping => {
-                self.add_orphan(worker, item);
-                if self.is_restored {
-                    out.push(Action::Stop { worker, attempt, mode: StopMode::Stop });
-                }
-            }
-        }
-    }
-
-    fn is_unforgotten(&self, item: &AttemptReport) -> bool {
-        let job = self.job_ids.get(&item.task.job_id).and_then(|key| self.jobs.get(*key));
-        job.is_some_and(|job| job.unforgotten.iter().any(|kept| kept.attempt == item.attempt))
-    }
-
-    fn add_orphan(&mut self, worker: WorkerKey, item: &AttemptReport) {
-        if self.orphans.contains_key(&item.attempt) {
-            return;
-        }
-        let orphan = Orphan { worker, task: item.task.clone(), reserved: item.reserved };
-        self.orphans.insert(item.attempt, orphan);
-        if let Some(view) = self.workers.get_mut(worker) {
-            view.reserved = view.reserved.plus(item.reserved);
-            view.orphans.push(item.attempt);
-        }
-    }
-
-    fn drop_orphan(&mut self, attempt: Attempt) {
-        let Some(orphan) = self.orphans.remove(&attempt) else { return };
-        if let Some(view) = self.workers.get_mut(orphan.worker) {
-            view.reserved = view.reserved.minus(orphan.reserved);
-            view.orphans.retain(|held| *held != attempt);
-        }
-    }
-
-    /// Tasks held here that the report does not list: gone for certain if the barrier covers them.
-    fn settle_absent(
-        &mut self,
-        worker: WorkerKey,
-        report: &WorkerReport,
-        now_ms: u64,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(view) = self.workers.get(worker) else { return };
-        for key in view.tasks.clone() {
-            let Some(task) = self.tasks.get(key) else { continue };
-            let attempt = task.attempt;
-            if report.attempts.iter().any(|item| item.attempt == attempt) {
-                continue;
-            }
-            if attempt <= report.barrier {
-                self.attempt_event(attempt, TaskEvent::Absent, now_ms, out);
-            } else if task.state != TaskState::Starting {
-                self.workers[worker].needs_read = true;
-            }
-        }
-    }
-
-    fn settle_orphans(&mut self, worker: WorkerKey, report: &WorkerReport) {
-        let Some(view) = self.workers.get(worker) else { return };
-        for attempt in view.orphans.clone() {
-            let runs = report.attempts.iter().any(|item| {
-                let state = item.state;
-                item.attempt == attempt
-                    && matches!(state, AttemptState::Running | AttemptState::Stopping)
-            });
-            if !runs {
-                self.drop_orphan(attempt);
-            }
-        }
-    }
-
     pub(crate) fn restored_all(&mut self, out: &mut Vec<Action>) {
         self.is_restored = true;
         let mut attempts: Vec<Attempt> = self.orphans.keys().copied().collect();
@@ -295,7 +165,7 @@
     }
 
     /// Ends the search for tasks of restored jobs once they can run nowhere unseen.
-    fn update_locating(&mut self, now_ms: u64) {
+    pub(crate) fn update_locating(&mut self, now_ms: u64) {
         if !self.is_locating {
             return;
         }
@@ -308,6 +178,7 @@
         let lapsed = self.inherited_until_ms.is_some_and(|until| now_ms >= until);
         if self.is_restored && (unread == 0 || lapsed) {
             self.is_locating = false;
+            self.wake = Wake::All;
         }
     }
 
@@ -317,6 +188,9 @@
             self.check_silence(key, now_ms, out);
         }
         self.update_locating(now_ms);
+        self.wake_delayed(now_ms);
+        self.expire_nominations(now_ms);
+        self.upkeep(now_ms, out);
         self.call_workers(now_ms, out);
         self.flush_progress(out);
     }
