--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -7,7 +7,7 @@
 use crate::configs::placer::PlacerConfig;
 use crate::declarations::Declarations;
 use crate::inventory::WorkerKey;
-use crate::jobs::api::{JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView};
+use crate::jobs::api::{JobExplanation, JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView};
 use crate::jobs::journal::{Journal, Met, Write};
 use crate::jobs::record::JobRecord;
 use crate::place::message::{JobId, JobProgress, JobState, Refusal, Rejection};
@@ -134,6 +134,14 @@
         self.metrics.jobs.set(i64::try_from(self.journal.len()).unwrap_or(i64::MAX));
     }
 
+    /// Goes on with placing what the last steps left over; returns whether more is left.
+    pub(crate) fn go_on(&mut self) -> bool {
+        if self.placer.has_work() {
+            self.step(Event::Tick);
+        }
+        self.placer.has_work()
+    }
+
     /// Sends the calls that can go; returns the journal's write that is due.
     pub(crate) fn flush(&mut self) -> Option<Write> {
         for (worker, call) in self.links.take_due() {
@@ -442,9 +450,20 @@
         records.iter().filter_map(|record| self.view(&record.id)).collect()
     }
 
-    fn explain(&self, id: &str) -> Result<serde_json::Value, AskError> {
-        let view = self.view(id).ok_or(AskError::NoSuchJob)?;
-        Ok(serde_json::json!({ "id": view.id, "zone": view.zone, "state": view.state }))
+    fn explain(&self, id: &str) -> Result<JobExplanation, AskError> {
+        let state = self.state(id).ok_or(AskError::NoSuchJob)?;
+        let explanation = self.placer.explain(id, clock::now_ms());
+        let reason = match &state {
+            JobState::Rejected(rejection) => Some(rejection_text(rejection)),
+            _ => None,
+        };
+        Ok(JobExplanation {
+            id: JobId::from(id),
+            zone: self.zone.clone(),
+            state,
+            reason,
+            explanation,
+        })
     }
 
     fn workers(&self) -> Vec<WorkerView> {
--- a/src/placer/control.rs
+++ b/src/placer/control.rs
@@ -36,6 +36,8 @@
     opening: Option<Opening>,
     drain: Option<async_channel::Sender<Option<u64>>>,
     next_tick_ms: u64,
+    /// Whether placing was cut short and goes on without waiting.
+    has_work: bool,
 }
 
 /// A takeover that has not finished: the journal is read and claimed under the new epoch.
@@ -64,6 +66,7 @@
             opening: None,
             drain: None,
             next_tick_ms: 0,
+            has_work: false,
         }
     }
 
@@ -71,7 +74,10 @@
     #[allow(clippy::needless_pass_by_value, reason = "the thread owns its receiver")]
     pub(crate) fn run(mut self, inbox: Receiver<Message>) {
         loop {
-            let wait_ms = self.next_tick_ms.saturating_sub(clock::now_ms());
+            let wait_ms = match self.has_work {
+                true => 0,
+                false => self.next_tick_ms.saturating_sub(clock::now_ms()),
+            };
             match inbox.recv_timeout(Duration::from_millis(wait_ms)) {
                 Ok(Message::Stop) | Err(RecvTimeoutError::Disconnected) => break,
                 Ok(message) => self.take(message),
@@ -95,10 +101,12 @@
             self.next_tick_ms = clock::now_ms() + self.config.tick_ms;
         }
         let is_opening = self.opening.is_some();
+        self.has_work = false;
         if let Some(active) = &mut self.active {
             if is_due {
                 active.tick();
             }
+            self.has_work = active.go_on();
             let write = active.flush();
             let (epoch, is_fenced) = (active.epoch(), active.is_fenced());
             if let Some(write) = write {
--- a/src/placer/message.rs
+++ b/src/placer/message.rs
@@ -4,7 +4,7 @@
 
 use crate::declarations::feed::Accepted;
 use crate::inventory::WorkerKey;
-use crate::jobs::api::{JobView, Submission, SubmitAnswer, WorkerView};
+use crate::jobs::api::{JobExplanation, JobView, Submission, SubmitAnswer, WorkerView};
 use crate::placer::wire::{WorkerAnswer, WorkerCall};
 use crate::placer::zone::ZoneNews;
 use crate::store::{Entry, Revision, StoreError};
@@ -126,7 +126,7 @@
         /// Id of the job.
         id: String,
         /// Answer.
-        reply: Reply<serde_json::Value>,
+        reply: Reply<JobExplanation>,
     },
     /// Show all workers.
     Workers {
