--- a/src/placer/daemon.rs
+++ b/src/placer/daemon.rs
@@ -87,7 +87,7 @@
             Control::new(config.clone(), Arc::clone(&store), caller, metrics, messages.clone());
         let thread = std::thread::Builder::new().name("control".to_owned());
         thread.spawn(move || control.run(inbox)).wrap_err("control thread cannot be started")?;
-        task::spawn(follow_declarations(feed, messages.clone()));
+        task::spawn(follow_declarations(feed.clone(), messages.clone()));
 
         let address = server.address().to_string();
         let session = Session::start(
@@ -95,6 +95,7 @@
             config.membership.clone(),
             member(&config, &address),
         );
+        feed.report_to(&session);
         let holder = Holder { name: config.name.clone(), address };
         let zone = config.zone.clone();
         let keeper = Keeper::start(&zone, holder, store, mirror, session.clone(), messages.clone());
--- /dev/null
+++ b/tests/jobs_faults.rs
@@ -0,0 +1,226 @@
+//! Jobs through placers that are paused, replaced or cut off, and workers that misbehave.
+#![allow(clippy::unwrap_used, reason = "a test stops at what is missing")]
+#![allow(clippy::disallowed_methods, reason = "the test attribute blocks on the test")]
+
+mod jobs_cell;
+mod support;
+
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use hemlockrock::jobs::api::SubmitOutcome;
+use hemlockrock::place::message::JobState;
+use hemlockrock::place::spec::{JobKind, Resources};
+use hemlockrock::standin::store::faults::Faults;
+use hemlockrock::standin::worker::Mode;
+use http_types::Method;
+use jobs_cell::{sleeping, Cell, PATIENCE, SESSION_TTL, TASK_LEASE};
+use support::eventually;
+
+#[async_std::test]
+async fn a_placer_woken_after_its_lease_is_fenced_and_doubles_nothing() {
+    let mut cell = Cell::start(4).await;
+    let first = cell.add_placer("p1");
+    eventually("p1 holds the zone", PATIENCE, || cell.holder().is_some());
+    let second = cell.add_placer("p2");
+    cell.submit_until_accepted(first, &sleeping("busy", 6, 600_000)).await;
+    cell.submit_until_accepted(first, &sleeping("short", 40, 300)).await;
+
+    cell.placers[first].pause();
+    eventually("p2 holds the zone", PATIENCE, || {
+        cell.holder().is_some_and(|(name, _)| name == "p2")
+    });
+    cell.submit_until_accepted(second, &sleeping("after", 20, 200)).await;
+    cell.placers[first].resume();
+    cell.wait_for_state(second, "short", &JobState::Finished).await;
+    cell.wait_for_state(second, "after", &JobState::Finished).await;
+    eventually("the long ones run", PATIENCE, || cell.running_of("busy") == 6);
+    cell.check();
+    assert_eq!(cell.runs_of("after").len(), 20);
+    // The woken one passes calls on to the holder.
+    cell.wait_for_state(first, "after", &JobState::Finished).await;
+}
+
+#[async_std::test]
+async fn running_tasks_outlast_an_outage_of_the_store() {
+    let mut cell = Cell::start(4).await;
+    let first = cell.add_placer("p1");
+    cell.add_placer("p2");
+    cell.submit_until_accepted(first, &sleeping("busy", 8, 600_000)).await;
+    cell.submit_until_accepted(first, &sleeping("queue", 60, 500)).await;
+    eventually("all run", PATIENCE, || cell.running_of("busy") == 8);
+
+    cell.store.set_faults(Faults { down: true, ..Faults::default() });
+    let before = cell.runs_of("queue").len();
+    let (status, answer) = cell.submit(first, &sleeping("refused", 1, 10)).await;
+    assert_eq!(status, 503, "{answer:?}");
+    task::sleep(TASK_LEASE * 2 + SESSION_TTL).await;
+    assert_eq!(cell.running_of("busy"), 8);
+    assert!(cell.runs_of("queue").len() > before, "placing goes on under the epoch");
+    cell.store.set_faults(Faults::default());
+
+    cell.submit_until_accepted(first, &sleeping("after", 4, 100)).await;
+    cell.wait_for_state(first, "queue", &JobState::Finished).await;
+    cell.wait_for_state(first, "after", &JobState::Finished).await;
+    assert_eq!(cell.cut_short(), 0);
+    assert_eq!(cell.runs_of("refused").len(), 0);
+    cell.check();
+}
+
+#[async_std::test]
+async fn answers_to_submissions_are_true_while_the_store_loses_its_answers() {
+    const JOBS: u32 = 30;
+    let mut cell = Cell::start(6).await;
+    let placer = cell.add_placer("p1");
+    eventually("p1 holds the zone", PATIENCE, || cell.holder().is_some());
+    cell.store.set_faults(Faults { seed: 7, lose_answers: 0.4, ..Faults::default() });
+    let mut told = Vec::new();
+    for number in 0..JOBS {
+        let job = sleeping(&format!("j{number}"), 1, 50);
+        let (status, answer) = cell.submit(placer, &job).await;
+        told.push((job, status, answer.map(|answer| answer.outcome)));
+    }
+    cell.store.set_faults(Faults::default());
+    task::sleep(SESSION_TTL * 2).await;
+    for (job, status, outcome) in &told {
+        let is_unknown = *status == 504 || *status == 0;
+        match outcome {
+            Some(SubmitOutcome::Accepted) => {
+                cell.wait_for_state(placer, &job.id, &JobState::Finished).await;
+            }
+            Some(SubmitOutcome::Unknown) => {}
+            _ if is_unknown => {}
+            _ => assert!(cell.runs_of(&job.id).is_empty(), "{} was told not run", job.id),
+        }
+        cell.submit_until_accepted(placer, job).await;
+        cell.wait_for_state(placer, &job.id, &JobState::Finished).await;
+        assert_eq!(cell.runs_of(&job.id).len(), 1, "{} ran once", job.id);
+    }
+    cell.check();
+}
+
+#[async_std::test]
+async fn an_accepted_job_is_found_after_every_placer_was_replaced() {
+    let mut cell = Cell::start(2).await;
+    let first = cell.add_placer("p1");
+    let second = cell.add_placer("p2");
+    cell.submit_until_accepted(first, &sleeping("kept", 30, 400)).await;
+    cell.placers[first].kill();
+    cell.placers[second].kill();
+    let third = cell.add_placer("p3");
+    cell.wait_for_state(third, "kept", &JobState::Finished).await;
+    cell.check();
+}
+
+#[async_std::test]
+async fn a_drained_placer_hands_over_at_once_and_its_tasks_go_on() {
+    let mut cell = Cell::start(4).await;
+    let first = cell.add_placer("p1");
+    eventually("p1 holds the zone", PATIENCE, || cell.holder().is_some());
+    let second = cell.add_placer("p2");
+    cell.submit_until_accepted(first, &sleeping("busy", 8, 600_000)).await;
+    eventually("all run", PATIENCE, || cell.running_of("busy") == 8);
+    let asked = Instant::now();
+    cell.placers[first].terminate();
+    eventually("p2 holds the zone", PATIENCE, || {
+        cell.holder().is_some_and(|(name, _)| name == "p2")
+    });
+    assert!(asked.elapsed() < SESSION_TTL, "took {:?}", asked.elapsed());
+    assert_eq!(cell.placers[first].wait(PATIENCE), Some(0));
+    cell.submit_until_accepted(second, &sleeping("after", 2, 50)).await;
+    cell.wait_for_state(second, "after", &JobState::Finished).await;
+    task::sleep(TASK_LEASE * 2).await;
+    assert_eq!((cell.running_of("busy"), cell.cut_short()), (8, 0));
+    cell.check();
+}
+
+#[async_std::test]
+async fn a_worker_that_fails_everything_is_backed_off() {
+    let mut cell = Cell::start(4).await;
+    cell.set_mode(0, Mode::FailsTasks);
+    cell.set_mode(1, Mode::FailsEverything);
+    let placer = cell.add_placer("p1");
+    for number in 0..20 {
+        cell.submit_until_accepted(placer, &sleeping(&format!("j{number}"), 4, 50)).await;
+    }
+    for number in 0..20 {
+        cell.wait_for_state(placer, &format!("j{number}"), &JobState::Finished).await;
+    }
+    let failed = cell.workers.records()[0].1.runs.len();
+    assert!(failed < 40, "the failing worker got {failed} of 80 tasks");
+    cell.check();
+}
+
+#[async_std::test]
+async fn ten_thousand_tasks_are_cancelled_in_one_call() {
+    let mut cell = Cell::start(20).await;
+    let placer = cell.add_placer("p1");
+    cell.submit_until_accepted(placer, &sleeping("wave", 10_000, 600_000)).await;
+    eventually("the cell is full", PATIENCE, || cell.running_of("wave") == 80);
+    let asked = Instant::now();
+    let reply = cell.call(placer, Method::Delete, "/v1/jobs/wave", Vec::new()).await.unwrap();
+    assert_eq!(reply.status, 200, "{:?}", reply.body);
+    eventually("all stopped", PATIENCE, || cell.running_of("wave") == 0);
+    println!("10,000 tasks, 80 of them running, cancelled in {} ms", asked.elapsed().as_millis());
+    cell.wait_for_state(placer, "wave", &JobState::Cancelled).await;
+    cell.submit_until_accepted(placer, &sleeping("next", 80, 100)).await;
+    cell.wait_for_state(placer, "next", &JobState::Finished).await;
+    cell.check();
+}
+
+#[async_std::test]
+async fn a_gang_starts_whole_on_what_others_free() {
+    let mut cell = Cell::start(3).await;
+    let placer = cell.add_placer("p1");
+    cell.submit_until_accepted(placer, &sleeping("filler", 9, 1_500)).await;
+    eventually("filled", PATIENCE, || cell.running_of("filler") == 9);
+    let mut gang = sleeping("gang", 10, 500);
+    gang.spec = gang.spec.with_kind(JobKind::Gang);
+    cell.submit_until_accepted(placer, &gang).await;
+    let mut too_large = sleeping("too-large", 13, 500);
+    too_large.spec = too_large.spec.with_kind(JobKind::Gang);
+    let (status, answer) = cell.submit(placer, &too_large).await;
+    assert_eq!(status, 422, "{answer:?}");
+    cell.wait_for_state(placer, "gang", &JobState::Finished).await;
+    let runs = cell.runs_of("gang");
+    assert_eq!(runs.len(), 10);
+    let started = runs.iter().map(|run| run.started_at_ms);
+    let spread_ms = started.clone().max().unwrap() - started.min().unwrap();
+    assert!(spread_ms < 1_000, "started over {spread_ms} ms");
+    cell.check();
+}
+
+#[async_std::test]
+async fn a_job_that_can_never_run_is_told_so_at_once() {
+    let mut cell = Cell::start(2).await;
+    let placer = cell.add_placer("p1");
+    cell.submit_until_accepted(placer, &sleeping("probe", 1, 1)).await;
+    let mut job = sleeping("huge", 1, 10);
+    job.spec = job.spec.with_resources(Resources::new(64_000, 1 << 30, 0));
+    let (status, answer) = cell.submit(placer, &job).await;
+    let answer = answer.unwrap();
+    assert_eq!((status, answer.outcome), (422, SubmitOutcome::NotRun));
+    assert!(answer.reason.unwrap().contains("large enough"));
+    let path = "/v1/jobs/huge/explain";
+    let reply = cell.call(placer, Method::Get, path, Vec::new()).await.unwrap();
+    assert!(String::from_utf8_lossy(&reply.body).contains("large enough"));
+}
+
+#[async_std::test]
+async fn silent_slow_and_late_workers_neither_double_nor_lose_a_task() {
+    let mut cell = Cell::start(8).await;
+    cell.set_mode(0, Mode::AnswersLost);
+    cell.set_mode(1, Mode::Slow { delay_ms: 300 });
+    cell.set_mode(2, Mode::LateReports { lag_ms: 700 });
+    let placer = cell.add_placer("p1");
+    cell.submit_until_accepted(placer, &sleeping("mixed", 120, 400)).await;
+    task::sleep(Duration::from_millis(600)).await;
+    cell.set_mode(3, Mode::Silent);
+    cell.set_mode(4, Mode::Slow { delay_ms: 900 });
+    task::sleep(TASK_LEASE).await;
+    cell.set_mode(0, Mode::Normal);
+    cell.set_mode(4, Mode::AnswersLost);
+    cell.set_mode(5, Mode::Dead);
+    cell.wait_for_state(placer, "mixed", &JobState::Finished).await;
+    cell.check();
+}
