--- a/src/placer/message.rs
+++ b/src/placer/message.rs
@@ -4,7 +4,7 @@
 
 use crate::declarations::feed::Accepted;
 use crate::inventory::WorkerKey;
-use crate::jobs::api::{JobView, Submission, SubmitAnswer, WorkerView};
+use crate::jobs::api::{JobExplanation, JobView, Submission, SubmitAnswer, WorkerView};
 use crate::placer::wire::{WorkerAnswer, WorkerCall};
 use crate::placer::zone::ZoneNews;
 use crate::store::{Entry, Revision, StoreError};
@@ -65,8 +65,7 @@
 }
 
 /// Why a call to a worker gave no answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CallFailure {
     /// It certainly had no effect.
     #[error("not sent: {0}")]
@@ -77,8 +76,7 @@
 }
 
 /// Why the control thread does not do what it was asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum AskError {
     /// This placer does not hold the zone.
     #[error("this placer does not hold the zone now")]
@@ -128,7 +126,7 @@
         /// Id of the job.
         id: String,
         /// Answer.
-        reply: Reply<serde_json::Value>,
+        reply: Reply<JobExplanation>,
     },
     /// Show all workers.
     Workers {
--- a/tests/jobs_cell/mod.rs
+++ b/tests/jobs_cell/mod.rs
@@ -1,5 +1,7 @@
 //! A small cell for tests of jobs: the fakes in this process, the placers as real processes.
 #![allow(dead_code, reason = "each test binary uses its own part")]
+#![allow(unreachable_pub, reason = "shared by test binaries")]
+#![allow(clippy::unwrap_used, reason = "a test stops at what is missing")]
 
 use std::time::{Duration, Instant};
 
