--- /dev/null
+++ b/tests/route_model.rs
@@ -0,0 +1,325 @@
+//! Drives the dispatcher at random and checks it against a plain record of what was sent.
+
+use std::collections::BTreeMap;
+
+use hemlockrock::configs::route::{Policy, RouteConfig};
+use hemlockrock::outcome::{Outcome, Reason};
+use hemlockrock::route::{
+    Action, CallerKey, Dispatcher, EndpointKey, Event, Guard, KindKey, PeerKey, PeerLoad,
+    RequestKey, SendResult, ServiceKey, ServiceLoad, Sign, Submission,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+const SERVICES: u32 = 2;
+const ENDPOINTS: u32 = 5;
+const SLOTS: u32 = 3;
+
+#[derive(Clone, Debug)]
+enum Op {
+    Own { endpoint: u32, guard: Option<(u32, u64)> },
+    Learned { endpoint: u32, busy: u32 },
+    Disown { endpoint: u32 },
+    Submit { service: u32, kind: u32, caller: u32, flags: (bool, bool), deadline_ms: u64 },
+    Cancel { pick: usize },
+    End { pick: usize, result: SendResult },
+    Sign { endpoint: u32, sign: Sign },
+    Peers { wait_ms: f64, free_slots: u32 },
+    Wait { ms: u64 },
+}
+
+fn results() -> impl Strategy<Value = SendResult> {
+    prop_oneof![
+        6 => (0_u64..2_000).prop_map(|ran_ms| SendResult::Done { ran_ms }),
+        1 => Just(SendResult::DoneFailed),
+        2 => Just(SendResult::Declined),
+        2 => Just(SendResult::NotSent),
+        2 => Just(SendResult::Lost { reason: Reason::ConnectionLost }),
+    ]
+}
+
+fn signs() -> impl Strategy<Value = Sign> {
+    prop_oneof![
+        Just(Sign::Leaving),
+        Just(Sign::Staying),
+        Just(Sign::Refused),
+        Just(Sign::Answering),
+        Just(Sign::Silent),
+    ]
+}
+
+fn ops() -> impl Strategy<Value = Op> {
+    let endpoint = 0..ENDPOINTS;
+    let guard = proptest::option::weighted(0.2, (1..SLOTS, 1_u64..400));
+    prop_oneof![
+        2 => (endpoint.clone(), guard).prop_map(|(endpoint, guard)| Op::Own { endpoint, guard }),
+        3 => (endpoint.clone(), 0..=SLOTS).prop_map(|(endpoint, busy)| Op::Learned { endpoint, busy }),
+        1 => endpoint.clone().prop_map(|endpoint| Op::Disown { endpoint }),
+        12 => (0..SERVICES, 0_u32..3, 0_u32..4, any::<(bool, bool)>(), 1_u64..3_000).prop_map(
+            |(service, kind, caller, flags, deadline_ms)| {
+                Op::Submit { service, kind, caller, flags, deadline_ms }
+            }
+        ),
+        2 => any::<usize>().prop_map(|pick| Op::Cancel { pick }),
+        10 => (any::<usize>(), results()).prop_map(|(pick, result)| Op::End { pick, result }),
+        1 => (endpoint, signs()).prop_map(|(endpoint, sign)| Op::Sign { endpoint, sign }),
+        1 => (0.0..500.0, 0_u32..3).prop_map(|(wait_ms, free_slots)| Op::Peers { wait_ms, free_slots }),
+        4 => (1_u64..300).prop_map(|ms| Op::Wait { ms }),
+    ]
+}
+
+/// What the oracle knows of a request.
+#[derive(Clone, Debug)]
+struct Known {
+    submission: Submission,
+    sent_to: Option<EndpointKey>,
+    may_have_run: bool,
+    is_cancelled: bool,
+    is_ended: bool,
+}
+
+/// What the oracle knows of an endpoint.
+#[derive(Clone, Debug, Default)]
+struct Runner {
+    is_owned: bool,
+    foreign: Option<u32>,
+    is_leaving: bool,
+    guard: Option<Guard>,
+    in_flight: u32,
+}
+
+struct Model {
+    dispatcher: Dispatcher,
+    now_ms: u64,
+    requests: BTreeMap<RequestKey, Known>,
+    runners: BTreeMap<EndpointKey, Runner>,
+}
+
+impl Model {
+    fn new(config: RouteConfig) -> Self {
+        Self {
+            dispatcher: Dispatcher::new(config, 11),
+            now_ms: 0,
+            requests: BTreeMap::new(),
+            runners: (0..ENDPOINTS).map(|key| (EndpointKey(key), Runner::default())).collect(),
+        }
+    }
+
+    fn apply(&mut self, op: Op) {
+        match op {
+            Op::Own { endpoint, guard } => self.own(EndpointKey(endpoint), guard),
+            Op::Learned { endpoint, busy } => {
+                let endpoint = EndpointKey(endpoint);
+                let runner = self.runner(endpoint);
+                if runner.is_owned {
+                    runner.foreign = Some(busy);
+                }
+                self.step(Event::Learned { endpoint, busy });
+            }
+            Op::Disown { endpoint } => {
+                let endpoint = EndpointKey(endpoint);
+                self.runner(endpoint).is_owned = false;
+                self.step(Event::Disown { endpoint });
+            }
+            Op::Submit { service, kind, caller, flags, deadline_ms } => {
+                let submission = Submission {
+                    request: RequestKey(self.requests.len() as u64),
+                    service: ServiceKey(service),
+                    kind: KindKey(kind),
+                    caller: CallerKey(caller),
+                    is_idempotent: flags.0,
+                    is_forwarded: flags.1,
+                    deadline_ms: self.now_ms + deadline_ms,
+                };
+                self.submit(submission);
+            }
+            Op::Cancel { pick } => self.cancel(pick),
+            Op::End { pick, result } => self.end(pick, result),
+            Op::Sign { endpoint, sign } => self.sign(EndpointKey(endpoint), sign),
+            Op::Peers { wait_ms, free_slots } => self.hear(wait_ms, free_slots),
+            Op::Wait { ms } => {
+                self.now_ms += ms;
+                self.step(Event::Tick);
+            }
+        }
+    }
+
+    fn own(&mut self, endpoint: EndpointKey, guard: Option<(u32, u64)>) {
+        let guard = guard.map(|(slots, ms)| Guard { slots, until_ms: self.now_ms + ms });
+        let runner = self.runner(endpoint);
+        let in_flight = runner.in_flight;
+        *runner = Runner { is_owned: true, guard, in_flight, ..Runner::default() };
+        let service = ServiceKey(endpoint.0 % SERVICES);
+        self.step(Event::Own { endpoint, service, slots: SLOTS, guard });
+    }
+
+    fn submit(&mut self, submission: Submission) {
+        let known = Known {
+            submission,
+            sent_to: None,
+            may_have_run: false,
+            is_cancelled: false,
+            is_ended: false,
+        };
+        self.requests.insert(submission.request, known);
+        self.step(Event::Submit(submission));
+    }
+
+    fn cancel(&mut self, pick: usize) {
+        let open = self.requests.values_mut().filter(|known| !known.is_ended);
+        let mut open: Vec<_> = open.collect();
+        if open.is_empty() {
+            return;
+        }
+        let at = pick % open.len();
+        open[at].is_cancelled = true;
+        let request = open[at].submission.request;
+        self.step(Event::Cancel { request });
+        let known = &self.requests[&request];
+        assert!(known.is_ended || known.sent_to.is_some(), "a queued request ends when cancelled");
+    }
+
+    fn end(&mut self, pick: usize, result: SendResult) {
+        let running: Vec<(RequestKey, EndpointKey)> = self
+            .requests
+            .iter()
+            .filter_map(|(key, known)| known.sent_to.map(|endpoint| (*key, endpoint)))
+            .collect();
+        if running.is_empty() {
+            return;
+        }
+        let (request, endpoint) = running[pick % running.len()];
+        self.runner(endpoint).in_flight -= 1;
+        let known = self.requests.get_mut(&request).unwrap();
+        known.sent_to = None;
+        known.may_have_run |= matches!(result, SendResult::Lost { .. });
+        known.is_ended = matches!(result, SendResult::Done { .. } | SendResult::DoneFailed);
+        self.step(Event::Ended { request, endpoint, result });
+    }
+
+    fn sign(&mut self, endpoint: EndpointKey, sign: Sign) {
+        let runner = self.runner(endpoint);
+        match sign {
+            Sign::Leaving if runner.is_owned => runner.is_leaving = true,
+            Sign::Staying => runner.is_leaving = false,
+            _ => {}
+        }
+        self.step(Event::Sign { endpoint, sign });
+    }
+
+    fn hear(&mut self, short_wait_ms: f64, free_slots: u32) {
+        let load = ServiceLoad {
+            short_wait_ms,
+            long_wait_ms: short_wait_ms,
+            slots: 8,
+            free_slots,
+            ..ServiceLoad::default()
+        };
+        let services = vec![(ServiceKey(0), load)];
+        let peer = PeerLoad { peer: PeerKey(1), trip_ms: 1.0, is_same_zone: true, services };
+        self.step(Event::Peers(vec![peer]));
+    }
+
+    fn runner(&mut self, endpoint: EndpointKey) -> &mut Runner {
+        self.runners.get_mut(&endpoint).unwrap()
+    }
+
+    fn step(&mut self, event: Event) {
+        let mut out = Vec::new();
+        self.dispatcher.step(event, self.now_ms, &mut out);
+        for action in out {
+            self.check(action);
+        }
+    }
+
+    fn check(&mut self, action: Action) {
+        match action {
+            Action::Send { request, endpoint } => self.check_send(request, endpoint),
+            Action::Finish { request, outcome, .. } => {
+                let known = self.requests.get_mut(&request).unwrap();
+                assert!(!known.is_ended, "ended twice");
+                assert_eq!(known.sent_to, None, "ended while it runs");
+                let expected = if known.may_have_run { Outcome::Unknown } else { Outcome::NotRun };
+                assert_eq!(outcome, expected, "the outcome is what is certain");
+                known.is_ended = true;
+            }
+            Action::Forward { request, .. } => {
+                let known = self.requests.get_mut(&request).unwrap();
+                assert!(!known.is_ended && !known.submission.is_forwarded && !known.may_have_run);
+                assert_eq!(known.sent_to, None);
+                known.is_ended = true;
+            }
+            Action::Probe { endpoint } => assert!(self.runners[&endpoint].is_owned),
+            Action::Abort { request, endpoint } => {
+                let known = &self.requests[&request];
+                assert!(known.submission.is_idempotent && known.is_cancelled);
+                assert_eq!(known.sent_to, Some(endpoint));
+            }
+        }
+    }
+
+    fn check_send(&mut self, request: RequestKey, endpoint: EndpointKey) {
+        let now_ms = self.now_ms;
+        let known = self.requests.get_mut(&request).unwrap();
+        assert!(!known.is_ended && !known.is_cancelled && known.sent_to.is_none());
+        assert!(known.submission.deadline_ms > now_ms, "sent after its deadline");
+        assert!(!known.may_have_run || known.submission.is_idempotent, "sent twice");
+        assert_eq!(known.submission.service.0, endpoint.0 % SERVICES);
+        known.sent_to = Some(endpoint);
+        let runner = self.runner(endpoint);
+        runner.in_flight += 1;
+        assert!(runner.is_owned && !runner.is_leaving);
+        let guard = runner.guard.filter(|guard| guard.until_ms > now_ms);
+        let foreign = runner.foreign.expect("sent before busy slots were learned");
+        let busy = runner.in_flight + foreign + guard.map_or(0, |guard| guard.slots);
+        assert!(busy <= SLOTS, "{busy} of {SLOTS} slots");
+    }
+
+    /// Lets everything end, and checks that nothing is left behind.
+    fn settle(mut self) {
+        const STEP_MS: u64 = 500;
+        const LONGEST_MS: u64 = 60_000;
+        let ends_at_ms = self.now_ms + LONGEST_MS;
+        while self.now_ms < ends_at_ms {
+            while self.requests.values().any(|known| known.sent_to.is_some()) {
+                self.end(0, SendResult::Done { ran_ms: 5 });
+            }
+            self.apply(Op::Wait { ms: STEP_MS });
+        }
+        let open = self.requests.values().find(|known| !known.is_ended);
+        assert!(open.is_none(), "never ended: {open:?}");
+        for (_, load) in self.dispatcher.load().services {
+            assert_eq!((load.free_slots, load.queued), (load.slots, 0), "nothing is busy");
+        }
+    }
+}
+
+fn check(policy: Policy, ops: Vec<Op>) {
+    let config = RouteConfig { policy, max_queued: 12, ..RouteConfig::default() };
+    let mut model = Model::new(config);
+    for endpoint in 0..ENDPOINTS - 1 {
+        model.apply(Op::Own { endpoint, guard: None });
+        model.apply(Op::Learned { endpoint, busy: 0 });
+    }
+    ops.into_iter().for_each(|op| model.apply(op));
+    model.settle();
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 1_500,
+        rng_seed: RngSeed::Fixed(20_261),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn full_policy_keeps_its_promises(ops in proptest::collection::vec(ops(), 1..250)) {
+        check(Policy::Full, ops);
+    }
+
+    #[test]
+    fn baseline_keeps_the_same_promises(ops in proptest::collection::vec(ops(), 1..250)) {
+        check(Policy::Baseline, ops);
+    }
+}
