--- a/src/configs/http.rs
+++ b/src/configs/http.rs
@@ -5,7 +5,8 @@
 use crate::settings::{Report, Validate};
 
 /// Settings of the HTTP server and client.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HttpConfig {
     /// Connections that are open at once before new ones are refused.
--- a/src/configs/route.rs
+++ b/src/configs/route.rs
@@ -5,7 +5,8 @@
 use crate::settings::{Report, Validate};
 
 /// How requests are ordered and where they go.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Policy {
     /// Fair shares, deadlines, reserved slots for short work, and spill.
@@ -16,7 +17,8 @@
 }
 
 /// Settings of dispatch.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RouteConfig {
     /// Policy: full or baseline.
--- a/src/http/rpc.rs
+++ b/src/http/rpc.rs
@@ -15,7 +15,8 @@
 pub const TOKEN_HEADER: &str = "Hemlock-Token";
 
 /// Why a call gave no answer.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum RpcError {
     /// The exchange failed; the inner error tells how far it got.
     #[error(transparent)]
