--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -283,7 +283,7 @@
 
     fn describe_own(&self) -> Heartbeat {
         let member = self.parts.session.member();
-        let load = self.dispatcher.load(clock::now_ms());
+        let load = self.dispatcher.load();
         let named = |(service, load): (route::ServiceKey, route::ServiceLoad)| {
             (self.book.service_name(service).to_owned(), load)
         };
