--- /dev/null
+++ b/tests/ledger_model.rs
@@ -0,0 +1,459 @@
+//! Two holders of one ledger under pauses, lost answers and takeovers, against a simple oracle:
+//! no key is sent twice, and what callers are told never contradicts.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+use hemlockrock::configs::ledger::LedgerConfig;
+use hemlockrock::entry::peer::PeerAnswer;
+use hemlockrock::ledger::batch::Batch;
+use hemlockrock::ledger::{
+    Action, Begin, Claim, CommitResult, End, Event, KeyVerdict, Ledger, Ticket,
+};
+use hemlockrock::outcome::{Outcome, Reason};
+use hemlockrock::store::{Expect, Revision};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const HOLDERS: usize = 2;
+const KEYS: u8 = 3;
+
+#[derive(Clone, Debug)]
+enum Op {
+    /// A new request for a key comes to a holder.
+    Begin { holder: usize, key: u8, digest: u64 },
+    /// The claimant of the n-th unanswered request gives up.
+    Abandon { pick: usize },
+    /// The n-th open call to the store is carried out and answered as told.
+    Store { pick: usize, fate: Fate },
+    /// The n-th write that is still on its way reaches the store after its answer was given up.
+    Late { pick: usize },
+    /// The n-th granted run goes on: it is sent, or ends.
+    Run { pick: usize, step: Step, holder: usize },
+    /// A claimant that has no grant asks the other holder.
+    AskAgain { pick: usize, holder: usize },
+    /// Time passes at a holder.
+    Pass { holder: usize, ms: u64 },
+    /// A holder dies and another takes its place.
+    Restart { holder: usize },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Answered,
+    AnswerLost,
+    OnItsWay,
+    Away,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Send,
+    Done,
+    Unknown,
+    NotRun,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        6 => Just(Fate::Answered),
+        1 => Just(Fate::AnswerLost),
+        1 => Just(Fate::OnItsWay),
+        1 => Just(Fate::Away),
+    ]
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let holder = 0..HOLDERS;
+    let pick = 0..64_usize;
+    let step = prop_oneof![
+        4 => Just(Step::Send),
+        2 => Just(Step::Done),
+        1 => Just(Step::Unknown),
+        2 => Just(Step::NotRun),
+    ];
+    prop_oneof![
+        6 => (holder.clone(), 0..KEYS, prop_oneof![9 => Just(1_u64), 1 => Just(2)])
+            .prop_map(|(holder, key, digest)| Op::Begin { holder, key, digest }),
+        1 => pick.clone().prop_map(|pick| Op::Abandon { pick }),
+        12 => (pick.clone(), fate()).prop_map(|(pick, fate)| Op::Store { pick, fate }),
+        1 => pick.clone().prop_map(|pick| Op::Late { pick }),
+        6 => (pick.clone(), step, holder.clone())
+            .prop_map(|(pick, step, holder)| Op::Run { pick, step, holder }),
+        2 => (pick, holder.clone()).prop_map(|(pick, holder)| Op::AskAgain { pick, holder }),
+        4 => (holder.clone(), 0..400_u64).prop_map(|(holder, ms)| Op::Pass { holder, ms }),
+        1 => holder.prop_map(|holder| Op::Restart { holder }),
+    ]
+}
+
+/// A call of a holder to the store.
+#[derive(Clone, Debug)]
+enum Call {
+    Load,
+    Commit { place: u32, expect: Expect, batch: Batch },
+}
+
+/// A submission as its entry host sees it.
+#[derive(Clone, Debug)]
+struct Submission {
+    key: u8,
+    digest: u64,
+    is_granted: bool,
+    is_sent: bool,
+    is_over: bool,
+    abandoned: Vec<Claim>,
+}
+
+struct Model {
+    holders: Vec<Ledger>,
+    now_ms: u64,
+    next: u64,
+    revision: u64,
+    log: BTreeMap<u32, (Revision, Batch)>,
+    calls: Vec<(usize, u64, Call)>,
+    on_the_way: Vec<(u32, Expect, Batch)>,
+    generations: Vec<u64>,
+    submissions: BTreeMap<Claim, Submission>,
+    tickets: BTreeMap<Ticket, (usize, Claim)>,
+    sent: BTreeMap<u8, BTreeSet<Claim>>,
+    told_done: BTreeMap<u8, Bytes>,
+}
+
+impl Model {
+    fn new() -> Self {
+        let mut model = Self {
+            holders: Vec::new(),
+            now_ms: 0,
+            next: 1,
+            revision: 0,
+            log: BTreeMap::new(),
+            calls: Vec::new(),
+            on_the_way: Vec::new(),
+            generations: vec![0; HOLDERS],
+            submissions: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            told_done: BTreeMap::new(),
+        };
+        for _ in 0..HOLDERS {
+            let ledger = model.new_ledger();
+            model.holders.push(ledger);
+        }
+        model
+    }
+
+    fn new_ledger(&mut self) -> Ledger {
+        self.next += 1;
+        let config = LedgerConfig { slots: 4_096, ..LedgerConfig::default() };
+        Ledger::new(config, self.next, 0)
+    }
+
+    fn apply(&mut self, op: &Op) {
+        match op {
+            Op::Begin { holder, key, digest } => {
+                self.next += 1;
+                let claim = Claim(self.next);
+                let submission = Submission {
+                    key: *key,
+                    digest: *digest,
+                    is_granted: false,
+                    is_sent: false,
+                    is_over: false,
+                    abandoned: Vec::new(),
+                };
+                self.submissions.insert(claim, submission);
+                self.ask(*holder, claim);
+            }
+            Op::Abandon { pick } => {
+                let Some((ticket, (holder, claim))) = nth(&self.tickets, *pick) else { return };
+                self.tickets.remove(&ticket);
+                if let Some(submission) = self.submissions.get_mut(&claim) {
+                    submission.is_over = true;
+                }
+                self.step(holder, Event::Abandon(ticket));
+            }
+            Op::Store { pick, fate } => self.store(*pick, *fate),
+            Op::Late { pick } => {
+                if self.on_the_way.is_empty() {
+                    return;
+                }
+                let at = pick % self.on_the_way.len();
+                let (place, expect, batch) = self.on_the_way.remove(at);
+                let _ = self.write(place, expect, &batch);
+            }
+            Op::Run { pick, step, holder } => self.run(*pick, *step, *holder),
+            Op::AskAgain { pick, holder } => {
+                let waits = |claim: &Claim| self.tickets.values().any(|(_, other)| other == claim);
+                let free: BTreeMap<Claim, ()> = self
+                    .submissions
+                    .iter()
+                    .filter(|(claim, known)| !known.is_granted && !known.is_over && !waits(claim))
+                    .map(|(claim, _)| (*claim, ()))
+                    .collect();
+                if let Some((claim, ())) = nth(&free, *pick) {
+                    self.ask_again(*holder, claim);
+                }
+            }
+            Op::Pass { holder, ms } => {
+                self.now_ms += ms;
+                self.step(*holder, Event::Tick);
+            }
+            Op::Restart { holder } => {
+                self.generations[*holder] += 1;
+                self.tickets.retain(|_, (of, _)| of != holder);
+                let calls = std::mem::take(&mut self.calls);
+                for (of, generation, call) in calls {
+                    match call {
+                        Call::Commit { place, expect, batch } if of == *holder => {
+                            self.on_the_way.push((place, expect, batch));
+                        }
+                        _ if of == *holder => {}
+                        call => self.calls.push((of, generation, call)),
+                    }
+                }
+                self.holders[*holder] = self.new_ledger();
+                self.step(*holder, Event::Tick);
+            }
+        }
+    }
+
+    fn ask(&mut self, holder: usize, claim: Claim) {
+        self.next += 1;
+        let ticket = Ticket(self.next);
+        let submission = self.submissions[&claim].clone();
+        self.tickets.insert(ticket, (holder, claim));
+        let begin = Begin {
+            ticket,
+            key: format!("k{}", submission.key),
+            digest: submission.digest,
+            claim,
+            abandoned: submission.abandoned.clone(),
+            until_ms: self.now_ms + 1_000,
+        };
+        self.step(holder, Event::Begin(begin));
+    }
+
+    /// A request asks anew under a fresh claim and never takes up the earlier one.
+    fn ask_again(&mut self, holder: usize, earlier: Claim) {
+        self.next += 1;
+        let claim = Claim(self.next);
+        let Some(before) = self.submissions.get_mut(&earlier) else { return };
+        before.is_over = true;
+        let mut submission = Submission { is_over: false, ..before.clone() };
+        submission.abandoned.push(earlier);
+        self.submissions.insert(claim, submission);
+        self.ask(holder, claim);
+    }
+
+    fn store(&mut self, pick: usize, fate: Fate) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let (holder, generation, call) = self.calls.remove(pick % self.calls.len());
+        let event = match (call, fate) {
+            (Call::Load, Fate::Answered) => Event::Loaded(self.log.values().cloned().collect()),
+            (Call::Load, _) => Event::LoadFailed,
+            (Call::Commit { .. }, Fate::Away) => Event::Committed(CommitResult::Away),
+            (Call::Commit { place, expect, batch }, Fate::OnItsWay) => {
+                self.on_the_way.push((place, expect, batch));
+                Event::Committed(CommitResult::Lost)
+            }
+            (Call::Commit { place, expect, batch }, fate) => {
+                let result = self.write(place, expect, &batch);
+                let is_lost = matches!(fate, Fate::AnswerLost);
+                Event::Committed(if is_lost { CommitResult::Lost } else { result })
+            }
+        };
+        if generation == self.generations[holder] {
+            self.step(holder, event);
+        }
+    }
+
+    fn write(&mut self, place: u32, expect: Expect, batch: &Batch) -> CommitResult {
+        let current = self.log.get(&place);
+        let holds = match expect {
+            Expect::Any => true,
+            Expect::Absent => current.is_none(),
+            Expect::Modified(at) => current.is_some_and(|(modified, _)| *modified == at),
+        };
+        if !holds {
+            return CommitResult::Conflict(current.cloned());
+        }
+        self.revision += 1;
+        self.log.insert(place, (Revision(self.revision), batch.clone()));
+        CommitResult::Written(Revision(self.revision))
+    }
+
+    fn run(&mut self, pick: usize, step: Step, holder: usize) {
+        let open: BTreeMap<Claim, ()> = self
+            .submissions
+            .iter()
+            .filter(|(_, known)| known.is_granted && !known.is_over)
+            .map(|(claim, _)| (*claim, ()))
+            .collect();
+        let Some((claim, ())) = nth(&open, pick) else { return };
+        let Some(submission) = self.submissions.get_mut(&claim) else { return };
+        let key = submission.key;
+        let answer = match (step, submission.is_sent) {
+            (Step::Send, false) => {
+                submission.is_sent = true;
+                self.sent.entry(key).or_default().insert(claim);
+                return;
+            }
+            (Step::Done, true) => answer_of(claim),
+            (Step::Unknown, true) => ended(Outcome::Unknown, Reason::ConnectionLost),
+            (Step::NotRun, false) => ended(Outcome::NotRun, Reason::QueueFull),
+            _ => return,
+        };
+        submission.is_over = true;
+        let end = End { key: format!("k{key}"), claim, answer };
+        self.step(holder, Event::End(end));
+    }
+
+    fn step(&mut self, holder: usize, event: Event) {
+        let mut out = Vec::new();
+        self.holders[holder].step(event, self.now_ms, &mut out);
+        for action in out {
+            match action {
+                Action::Load => self.calls.push((holder, self.generations[holder], Call::Load)),
+                Action::Commit { place, expect, batch } => {
+                    let call = Call::Commit { place, expect, batch };
+                    self.calls.push((holder, self.generations[holder], call));
+                }
+                Action::Answer { ticket, verdict } => self.told(ticket, verdict),
+            }
+        }
+    }
+
+    fn told(&mut self, ticket: Ticket, verdict: KeyVerdict) {
+        let Some((_, claim)) = self.tickets.remove(&ticket) else { return };
+        let Some(submission) = self.submissions.get_mut(&claim) else { return };
+        match verdict {
+            KeyVerdict::Granted => {
+                assert!(!submission.is_granted, "granted twice: {claim:?}");
+                submission.is_granted = true;
+            }
+            KeyVerdict::Away | KeyVerdict::NotHolder => {}
+            KeyVerdict::Ended(PeerAnswer::Answered { body, .. }) => {
+                submission.is_over = true;
+                let key = submission.key;
+                let before = self.told_done.entry(key).or_insert_with(|| body.clone());
+                assert_eq!(*before, body, "two answers for key {key}");
+                let runs = self.sent.get(&key).map_or(0, BTreeSet::len);
+                assert_eq!(runs, 1, "told done without a run");
+            }
+            _ => submission.is_over = true,
+        }
+    }
+
+    fn check(&self) {
+        for (key, claims) in &self.sent {
+            assert!(claims.len() <= 1, "key {key} was sent by {claims:?}");
+        }
+    }
+}
+
+fn answer_of(claim: Claim) -> PeerAnswer {
+    let body = Bytes::from(claim.0.to_string());
+    PeerAnswer::Answered { status: 200, headers: Vec::new(), body }
+}
+
+fn ended(outcome: Outcome, reason: Reason) -> PeerAnswer {
+    PeerAnswer::Ended { outcome, reason, retry_after_ms: 0 }
+}
+
+fn nth<Key: Copy + Ord, Value: Clone>(
+    map: &BTreeMap<Key, Value>,
+    pick: usize,
+) -> Option<(Key, Value)> {
+    let at = pick.checked_rem(map.len())?;
+    map.iter().nth(at).map(|(key, value)| (*key, value.clone()))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3_000,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_key_is_sent_twice(ops in proptest::collection::vec(op(), 1..150)) {
+        let mut model = Model::new();
+        for op in &ops {
+            model.apply(op);
+            model.check();
+        }
+    }
+}
+
+/// A lone holder whose store always answers.
+struct Lone {
+    ledger: Ledger,
+    log: BTreeMap<u32, (Revision, Batch)>,
+}
+
+impl Lone {
+    fn new(config: LedgerConfig, writer: u64, log: BTreeMap<u32, (Revision, Batch)>) -> Self {
+        let mut lone = Self { ledger: Ledger::new(config, writer, 0), log };
+        lone.step(Event::Tick, 0);
+        lone
+    }
+
+    fn step(&mut self, event: Event, now_ms: u64) -> Vec<Action> {
+        let mut told = Vec::new();
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let mut out = Vec::new();
+            self.ledger.step(event, now_ms, &mut out);
+            for action in out {
+                match action {
+                    Action::Load => {
+                        events.push(Event::Loaded(self.log.values().cloned().collect()))
+                    }
+                    Action::Commit { place, batch, .. } => {
+                        let revision = Revision(batch.seq + 1);
+                        self.log.insert(place, (revision, batch));
+                        events.push(Event::Committed(CommitResult::Written(revision)));
+                    }
+                    action => told.push(action),
+                }
+            }
+        }
+        told
+    }
+}
+
+fn begin(key: &str, claim: u64, until_ms: u64) -> Event {
+    let (ticket, key, abandoned) = (Ticket(claim), key.to_owned(), Vec::new());
+    Event::Begin(Begin { ticket, key, digest: 0, claim: Claim(claim), abandoned, until_ms })
+}
+
+fn told(claim: u64, verdict: KeyVerdict) -> Vec<Action> {
+    vec![Action::Answer { ticket: Ticket(claim), verdict }]
+}
+
+#[test]
+fn an_open_run_outlives_the_overwriting_of_its_record() {
+    let config = LedgerConfig { slots: 3, retention_ms: 10, ..LedgerConfig::default() };
+    let mut holder = Lone::new(config.clone(), 1, BTreeMap::new());
+    assert_eq!(holder.step(begin("long", 1, 1_000_000), 0), told(1, KeyVerdict::Granted));
+    for claim in 2..20 {
+        let begun = holder.step(begin(&format!("k{claim}"), claim, 1_000_000), claim * 1_000);
+        assert_eq!(begun, told(claim, KeyVerdict::Granted));
+    }
+    let mut successor = Lone::new(config, 2, holder.log);
+    assert_eq!(successor.step(begin("long", 99, 1_000_000), 30_000), told(99, KeyVerdict::InDoubt));
+}
+
+#[test]
+fn a_key_that_did_not_run_is_free_again_also_for_a_successor() {
+    let mut holder = Lone::new(LedgerConfig::default(), 1, BTreeMap::new());
+    assert_eq!(holder.step(begin("k", 1, 9_000), 0), told(1, KeyVerdict::Granted));
+    let answer = ended(Outcome::NotRun, Reason::QueueFull);
+    holder.step(Event::End(End { key: "k".to_owned(), claim: Claim(1), answer }), 200);
+    holder.step(Event::Tick, 1_000);
+    let mut successor = Lone::new(LedgerConfig::default(), 2, holder.log);
+    assert_eq!(successor.step(begin("k", 2, 9_000), 1_000), told(2, KeyVerdict::Granted));
+}
