--- a/src/load/driver.rs
+++ b/src/load/driver.rs
@@ -11,7 +11,7 @@
 use crate::configs::http::HttpConfig;
 use crate::http::client::{self, ExchangeError, Pool, Reply};
 use crate::load::plan::{Arrival, KindPlan, Plan};
-use crate::outcome::{Outcome, OUTCOME_HEADER};
+use crate::outcome::{Outcome, OUTCOME_HEADER, REASON_HEADER};
 
 /// Header that tells the stand-in runner how long to run.
 pub const RUN_HEADER: &str = "Hemlock-Standin-Run-Ms";
@@ -28,6 +28,8 @@
     pub key: String,
     /// Outcome, or nothing if no whole answer came.
     pub outcome: Option<Outcome>,
+    /// Why, if the caller was told; otherwise empty.
+    pub reason: String,
     /// Status, 0 if no answer came.
     pub status: u16,
     /// Whether a `done` answer was whole and the request's own.
@@ -91,10 +93,13 @@
         let now_us = clock::now_us();
         let outcome = reply.as_ref().ok().and_then(|reply| reply.header(OUTCOME_HEADER));
         let outcome = outcome.and_then(Outcome::parse);
+        let reason = reply.as_ref().ok().and_then(|reply| reply.header(REASON_HEADER));
+        let reason = reason.unwrap_or_default().to_owned();
         let is_own_answer = reply.as_ref().is_ok_and(|reply| echoes(reply, &body));
         Told {
             key,
             outcome,
+            reason,
             status: reply.as_ref().map_or(0, |reply| reply.status),
             is_own_answer,
             latency_us: now_us.saturating_sub(self.start_us + arrival.at_us),
--- /dev/null
+++ b/src/load/results.rs
@@ -0,0 +1,239 @@
+//! The results of a command: one form for programs, in JSON, and one for people.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+use serde::{Deserialize, Serialize};
+
+use super::driver::Told;
+use super::plan::Plan;
+use super::report::{KindReport, LoadReport};
+
+/// Name and version of the JSON schema.
+pub const SCHEMA: &str = "hemlock-load/1";
+
+/// Everything that one command measured.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Results {
+    /// Name and version of the schema.
+    pub schema: String,
+    /// The command as it was run.
+    pub command: Vec<String>,
+    /// Seed.
+    pub seed: u64,
+    /// Wall time of the start, in milliseconds since the Unix epoch.
+    pub started_at_ms: u64,
+    /// The runs in the order in which they were made.
+    pub runs: Vec<Run>,
+}
+
+/// One run of a load.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Run {
+    /// Name of the run, unique in its results.
+    pub name: String,
+    /// What was seen, by window of time and kind.
+    pub windows: Vec<Window>,
+    /// Single figures, by name; the name ends in the unit.
+    pub figures: BTreeMap<String, f64>,
+    /// Targets that were checked.
+    pub targets: Vec<Target>,
+}
+
+/// A target and whether it was met.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Target {
+    /// What was to hold.
+    pub name: String,
+    /// What was measured.
+    pub measured: f64,
+    /// The bound.
+    pub bound: f64,
+    /// Whether it was met.
+    pub is_met: bool,
+}
+
+impl Target {
+    /// A target that is met by figures up to `bound`.
+    pub fn at_most(name: impl Into<String>, measured: f64, bound: f64) -> Self {
+        Self { name: name.into(), measured, bound, is_met: measured <= bound }
+    }
+
+    /// A target that is met by figures from `bound` on.
+    pub fn at_least(name: impl Into<String>, measured: f64, bound: f64) -> Self {
+        Self { name: name.into(), measured, bound, is_met: measured >= bound }
+    }
+}
+
+/// What was seen of the requests that left within a window of time.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Window {
+    /// Name of the window.
+    pub name: String,
+    /// One report a kind.
+    pub kinds: Vec<KindReport>,
+    /// Requests by the reason that their callers were told.
+    pub reasons: BTreeMap<String, u64>,
+}
+
+impl Window {
+    /// Sums up what the callers of `plan` were told about requests that left within a span.
+    pub fn new(
+        name: impl Into<String>,
+        plan: &Plan,
+        told: &[Told],
+        span_ms: std::ops::Range<u64>,
+    ) -> Self {
+        let span_us = span_ms.start * 1_000..span_ms.end.saturating_mul(1_000);
+        let within = told.iter().filter(|one| span_us.contains(&one.arrival.at_us));
+        let within: Vec<Told> = within.cloned().collect();
+        let mut reasons = BTreeMap::new();
+        for one in within.iter().filter(|one| !one.reason.is_empty()) {
+            *reasons.entry(one.reason.clone()).or_default() += 1;
+        }
+        Self { name: name.into(), kinds: LoadReport::new(plan, &within).kinds, reasons }
+    }
+
+    /// The report of a kind.
+    pub fn kind(&self, name: &str) -> KindReport {
+        self.kinds.iter().find(|kind| kind.kind == name).cloned().unwrap_or_default()
+    }
+}
+
+impl Results {
+    /// Results without runs.
+    pub fn new(command: Vec<String>, seed: u64, started_at_ms: u64) -> Self {
+        Self { schema: SCHEMA.to_owned(), command, seed, started_at_ms, runs: Vec::new() }
+    }
+
+    /// Reads results from JSON.
+    ///
+    /// # Errors
+    /// Text that is not of this schema.
+    pub fn parse(text: &str) -> eyre::Result<Self> {
+        let results: Self = serde_json::from_str(text)?;
+        eyre::ensure!(results.schema == SCHEMA, "schema {} is not {SCHEMA}", results.schema);
+        Ok(results)
+    }
+
+    /// Whether every target was met.
+    pub fn is_met(&self) -> bool {
+        self.runs.iter().flat_map(|run| &run.targets).all(|target| target.is_met)
+    }
+
+    /// The results for people.
+    pub fn to_text(&self) -> String {
+        let mut text = format!("{} (seed {})\n", self.command.join(" "), self.seed);
+        for run in &self.runs {
+            run.write_text(&mut text);
+        }
+        text
+    }
+
+    /// What two results have in common, side by side with the ratio of the second to the first.
+    ///
+    /// ```
+    /// use hemlockrock::load::results::{Results, Run};
+    ///
+    /// let run = |value| Run {
+    ///     name: "crest".into(),
+    ///     figures: [("goodput_ratio".to_owned(), value)].into(),
+    ///     ..Run::default()
+    /// };
+    /// let results = |value| Results { runs: vec![run(value)], ..Results::default() };
+    /// assert!(results(0.5).compare(&results(1.0)).contains("2.000"));
+    /// ```
+    pub fn compare(&self, other: &Self) -> String {
+        let mut text =
+            format!("{:<60} {:>12} {:>12} {:>8}\n", "figure", "first", "second", "ratio");
+        for run in &self.runs {
+            let Some(match_) = other.runs.iter().find(|known| known.name == run.name) else {
+                continue;
+            };
+            let others = match_.all_figures();
+            for (name, first) in run.all_figures() {
+                let Some(second) = others.get(&name) else { continue };
+                let ratio = second / first;
+                let name = format!("{}/{name}", run.name);
+                let _ = writeln!(text, "{name:<60} {first:>12.3} {second:>12.3} {ratio:>8.3}");
+            }
+        }
+        text
+    }
+}
+
+impl Run {
+    /// A window by its name.
+    pub fn window(&self, name: &str) -> Window {
+        self.windows.iter().find(|window| window.name == name).cloned().unwrap_or_default()
+    }
+
+    /// Single figures and those of the windows, by name.
+    fn all_figures(&self) -> BTreeMap<String, f64> {
+        let mut figures = self.figures.clone();
+        for window in &self.windows {
+            for kind in &window.kinds {
+                let of = |figure: &str| format!("{}/{}/{figure}", window.name, kind.kind);
+                figures.insert(of("done_in_time"), kind.done_in_time as f64);
+                figures.insert(of("latency_p50_ms"), kind.latency.p50_ms);
+                figures.insert(of("latency_p99_ms"), kind.latency.p99_ms);
+                figures.insert(of("wait_p99_ms"), kind.wait.p99_ms);
+            }
+        }
+        figures
+    }
+
+    fn write_text(&self, text: &mut String) {
+        let _ = writeln!(text, "\n{}", self.name);
+        if !self.windows.is_empty() {
+            let _ = writeln!(text, "  {HEADER}");
+        }
+        for window in &self.windows {
+            window.write_text(text);
+        }
+        for (name, value) in &self.figures {
+            let _ = writeln!(text, "  {name}: {value:.3}");
+        }
+        for target in &self.targets {
+            let state = if target.is_met { "met" } else { "MISSED" };
+            let Target { name, measured, bound, .. } = target;
+            let _ = writeln!(text, "  target {state}: {name}: {measured:.3}, bound {bound:.3}");
+        }
+    }
+}
+
+/// Titles of the columns of windows.
+const HEADER: &str =
+    "window     kind         sent  in time     done  not run  unknown no answer  wrong \
+                      |   p50 ms    p99 ms  wait p50  wait p99";
+
+impl Window {
+    fn write_text(&self, text: &mut String) {
+        for kind in &self.kinds {
+            let _ = writeln!(
+                text,
+                "  {:<10} {:<8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9} {:>6} | {:>8.2} {:>9.2} {:>9.2} {:>9.2}",
+                self.name,
+                kind.kind,
+                kind.sent,
+                kind.done_in_time,
+                kind.done,
+                kind.not_run,
+                kind.unknown,
+                kind.unanswered,
+                kind.wrong_answers,
+                kind.latency.p50_ms,
+                kind.latency.p99_ms,
+                kind.wait.p50_ms,
+                kind.wait.p99_ms,
+            );
+        }
+        for (reason, count) in &self.reasons {
+            let _ = writeln!(text, "    {reason}: {count}");
+        }
+    }
+}
