--- a/src/bin/hemlock-demo.rs
+++ b/src/bin/hemlock-demo.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use clap::{value_parser, Arg, Command};
+use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
 use eyre::WrapErr as _;
 use hemlockrock::configs::demo::DemoConfig;
 use hemlockrock::{demo, settings, telemetry};
@@ -15,6 +15,9 @@
 /// Exit code when the settings have findings.
 const FINDINGS: u8 = 2;
 
+/// Shortest storm, in seconds.
+const MIN_STORM_S: u64 = 15;
+
 fn main() -> eyre::Result<ExitCode> {
     let matches = command().get_matches();
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
@@ -29,14 +32,39 @@
         config.seed = *seed;
     }
     telemetry::start_log(&config.log)?;
+    if matches.get_flag("storm") {
+        return run_storm(&config, &matches);
+    }
     #[allow(clippy::disallowed_methods, reason = "the top of a binary")]
     let report = async_std::task::block_on(demo::run(&config))?;
     writeln!(std::io::stdout(), "{report}")?;
-    if let Some(file) = matches.get_one::<PathBuf>("json") {
-        let text = serde_json::to_string_pretty(&report)?;
-        std::fs::write(file, text).wrap_err_with(|| file.display().to_string())?;
+    write_json(&matches, &report)?;
+    Ok(exit_code(report.is_kept()))
+}
+
+fn run_storm(config: &DemoConfig, matches: &ArgMatches) -> eyre::Result<ExitCode> {
+    const MS_PER_S: u64 = 1_000;
+    let duration_s = matches.get_one::<u64>("duration-s").copied().unwrap_or(MIN_STORM_S);
+    let storm = demo::storm::run(config, duration_s * MS_PER_S);
+    #[allow(clippy::disallowed_methods, reason = "the top of a binary")]
+    let report = async_std::task::block_on(storm)?;
+    writeln!(std::io::stdout(), "{}", report.text())?;
+    write_json(matches, &report)?;
+    Ok(exit_code(report.is_kept()))
+}
+
+fn write_json(matches: &ArgMatches, report: &impl serde::Serialize) -> eyre::Result<()> {
+    let Some(file) = matches.get_one::<PathBuf>("json") else { return Ok(()) };
+    let text = serde_json::to_string_pretty(report)?;
+    std::fs::write(file, text).wrap_err_with(|| file.display().to_string())
+}
+
+fn exit_code(is_kept: bool) -> ExitCode {
+    if is_kept {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(BROKEN)
     }
-    Ok(if report.is_kept() { ExitCode::SUCCESS } else { ExitCode::from(BROKEN) })
 }
 
 fn command() -> Command {
@@ -62,4 +90,18 @@
                 .value_parser(value_parser!(u64))
                 .help("Replaces the seed of the settings"),
         )
+        .arg(
+            Arg::new("storm")
+                .long("storm")
+                .action(ArgAction::SetTrue)
+                .help("Causes every kind of fault under load, then checks that the cell settles"),
+        )
+        .arg(
+            Arg::new("duration-s")
+                .long("duration-s")
+                .default_value("30")
+                .requires("storm")
+                .value_parser(value_parser!(u64).range(MIN_STORM_S..=3_600))
+                .help("Length of the storm, in seconds"),
+        )
 }
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,9 +1,12 @@
 //! Runs a whole cell in one process and reports what happened.
 
 pub mod cell;
+pub mod host;
 pub mod jobs;
 pub mod oracle;
 pub mod report;
+pub mod settle;
+pub mod storm;
 
 use std::io::{IsTerminal as _, Write as _};
 
@@ -40,9 +43,9 @@
     for job in &config.jobs {
         submitted.push(client.submit(job).await?);
     }
-    let plan = plan(config);
+    let plan = load_plan(config);
     progress(&format!("sending requests for {} ms", plan.duration_ms()));
-    let told = driver::run(&plan, &cell.entry_addresses()).await;
+    let told = driver::run(&plan, &cell.caller_addresses()).await;
     progress("waiting for jobs");
     client.wait(&mut submitted, JOBS_LIMIT_MS).await;
     let store = store_report(&cell, counted_from);
@@ -69,7 +72,7 @@
 }
 
 /// The load of a demo: calm, a crest, calm again.
-fn plan(config: &DemoConfig) -> Plan {
+pub(crate) fn load_plan(config: &DemoConfig) -> Plan {
     let load = &config.load;
     Plan {
         service: config.runners.service.clone(),
@@ -121,7 +124,7 @@
 }
 
 /// Tells a person at a terminal what is going on.
-fn progress(message: &str) {
+pub(crate) fn progress(message: &str) {
     let mut error = std::io::stderr();
     if error.is_terminal() {
         let _ = writeln!(error, "{message} …");
--- a/src/demo/cell.rs
+++ b/src/demo/cell.rs
@@ -1,61 +1,50 @@
 //! A whole cell in one process: the stand-ins, the entry daemons and the placer daemons.
 
-use std::time::Duration;
-
 use async_std::task;
 use eyre::WrapErr as _;
-use http_types::Method;
 
-use crate::clock;
 use crate::configs::demo::{DemoConfig, RunnersConfig, WorkersConfig};
-use crate::configs::entry::EntryConfig;
 use crate::configs::http::HttpConfig;
-use crate::configs::placer::PlacerConfig;
 use crate::configs::store::StoreConfig;
 use crate::declarations::{self, feed};
+use crate::demo::host::{Host, HostPlan, LOOPBACK};
 use crate::demo::oracle::RunnerTruth;
-use crate::entry::Entry;
-use crate::http::client::{self, Pool};
+use crate::http::client::Pool;
 use crate::place::spec::Resources;
-use crate::placer::PlacerDaemon;
-use crate::standin::proxy::{Fault, Kind, ProxyStandin};
+use crate::standin::proxy::ProxyStandin;
 use crate::standin::runner::{RunnerConfig, RunnerStandin};
 use crate::standin::store::StoreStandin;
 use crate::standin::worker::agent::Truth;
 use crate::standin::worker::{HostedWorker, WorkerConfig, WorkerStandin};
 use crate::store::client::HttpStore;
 
-/// Address on which everything listens; the port is a free one.
-const LOOPBACK: &str = "127.0.0.1:0";
-
-/// Token that the daemons of a demo share.
-const TOKEN: &str = "demo";
-
 /// Longest wait for the daemons to become ready, in milliseconds.
 const READY_LIMIT_MS: u64 = 8_000;
 
-/// Time between looks at whether the daemons are ready, in milliseconds.
-const LOOK_EVERY_MS: u64 = 50;
-
-/// Longest wait for a look, in milliseconds.
-const LOOK_TIMEOUT_MS: u64 = 1_000;
+/// A place for an entry host behind the balancer; hosts come and go in it.
+#[derive(Debug)]
+pub struct Slot {
+    /// Stands between the callers and the host, as the balancer does.
+    pub caller_link: ProxyStandin,
+    /// The host that is there now.
+    pub host: Host,
+    /// How many hosts have been there.
+    generation: u32,
+}
 
 /// A running cell.
 #[derive(Debug)]
 pub struct Cell {
     /// The platform's store.
     pub store: StoreStandin,
-    /// The runners, in the order of their numbers.
-    pub runners: Vec<RunnerStandin>,
+    /// Stand between entry hosts and runners, in the order of the runners.
+    pub runner_links: Vec<ProxyStandin>,
     /// All workers.
     pub workers: WorkerStandin,
-    /// The entry daemons; their zones go round.
-    pub entries: Vec<Entry>,
-    /// The placer daemons; their zones go round.
-    pub placers: Vec<PlacerDaemon>,
-    /// Stands between the entry daemons, with the distance of zones.
-    pub links: Vec<ProxyStandin>,
-    runners_config: RunnersConfig,
+    /// Entry hosts; their zones go round.
+    pub slots: Vec<Slot>,
+    runners: Vec<RunnerStandin>,
+    config: DemoConfig,
 }
 
 impl Cell {
@@ -66,32 +55,41 @@
     pub async fn start(config: &DemoConfig) -> eyre::Result<Self> {
         let store = StoreStandin::start(LOOPBACK).await.wrap_err("store stand-in")?;
         let runners = start_runners(&config.runners).await?;
+        let mut runner_links = Vec::new();
+        for runner in &runners {
+            runner_links.push(ProxyStandin::start(LOOPBACK, runner.address()).await?);
+        }
         let workers = start_workers(&config.workers).await?;
-        let mut cell = Self {
-            store,
-            runners,
-            workers,
-            entries: Vec::new(),
-            placers: Vec::new(),
-            links: Vec::new(),
-            runners_config: config.runners.clone(),
-        };
-        cell.publish(config).await?;
-        for number in 0..config.entry_hosts as usize {
-            cell.start_host(config, number).await?;
+        let slots = Vec::new();
+        let config = config.clone();
+        let mut cell = Self { store, runner_links, workers, slots, runners, config };
+        feed::publish(&cell.store_client(), &cell.declarations()).await.wrap_err("declarations")?;
+        for number in 0..cell.config.entry_hosts as usize {
+            let host = cell.start_host(number, 0).await?;
+            let caller_link = ProxyStandin::start(LOOPBACK, host.entry_address()).await?;
+            cell.slots.push(Slot { caller_link, host, generation: 0 });
+        }
+        for slot in &cell.slots {
+            let is_ready = slot.host.wait_ready(READY_LIMIT_MS).await;
+            eyre::ensure!(is_ready, "host {} did not become ready", slot.host.name);
         }
-        cell.wait_ready().await?;
         Ok(cell)
     }
 
-    /// Addresses of the entry daemons for callers.
-    pub fn entry_addresses(&self) -> Vec<String> {
-        self.entries.iter().map(|entry| entry.address().to_string()).collect()
+    /// Addresses at which callers reach the entry hosts.
+    pub fn caller_addresses(&self) -> Vec<String> {
+        self.slots.iter().map(|slot| slot.caller_link.address()).collect()
     }
 
     /// Address of a placer daemon that takes jobs.
     pub fn job_address(&self) -> String {
-        self.placers.first().map(|placer| placer.address().to_string()).unwrap_or_default()
+        self.slots.first().map(|slot| slot.host.placer_address()).unwrap_or_default()
+    }
+
+    /// A client of the platform's store for operators.
+    pub fn store_client(&self) -> HttpStore {
+        let config = StoreConfig { address: self.store.address(), ..StoreConfig::default() };
+        HttpStore::new(config, Pool::new(HttpConfig::default()))
     }
 
     /// What the runners recorded.
@@ -99,8 +97,8 @@
         let runners = self.runners.iter().enumerate();
         let truths = runners.map(|(number, runner)| RunnerTruth {
             name: runner_name(number),
-            slots: self.runners_config.slots,
-            connections: self.runners_config.connections,
+            slots: self.config.runners.slots,
+            connections: self.config.runners.connections,
             records: runner.records(),
         });
         truths.collect()
@@ -111,31 +109,54 @@
         self.workers.records()
     }
 
-    /// Shuts all daemons down, the placer daemons first.
+    /// Starts a new host in a slot, sends callers there and shuts the old one down.
+    ///
+    /// # Errors
+    /// An address cannot be bound, or the new host does not become ready in time.
+    pub async fn replace(&mut self, number: usize) -> eyre::Result<()> {
+        let old = self.replace_lost(number).await?;
+        old.drain().await;
+        Ok(())
+    }
+
+    /// Starts a new host in the slot of one that is lost; returns the lost one.
+    ///
+    /// # Errors
+    /// An address cannot be bound, or the new host does not become ready in time.
+    pub async fn replace_lost(&mut self, number: usize) -> eyre::Result<Host> {
+        let generation = self.slots[number].generation + 1;
+        let host = self.start_host(number, generation).await?;
+        let is_ready = host.wait_ready(READY_LIMIT_MS).await;
+        eyre::ensure!(is_ready, "host {} did not become ready", host.name);
+        let slot = &mut self.slots[number];
+        slot.caller_link.set_target(host.entry_address());
+        slot.generation = generation;
+        Ok(std::mem::replace(&mut slot.host, host))
+    }
+
+    /// Shuts all hosts down.
     pub async fn drain(&self) {
-        let placers = self.placers.iter().cloned();
-        let placers: Vec<_> =
-            placers.map(|placer| task::spawn(async move { placer.drain().await })).collect();
-        for placer in placers {
-            placer.await;
-        }
-        let entries = self.entries.iter().cloned();
-        let entries: Vec<_> =
-            entries.map(|entry| task::spawn(async move { entry.drain().await })).collect();
-        for entry in entries {
-            entry.await;
+        let hosts = self.slots.iter().map(|slot| slot.host.clone());
+        let drains: Vec<_> =
+            hosts.map(|host| task::spawn(async move { host.drain().await })).collect();
+        for drain in drains {
+            drain.await;
         }
     }
 
-    async fn publish(&self, config: &DemoConfig) -> eyre::Result<()> {
-        let declarations = self.declarations(config);
-        let store_config = StoreConfig { address: self.store.address(), ..StoreConfig::default() };
-        let store = HttpStore::new(store_config, Pool::new(HttpConfig::default()));
-        feed::publish(&store, &declarations).await.wrap_err("declarations")?;
-        Ok(())
+    async fn start_host(&self, number: usize, generation: u32) -> eyre::Result<Host> {
+        Host::start(HostPlan {
+            name: format!("{number}-{generation}"),
+            zone: zone_of(&self.config, number).to_owned(),
+            store_address: self.store.address(),
+            zone_trip_ms: self.config.zone_trip_ms,
+        })
+        .await
     }
 
-    fn declarations(&self, config: &DemoConfig) -> declarations::Declarations {
+    /// The declarations of the cell.
+    pub fn declarations(&self) -> declarations::Declarations {
+        let config = &self.config;
         let runners = &config.runners;
         declarations::Declarations {
             zones: config
@@ -146,33 +167,31 @@
                     region: config.region.clone(),
                 })
                 .collect(),
-            workers: (0..config.workers.count as usize)
-                .map(|number| self.worker(config, number))
-                .collect(),
+            workers: (0..config.workers.count as usize).map(|number| self.worker(number)).collect(),
             services: vec![declarations::ServiceDeclaration {
                 name: runners.service.clone(),
                 expected_ms: runners.expected_ms,
                 long_ms: runners.long_ms,
-                endpoints: (0..self.runners.len())
-                    .map(|number| self.endpoint(config, number))
-                    .collect(),
+                endpoints: (0..self.runners.len()).map(|number| self.endpoint(number)).collect(),
             }],
             teams: teams(config),
             rules: Vec::new(),
         }
     }
 
-    fn endpoint(&self, config: &DemoConfig, number: usize) -> declarations::EndpointDeclaration {
+    fn endpoint(&self, number: usize) -> declarations::EndpointDeclaration {
+        let config = &self.config;
         declarations::EndpointDeclaration {
             name: runner_name(number),
             zone: zone_of(config, number).to_owned(),
-            address: self.runners[number].address(),
+            address: self.runner_links[number].address(),
             slots: config.runners.slots,
             connections: config.runners.connections,
         }
     }
 
-    fn worker(&self, config: &DemoConfig, number: usize) -> declarations::WorkerDeclaration {
+    fn worker(&self, number: usize) -> declarations::WorkerDeclaration {
+        let config = &self.config;
         let zone = zone_of(config, number);
         let in_zone = number / config.zones.len();
         let rack = in_zone / config.workers.per_rack as usize;
@@ -188,63 +207,6 @@
             ..declarations::WorkerDeclaration::default()
         }
     }
-
-    /// Starts the entry daemon and the placer daemon of one entry host.
-    async fn start_host(&mut self, config: &DemoConfig, number: usize) -> eyre::Result<()> {
-        const US_PER_MS: f64 = 1_000.0;
-        let zone = zone_of(config, number);
-        let store = StoreConfig { address: self.store.address(), ..StoreConfig::default() };
-        let link = ProxyStandin::start(LOOPBACK, LOOPBACK).await?;
-        let trip_us = (config.zone_trip_ms * US_PER_MS) as u64;
-        link.set_fault(Fault::new(Kind::Delay).with_delay_us(trip_us));
-        let entry = Entry::start(EntryConfig {
-            name: format!("entry-{number}"),
-            zone: zone.to_owned(),
-            listen: LOOPBACK.to_owned(),
-            advertise: link.address(),
-            token: TOKEN.to_owned(),
-            store: store.clone(),
-            ..EntryConfig::default()
-        })
-        .await?;
-        link.set_target(entry.address().to_string());
-        let placer = PlacerDaemon::start(PlacerConfig {
-            name: format!("placer-{number}"),
-            zone: zone.to_owned(),
-            address: LOOPBACK.to_owned(),
-            token: TOKEN.to_owned(),
-            store,
-            ..PlacerConfig::default()
-        })
-        .await?;
-        self.links.push(link);
-        self.entries.push(entry);
-        self.placers.push(placer);
-        Ok(())
-    }
-
-    async fn wait_ready(&self) -> eyre::Result<()> {
-        let pool = Pool::new(HttpConfig::default());
-        let mut waiting = self.entry_addresses();
-        waiting.extend(self.placers.iter().map(|placer| placer.address().to_string()));
-        let ends_at_ms = clock::now_ms() + READY_LIMIT_MS;
-        while let Some(address) = waiting.last() {
-            if is_ready(&pool, address).await {
-                waiting.pop();
-                continue;
-            }
-            eyre::ensure!(clock::now_ms() < ends_at_ms, "{address} did not become ready");
-            task::sleep(Duration::from_millis(LOOK_EVERY_MS)).await;
-        }
-        Ok(())
-    }
-}
-
-async fn is_ready(pool: &Pool, address: &str) -> bool {
-    const OK: u16 = 200;
-    let Ok(request) = client::request(Method::Get, address, "/readyz") else { return false };
-    let reply = pool.send(address, request, LOOK_TIMEOUT_MS).await;
-    reply.is_ok_and(|reply| reply.status == OK)
 }
 
 async fn start_runners(config: &RunnersConfig) -> eyre::Result<Vec<RunnerStandin>> {
