--- a/tests/control_model.rs
+++ b/tests/control_model.rs
@@ -4,6 +4,8 @@
 //! interleave as the steps say. The oracle is the sequence of root records
 //! that the store itself went through.
 
+#![allow(clippy::unwrap_used, reason = "a test stops at what is missing")]
+
 mod control_support;
 
 use std::future::Future;
@@ -293,10 +295,6 @@
         let watcher = &self.watchers[index];
         let Some(entry) = watcher.copy.entries.get(ROOT) else { return };
         let head = Head::from(&publish::decode_root(&entry.value).unwrap());
-        let before = watcher.in_force.accepted().revision;
-        if head.revision <= before {
-            return;
-        }
         let (store, old) = (Arc::clone(&self.store), watcher.in_force.document());
         let read =
             finish(Box::pin(async move { read::document(store.as_ref(), &head, &old).await }));
--- a/tests/control_support/mod.rs
+++ b/tests/control_support/mod.rs
@@ -1,5 +1,9 @@
 //! What the tests of the control of the cell share.
+#![allow(unreachable_pub, reason = "each test binary has its own copy")]
 #![allow(dead_code, reason = "each test binary uses its own part")]
+#![allow(clippy::unwrap_used, reason = "a helper of tests")]
+
+pub mod daemon;
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex};
