--- a/tests/control_model.rs
+++ b/tests/control_model.rs
@@ -54,7 +54,7 @@
     panic!("the task does not end");
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Step {
     /// An operator begins a change, or goes on with it by some turns.
     Operate {
