--- a/src/configs/ledger.rs
+++ b/src/configs/ledger.rs
@@ -22,6 +22,10 @@
     pub max_waiting: usize,
     /// Memory for kept answers, in bytes.
     pub answers_bytes: usize,
+    /// Time for which a new holder waits to be told the end of a run that it finds open, in milliseconds.
+    pub end_wait_ms: u64,
+    /// Longest wait of a request for a zone to get a new holder, in milliseconds.
+    pub holder_wait_ms: u64,
     /// Time between tries to reach the store while it is away, in milliseconds.
     pub retry_ms: u64,
 }
@@ -36,6 +40,8 @@
             max_batch: 2_000,
             max_waiting: 10_000,
             answers_bytes: 8 * 1024 * 1024,
+            end_wait_ms: 1_000,
+            holder_wait_ms: 6_000,
             retry_ms: 200,
         }
     }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -8,6 +8,7 @@
 mod front;
 pub mod heartbeat;
 mod journey;
+mod keys;
 pub mod message;
 pub mod metrics;
 pub mod ownership;
@@ -15,7 +16,7 @@
 pub mod send;
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,6 +43,9 @@
 /// Room that a call between entry hosts needs beyond the body of its request, in bytes.
 const CALL_OVERHEAD_BYTES: u64 = 256 * 1024;
 
+/// Largest answer of the store, such as the whole log of a ledger, in bytes.
+const STORE_ANSWER_BYTES: u64 = 128 * 1024 * 1024;
+
 /// Pause between looks at what a draining host still holds, in milliseconds.
 const DRAIN_POLL_MS: u64 = 20;
 
@@ -80,6 +84,7 @@
     next_request: AtomicU64,
     was_ready: AtomicBool,
     is_draining: AtomicBool,
+    open_ends: AtomicUsize,
 }
 
 impl Entry {
@@ -94,7 +99,7 @@
         let address = listener.local_addr().wrap_err("listening address")?;
         let config = Arc::new(config);
         let store: Arc<dyn Store> =
-            Arc::new(HttpStore::new(config.store.clone(), Pool::new(config.http.clone())));
+            Arc::new(HttpStore::new(config.store.clone(), Pool::new(store_http(&config))));
         let mirror = Mirror::start(Arc::clone(&store), config.store.watch_wait_ms);
         let feed = Feed::start(mirror.clone(), Arc::clone(&store));
         let member = own_member(&config, address);
@@ -104,6 +109,7 @@
         let peers = Pool::new(peer_http(&config));
         let parts = control::Parts {
             config: Arc::clone(&config),
+            store: Arc::clone(&store),
             session: session.clone(),
             mirror: mirror.clone(),
             feed: feed.clone(),
@@ -124,6 +130,7 @@
             next_request: AtomicU64::new(1),
             was_ready: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
+            open_ends: AtomicUsize::new(0),
         });
         let app = front::app(Arc::clone(&shared));
         let server = Server::start_on(listener, app, config.http.clone()).wrap_err("server")?;
@@ -164,7 +171,8 @@
     async fn idle(&self) -> bool {
         loop {
             let idle = self.shared.control.ask(Input::Idle).await.unwrap_or_default();
-            if idle.requests == 0 && self.server.requests() == 0 {
+            let open_ends = self.shared.open_ends.load(Ordering::Acquire);
+            if idle.requests == 0 && self.server.requests() == 0 && open_ends == 0 {
                 return true;
             }
             task::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
@@ -234,6 +242,10 @@
     }
 }
 
+fn store_http(config: &EntryConfig) -> HttpConfig {
+    HttpConfig { max_body_bytes: STORE_ANSWER_BYTES, ..config.http.clone() }
+}
+
 fn peer_http(config: &EntryConfig) -> HttpConfig {
     HttpConfig {
         idle_timeout_ms: config.endpoints.fresh_ms,
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -16,6 +16,9 @@
 /// Status of work that is refused because there is too much of it.
 const TOO_MANY: u16 = 429;
 
+/// Status of a request whose key belongs to another.
+const CONFLICT: u16 = 409;
+
 /// Status of work that may have run.
 const GATEWAY_TIMEOUT: u16 = 504;
 
@@ -55,11 +58,12 @@
 fn ended(outcome: Outcome, reason: Reason, retry_after_ms: u64) -> Response {
     let status = match (outcome, reason) {
         (Outcome::Unknown | Outcome::Done, _) => GATEWAY_TIMEOUT,
+        (_, Reason::KeyReused) => CONFLICT,
         (_, Reason::QueueFull | Reason::DeadlineTooClose | Reason::NoRetryLeft) => TOO_MANY,
         _ => UNAVAILABLE,
     };
     let mut error = ApiError::new(status, reason.as_str(), reason.message());
-    if outcome == Outcome::NotRun {
+    if outcome == Outcome::NotRun && reason != Reason::KeyReused {
         error = error.with_retry_after_ms(retry_after_ms.max(1));
     }
     let mut response = error.to_response();
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -2,8 +2,10 @@
 //! requests that are here, and turns actions of the dispatcher into tasks.
 
 mod flights;
+mod seats;
 mod zone;
 
+use std::collections::BTreeMap;
 use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
@@ -12,11 +14,12 @@
 use crate::configs::entry::EntryConfig;
 use crate::declarations::feed::Feed;
 use crate::http::client::Pool;
+use crate::ledger::seat::Seat;
 use crate::membership::Session;
 use crate::outcome::{Outcome, Reason};
 use crate::route::{self, Action, Dispatcher, RequestKey, Submission};
 use crate::store::mirror::Mirror;
-use crate::store::Revision;
+use crate::store::{Revision, Store};
 
 use super::authority::Authority;
 use super::book::{self, Book};
@@ -38,6 +41,8 @@
 pub(super) struct Parts {
     /// Settings.
     pub(super) config: Arc<EntryConfig>,
+    /// Platform's store.
+    pub(super) store: Arc<dyn Store>,
     /// Session with the store.
     pub(super) session: Session,
     /// Copy of the store's keys.
@@ -76,6 +81,9 @@
     heard: Heard,
     waiting: HashMap<RequestKey, Waiting>,
     flights: HashMap<RequestKey, Flight>,
+    seats: BTreeMap<String, Seat>,
+    terms: HashMap<String, u64>,
+    seat_tries: HashMap<String, u64>,
     seen: Seen,
     is_draining: bool,
     actions: Vec<Action>,
@@ -95,6 +103,7 @@
     peers_told_ms: u64,
     foreign_read_ms: u64,
     progress_read_ms: u64,
+    seats_ms: u64,
 }
 
 impl Thread {
@@ -107,6 +116,9 @@
             heard: Heard::default(),
             waiting: HashMap::default(),
             flights: HashMap::default(),
+            seats: BTreeMap::new(),
+            terms: HashMap::default(),
+            seat_tries: HashMap::default(),
             seen: Seen::default(),
             is_draining: false,
             actions: Vec::new(),
@@ -132,12 +144,15 @@
             }
             self.look_around();
             self.step(route::Event::Tick);
+            self.tick_seats();
         }
     }
 
     /// Time until something is due, at most one step.
     fn pause(&self) -> Duration {
+        let seats_due_ms = self.seats.values().filter_map(Seat::next_due_ms).min();
         let due_ms = self.dispatcher.next_due_ms().unwrap_or(u64::MAX);
+        let due_ms = due_ms.min(seats_due_ms.unwrap_or(u64::MAX));
         let left_ms = due_ms.saturating_sub(clock::now_ms());
         Duration::from_millis(left_ms.clamp(1, STEP_MS))
     }
@@ -160,6 +175,12 @@
             Input::Release { request, answer } => {
                 let _ = answer.try_send(self.release(&request));
             }
+            Input::BeginKey { zone, begin, verdict } => self.begin_key(&zone, begin, verdict),
+            Input::AbandonKey { zone, ticket } => self.abandon_key(&zone, ticket),
+            Input::EndKey { zone, end, is_held } => {
+                let _ = is_held.try_send(self.end_key(&zone, end));
+            }
+            Input::StoreEvent { zone, term, event } => self.take_store_event(&zone, term, event),
             Input::Heard(heartbeat) => self.hear(*heartbeat),
             Input::PeerFailed(name) => {
                 self.heard.forget(&name);
--- a/src/entry/control/zone.rs
+++ b/src/entry/control/zone.rs
@@ -14,7 +14,7 @@
 use super::super::message::{Control, Input, Purpose, Said};
 use super::super::ownership::Acquire;
 use super::super::peer::{self, ReleaseAnswer, ReleaseRequest};
-use super::Thread;
+use super::{seats, Thread};
 
 /// Pause before a peer is asked again for endpoints that it still owns, in milliseconds.
 const ASK_AGAIN_MS: u64 = 50;
@@ -46,6 +46,10 @@
             self.seen.progress_read_ms = now_ms;
             self.watch_progress();
         }
+        if now_ms >= self.seen.seats_ms + seats::LOOK_EVERY_MS {
+            self.seen.seats_ms = now_ms;
+            self.look_at_seats(now_ms);
+        }
         if now_ms >= self.seen.peers_told_ms + TELL_PEERS_MS {
             self.tell_peers();
         }
@@ -83,6 +87,7 @@
             return;
         }
         spdlog::info!("session begins, endpoints are acquired anew");
+        self.resign_all_seats();
         for endpoint in self.ownership.restart(lease, now_ms) {
             self.step(route::Event::Disown { endpoint });
         }
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -18,8 +18,11 @@
 use super::heartbeat::Exchange;
 use super::journey;
 use super::message::{Input, Submitted, Verdict};
-use super::peer::{self, CancelRequest, PeerAnswer, PeerRequest, ReleaseAnswer, ReleaseRequest};
-use super::{answer, beat, peer_http, Shared};
+use super::peer::{
+    self, BeginRequest, CancelRequest, EndRequest, PeerAnswer, PeerRequest, ReleaseAnswer,
+    ReleaseRequest,
+};
+use super::{answer, beat, keys, peer_http, Shared};
 
 type Request = tide::Request<Arc<Shared>>;
 
@@ -32,6 +35,8 @@
     app.at(peer::HEARTBEAT_PATH).post(take_heartbeat);
     app.at(peer::RELEASE_PATH).post(take_release);
     app.at(peer::CANCEL_PATH).post(take_cancel);
+    app.at(peer::BEGIN_PATH).post(take_begin);
+    app.at(peer::END_PATH).post(take_end);
     app.at("/healthz").get(|_| async { Ok(Response::new(StatusCode::Ok)) });
     app.at("/readyz").get(readiness);
     app.at("/metrics").get(metrics);
@@ -70,7 +75,7 @@
     let id = submitted.id.clone();
     let service = submitted.service.clone();
     shared.metrics.begun();
-    let verdict = journey::dispatch(&shared, submitted, &gone).await;
+    let verdict = journey::run(&shared, submitted, &gone).await;
     let outcome = verdict.outcome().unwrap_or(Outcome::Unknown);
     const US_PER_S: f64 = 1_000_000.0;
     #[allow(clippy::cast_precision_loss, reason = "a time for a histogram")]
@@ -163,6 +168,30 @@
     Ok(rpc::answer(&cancel_here(request.state(), &cancel).await))
 }
 
+async fn take_begin(mut request: Request) -> tide::Result {
+    let begin: BeginRequest = match call_body(&mut request).await {
+        Ok(begin) => begin,
+        Err(error) => return Ok(error.to_response()),
+    };
+    let shared = Arc::clone(request.state());
+    let link = request.ext::<CallerLink>().cloned();
+    let verdict =
+        journey::with_caller(
+            link,
+            |gone| async move { keys::begin_here(&shared, begin, &gone).await },
+        )
+        .await;
+    Ok(rpc::answer(&verdict))
+}
+
+async fn take_end(mut request: Request) -> tide::Result {
+    let end: EndRequest = match call_body(&mut request).await {
+        Ok(end) => end,
+        Err(error) => return Ok(error.to_response()),
+    };
+    Ok(rpc::answer(&keys::end_here(request.state(), end).await))
+}
+
 /// Reads the body of a call between entry hosts, after its token was checked.
 async fn call_body<T: serde::de::DeserializeOwned>(request: &mut Request) -> Result<T, ApiError> {
     let shared = Arc::clone(request.state());
--- a/src/entry/journey.rs
+++ b/src/entry/journey.rs
@@ -13,7 +13,7 @@
 
 use super::message::{Input, Submitted, Verdict};
 use super::peer::{self, PeerAnswer, PeerRequest};
-use super::Shared;
+use super::{keys, Shared};
 
 /// Peers that are tried before a request stays here.
 const MAX_PEERS: u32 = 2;
@@ -46,6 +46,20 @@
     future::or(&mut journey, watched).await
 }
 
+/// Runs a request to its end: under its key if it may run only once.
+pub(super) async fn run(shared: &Arc<Shared>, submitted: Submitted, gone: &Gone) -> Verdict {
+    if submitted.is_idempotent {
+        return dispatch(shared, submitted, gone).await;
+    }
+    let grant = match keys::begin(shared, &submitted, gone).await {
+        Ok(grant) => grant,
+        Err(verdict) => return verdict,
+    };
+    let verdict = dispatch(shared, submitted, gone).await;
+    grant.end(shared, &verdict);
+    verdict
+}
+
 /// Dispatches a request here or at a peer, and waits for its end.
 pub(super) async fn dispatch(shared: &Shared, submitted: Submitted, gone: &Gone) -> Verdict {
     let mut submitted = Arc::new(submitted);
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 
 use crate::http::client::Reply;
+use crate::ledger;
 use crate::outcome::{Outcome, Reason};
 use crate::route::{EndpointKey, RequestKey, SendResult, Sign};
 use crate::store::LeaseId;
@@ -139,6 +140,40 @@
         /// Takes the answer.
         answer: async_channel::Sender<ReleaseAnswer>,
     },
+    /// A request wants to run under its idempotency key.
+    BeginKey {
+        /// Zone whose ledger keeps the key.
+        zone: String,
+        /// The request.
+        begin: ledger::Begin,
+        /// Takes the verdict.
+        verdict: async_channel::Sender<ledger::KeyVerdict>,
+    },
+    /// A request no longer waits for its key.
+    AbandonKey {
+        /// Zone whose ledger keeps the key.
+        zone: String,
+        /// The request.
+        ticket: ledger::Ticket,
+    },
+    /// A granted request ended.
+    EndKey {
+        /// Zone whose ledger keeps the key.
+        zone: String,
+        /// How it ended.
+        end: ledger::End,
+        /// Takes whether this host holds the ledger.
+        is_held: async_channel::Sender<bool>,
+    },
+    /// A call of a ledger to the store ended.
+    StoreEvent {
+        /// Zone of the ledger.
+        zone: String,
+        /// Which time this host holds it.
+        term: u64,
+        /// What became of the call.
+        event: ledger::Event,
+    },
     /// A peer was heard.
     Heard(Box<Heartbeat>),
     /// A peer did not take a forwarded request.
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -6,6 +6,7 @@
 
 use crate::clock;
 use crate::http::client::Reply;
+use crate::ledger::{Claim, End};
 use crate::outcome::{Outcome, Reason};
 
 use super::message::{Submitted, Verdict};
@@ -22,6 +23,40 @@
 /// Path of [`CancelRequest`].
 pub const CANCEL_PATH: &str = "/v1/peer/cancel";
 
+/// Path of [`BeginRequest`].
+pub const BEGIN_PATH: &str = "/v1/peer/ledger/begin";
+
+/// Path of [`EndRequest`].
+pub const END_PATH: &str = "/v1/peer/ledger/end";
+
+/// Asks the holder of a ledger whether a request may run under its key.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct BeginRequest {
+    /// Zone whose ledger keeps the key.
+    pub zone: String,
+    /// Service and idempotency key.
+    pub key: String,
+    /// Digest of the request.
+    pub digest: u64,
+    /// The submission.
+    pub claim: Claim,
+    /// Earlier submissions of the same request whose grant, if any, was never taken up.
+    pub abandoned: Vec<Claim>,
+    /// Time left to the deadline, in milliseconds.
+    pub deadline_in_ms: u64,
+    /// Longest wait for the verdict, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Tells the holder of a ledger how a granted request ended; answered with whether it holds it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct EndRequest {
+    /// Zone whose ledger keeps the key.
+    pub zone: String,
+    /// How it ended.
+    pub end: End,
+}
+
 /// A request that is handed to the dispatcher of another entry host.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct PeerRequest {
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -8,6 +8,7 @@
 
 pub mod batch;
 mod keys;
+pub mod seat;
 
 use std::collections::BTreeMap;
 
@@ -74,6 +75,8 @@
     Away,
     /// This host does not hold the ledger of the key's zone.
     NotHolder,
+    /// The key runs; its end is to be asked for again.
+    Running,
 }
 
 /// How a write of the log ended.
@@ -89,6 +92,18 @@
     Lost,
 }
 
+impl CommitResult {
+    /// The result as metrics carry it.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Written(_) => "written",
+            Self::Conflict(_) => "conflict",
+            Self::Away => "away",
+            Self::Lost => "lost",
+        }
+    }
+}
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -273,7 +288,7 @@
         self.places = log.last().map_or(self.config.slots, |(_, batch)| batch.places);
         self.keys.begin_reload();
         for (modified, batch) in log {
-            self.keys.replay(&batch);
+            self.keys.replay(&batch, now_ms + self.config.end_wait_ms);
             self.note_written(modified, &batch);
         }
         self.keys.end_reload();
--- a/src/ledger/keys.rs
+++ b/src/ledger/keys.rs
@@ -21,7 +21,7 @@
 /// How far the run of a recorded key got.
 #[derive(Clone, Debug)]
 pub(super) enum RecordState {
-    /// It was granted by this holder, and its end is waited for.
+    /// Its end is waited for.
     Open {
         /// End of the wait, on the monotonic clock.
         until_ms: u64,
@@ -237,8 +237,8 @@
         self.pending.clear();
     }
 
-    /// Takes in one write of the log.
-    pub(super) fn replay(&mut self, batch: &Batch) {
+    /// Takes in one write of the log; ends that it lacks are waited for until `until_ms`.
+    pub(super) fn replay(&mut self, batch: &Batch, until_ms: u64) {
         for note in &batch.ends {
             let Some(record) = self.records.get_mut(&note.key) else { continue };
             if record.claim != note.claim {
@@ -253,7 +253,8 @@
             }
         }
         for intent in batch.all_intents() {
-            let record = Record::new(intent, batch.seq, RecordState::Doubt);
+            let record = Record::new(intent, batch.seq, RecordState::Open { until_ms });
+            self.lapses.insert((until_ms, intent.key.clone()));
             self.records.insert(intent.key.clone(), record);
         }
     }
@@ -265,11 +266,11 @@
             if record.claim != known.claim {
                 continue;
             }
-            let is_more = match (&record.state, &known.state) {
-                (RecordState::Doubt, _) => true,
-                (RecordState::Done(None), RecordState::Done(Some(_))) => true,
-                _ => false,
-            };
+            let is_more = matches!(
+                (&record.state, &known.state),
+                (RecordState::Open { .. }, _)
+                    | (RecordState::Done(None), RecordState::Done(Some(_)))
+            );
             if is_more {
                 record.state = known.state;
             }
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -85,6 +85,8 @@
     LedgerAway,
     /// The key was recorded by a holder that did not say how it ended.
     KeyInDoubt,
+    /// The key was used for another request.
+    KeyReused,
     /// The connection ended or went silent after the request was sent.
     ConnectionLost,
     /// The answer ended before its declared length.
@@ -108,6 +110,7 @@
             Self::NoRetryLeft => "no_retry_left",
             Self::LedgerAway => "ledger_away",
             Self::KeyInDoubt => "key_in_doubt",
+            Self::KeyReused => "key_reused",
             Self::ConnectionLost => "connection_lost",
             Self::ShortAnswer => "short_answer",
             Self::TimedOut => "timed_out",
@@ -127,6 +130,7 @@
             Self::NoRetryLeft => "the retry budget is used up",
             Self::LedgerAway => "the idempotency key cannot be recorded now",
             Self::KeyInDoubt => "an earlier request with this key may have run",
+            Self::KeyReused => "the idempotency key was used for another request",
             Self::ConnectionLost => {
                 "the connection ended or went silent after the request was sent"
             }
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -1,10 +1,17 @@
 //! Requests through real entry processes; the endpoints' own records are the oracle.
 
+#![allow(clippy::disallowed_methods, reason = "tests block their own thread")]
+
 #[path = "requests/cell.rs"]
 mod cell;
 mod support;
 
+use std::time::Duration;
+
 use cell::{Ask, Cell, CellPlan};
+use support::eventually;
+
+const SOON: Duration = Duration::from_secs(20);
 
 #[test]
 fn a_request_is_served_with_its_own_whole_answer() {
@@ -67,3 +74,148 @@
     cell.check_limits();
     assert_eq!(cell.total_runs(), 60);
 }
+
+#[test]
+fn one_key_through_two_entries_and_zones_runs_once_with_one_answer() {
+    let cell =
+        Cell::start(CellPlan { entries: vec!["z1", "z1", "z2"], ..CellPlan::default() });
+    for round in 0..10 {
+        let ask = Ask::new(format!("same-{round}")).with_run_ms(60).with_body("order");
+        let asks: Vec<(usize, Ask)> = (0..9).map(|n| (n % 3, ask.clone())).collect();
+        let answers = cell.ask_all(&asks);
+        for answer in &answers {
+            assert_eq!(answer.outcome(), "done", "{answer:?}");
+            assert_eq!(answer.body(), answers[0].body());
+        }
+        let later = cell.ask(round % 3, &ask);
+        assert_eq!((later.outcome(), later.body()), ("done", answers[0].body()), "{later:?}");
+        assert_eq!(cell.runs_of(&format!("same-{round}")), 1);
+    }
+    let other = cell.ask(1, &Ask::new("same-0").with_body("another order"));
+    assert_eq!((other.status, other.outcome()), (409, "not_run"), "{other:?}");
+    cell.check_limits();
+}
+
+#[test]
+fn a_killed_holder_leaves_open_keys_unknown_and_run_at_most_once() {
+    let mut cell = Cell::start(CellPlan { entries: vec!["z1", "z1"], ..CellPlan::default() });
+    let holder = cell.holder();
+    let other = 1 - holder;
+    let ask = Ask::new("in-flight").with_run_ms(800);
+    let through_holder = cell.begin(holder, ask.clone());
+    eventually("it runs", SOON, || cell.runs_of("in-flight") == 1);
+    cell.entries[holder].kill();
+    let _ = async_std::task::block_on(through_holder);
+    let again = cell.ask(other, &ask);
+    assert_eq!((again.status, again.outcome()), (504, "unknown"), "{again:?}");
+    let fresh = cell.ask(other, &Ask::new("fresh"));
+    assert_eq!(fresh.outcome(), "done", "{fresh:?}");
+    assert_eq!(cell.runs_of("in-flight"), 1);
+}
+
+#[test]
+fn an_entry_paused_past_its_session_does_not_go_over_the_slots_when_it_wakes() {
+    let plan = CellPlan { entries: vec!["z1", "z1"], runners: 3, ..CellPlan::default() };
+    let cell = Cell::start(plan);
+    let ask = |n: usize| {
+        Ask::idempotent().with_run_ms(150).with_body(format!("b{n}")).with_deadline_ms(20_000)
+    };
+    let before: Vec<_> = (0..60).map(|n| cell.begin(n % 2, ask(n))).collect();
+    std::thread::sleep(Duration::from_millis(100));
+    cell.entries[0].pause();
+    eventually("the other host owns all", SOON, || cell.owned_by(1) == 3);
+    let during: Vec<_> = (0..80).map(|n| cell.begin(1, ask(n))).collect();
+    std::thread::sleep(Duration::from_millis(300));
+    cell.entries[0].resume();
+    let answers: Vec<_> = async_std::task::block_on(async {
+        let mut answers = Vec::new();
+        for task in before.into_iter().chain(during) {
+            answers.push(task.await);
+        }
+        answers
+    });
+    let done = answers.iter().filter(|answer| answer.outcome() == "done").count();
+    assert!(done >= 80, "{done} of {}", answers.len());
+    cell.check_limits();
+}
+
+#[test]
+fn a_silent_endpoint_does_not_hold_up_others_and_its_request_is_unknown() {
+    let cell = Cell::start(CellPlan { runners: 3, ..CellPlan::default() });
+    cell.runners[0].set_mode(hemlockrock::standin::runner::Mode::Silent);
+    let asks: Vec<(usize, Ask)> = (0..60)
+        .map(|n| (0, Ask::new(format!("s{n}")).with_run_ms(10).with_deadline_ms(8_000)))
+        .collect();
+    let begun = std::time::Instant::now();
+    let answers = cell.ask_all(&asks);
+    let took = begun.elapsed();
+    let unanswered = usize::try_from(cell.runners[0].records().unanswered).unwrap();
+    let unknown = answers.iter().filter(|answer| answer.outcome() == "unknown").count();
+    let done = answers.iter().filter(|answer| answer.outcome() == "done").count();
+    assert_eq!((unknown, done), (unanswered, 60 - unanswered), "{answers:?}");
+    assert!(took < Duration::from_secs(3), "took {took:?}");
+}
+
+#[test]
+fn a_leaving_endpoint_gets_nothing_new_within_two_seconds() {
+    let cell = Cell::start(CellPlan { entries: vec!["z1", "z1"], ..CellPlan::default() });
+    let leaving = &cell.runners[0];
+    leaving.set_mode(hemlockrock::standin::runner::Mode::Leaving);
+    let begun = std::time::Instant::now();
+    let mut number = 0;
+    while begun.elapsed() < Duration::from_secs(4) {
+        let asks: Vec<(usize, Ask)> = (0..8).map(|n| (n % 2, Ask::idempotent())).collect();
+        for answer in cell.ask_all(&asks) {
+            assert_eq!(answer.outcome(), "done", "{answer:?}");
+            number += 1;
+        }
+    }
+    let records = leaving.records();
+    assert!(records.leaving_since_ms.is_some(), "it was never asked, of {number} requests");
+    assert_eq!(records.runs_after_leaving(2_000), 0);
+}
+
+#[test]
+fn a_drain_under_load_loses_no_request_also_with_a_second_signal() {
+    let plan = CellPlan { entries: vec!["z1", "z1"], runners: 3, ..CellPlan::default() };
+    let mut cell = Cell::start(plan);
+    let ask = |n: usize| {
+        Ask::new(format!("d{n}")).with_run_ms(400).with_body(format!("b{n}")).with_deadline_ms(20_000)
+    };
+    let tasks: Vec<_> = (0..120).map(|n| cell.begin(n % 2, ask(n))).collect();
+    std::thread::sleep(Duration::from_millis(150));
+    cell.entries[0].terminate();
+    std::thread::sleep(Duration::from_millis(300));
+    cell.entries[0].terminate();
+    for (n, task) in tasks.into_iter().enumerate() {
+        let answer = async_std::task::block_on(task);
+        assert_eq!(answer.outcome(), "done", "{n}: {answer:?}");
+        assert!(answer.is_answer_to(&format!("b{n}")));
+        assert_eq!(cell.runs_of(&format!("d{n}")), 1);
+    }
+    assert_eq!(cell.entries[0].wait(SOON), Some(0));
+    cell.check_limits();
+}
+
+#[test]
+fn without_the_store_idempotent_work_goes_on_and_keyed_work_is_refused() {
+    let cell = Cell::start(CellPlan { entries: vec!["z1", "z1"], ..CellPlan::default() });
+    let before = cell.ask(0, &Ask::new("before").with_body("before"));
+    assert_eq!(before.outcome(), "done");
+    cell.stop_store();
+    let begun = std::time::Instant::now();
+    while begun.elapsed() < Duration::from_secs(6) {
+        for entry in 0..2 {
+            let answer = cell.ask(entry, &Ask::idempotent().with_body("x"));
+            assert_eq!(answer.outcome(), "done", "after {:?}: {answer:?}", begun.elapsed());
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let asked = std::time::Instant::now();
+    let keyed = cell.ask(0, &Ask::new("during"));
+    assert_eq!((keyed.status, keyed.outcome(), keyed.reason()), (503, "not_run", "ledger_away"));
+    assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+    assert_eq!(cell.runs_of("during"), 0);
+    let known = cell.ask(1, &Ask::new("before").with_body("before"));
+    assert_eq!((known.outcome(), known.body()), ("done", before.body()), "{known:?}");
+}
--- a/tests/requests/cell.rs
+++ b/tests/requests/cell.rs
@@ -13,6 +13,9 @@
     feed, Declarations, EndpointDeclaration, ServiceDeclaration, ZoneDeclaration,
 };
 use hemlockrock::http::client::{self, Pool, Reply};
+use hemlockrock::ledger::seat::Holder;
+use hemlockrock::store::{self, Operation};
+use hemlockrock::clock;
 use hemlockrock::standin::runner::{RunnerConfig, RunnerStandin};
 use hemlockrock::standin::store::StoreStandin;
 use hemlockrock::store::client::HttpStore;
@@ -103,6 +106,21 @@
         cell
     }
 
+    /// Names of the entry hosts that hold a ledger.
+    pub fn holders(&self) -> Vec<String> {
+        let prefix = "cell/ledger/".to_owned();
+        let answer = self.store.state().apply(Operation::List { prefix }, clock::now_ms());
+        let store::Answer::Entries { entries, .. } = answer else { return Vec::new() };
+        let read = |entry: &store::Entry| serde_json::from_slice::<Holder>(&entry.value).unwrap();
+        entries.iter().map(|entry| read(entry).name).collect()
+    }
+
+    /// Number of the entry host that holds the only ledger.
+    pub fn holder(&self) -> usize {
+        let name = self.holders().pop().unwrap();
+        name.trim_start_matches('e').parse().unwrap()
+    }
+
     /// Waits until every entry host is ready and every endpoint is owned once.
     pub fn wait_ready(&self) {
         for entry in &self.entries {
@@ -110,6 +128,8 @@
                 get(&entry.address, "/readyz").is_some_and(|reply| reply.status == 200)
             });
         }
+        let zones = self.declarations.zones.len();
+        eventually("every ledger is held", READY_WITHIN, || self.holders().len() == zones);
         let declared = self.declarations.services[0].endpoints.len();
         eventually("every endpoint is owned", READY_WITHIN, || self.owned() == declared);
         // Heartbeats carry the owned endpoints to the peers.
@@ -121,6 +141,16 @@
         self.entries.iter().map(|entry| owned_by(&entry.address)).sum()
     }
 
+    /// Endpoints owned by one entry host.
+    pub fn owned_by(&self, entry: usize) -> usize {
+        owned_by(&self.entries[entry].address)
+    }
+
+    /// Makes the store refuse every call and break those that wait.
+    pub fn stop_store(&self) {
+        block_on(self.store.stop());
+    }
+
     /// Sends a request to an entry host and waits for its answer.
     pub fn ask(&self, entry: usize, ask: &Ask) -> Answer {
         block_on(ask.send(&self.entries[entry].address))
