--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use cell::{Ask, Cell, CellPlan};
+use hemlockrock::standin::store::faults::Faults;
 use support::eventually;
 
 const SOON: Duration = Duration::from_secs(20);
@@ -77,8 +78,7 @@
 
 #[test]
 fn one_key_through_two_entries_and_zones_runs_once_with_one_answer() {
-    let cell =
-        Cell::start(CellPlan { entries: vec!["z1", "z1", "z2"], ..CellPlan::default() });
+    let cell = Cell::start(CellPlan { entries: vec!["z1", "z1", "z2"], ..CellPlan::default() });
     for round in 0..10 {
         let ask = Ask::new(format!("same-{round}")).with_run_ms(60).with_body("order");
         let asks: Vec<(usize, Ask)> = (0..9).map(|n| (n % 3, ask.clone())).collect();
@@ -180,7 +180,10 @@
     let plan = CellPlan { entries: vec!["z1", "z1"], runners: 3, ..CellPlan::default() };
     let mut cell = Cell::start(plan);
     let ask = |n: usize| {
-        Ask::new(format!("d{n}")).with_run_ms(400).with_body(format!("b{n}")).with_deadline_ms(20_000)
+        Ask::new(format!("d{n}"))
+            .with_run_ms(400)
+            .with_body(format!("b{n}"))
+            .with_deadline_ms(20_000)
     };
     let tasks: Vec<_> = (0..120).map(|n| cell.begin(n % 2, ask(n))).collect();
     std::thread::sleep(Duration::from_millis(150));
@@ -202,7 +205,7 @@
     let cell = Cell::start(CellPlan { entries: vec!["z1", "z1"], ..CellPlan::default() });
     let before = cell.ask(0, &Ask::new("before").with_body("before"));
     assert_eq!(before.outcome(), "done");
-    cell.stop_store();
+    cell.set_store_faults(Faults { down: true, ..Faults::default() });
     let begun = std::time::Instant::now();
     while begun.elapsed() < Duration::from_secs(6) {
         for entry in 0..2 {
--- a/tests/requests/cell.rs
+++ b/tests/requests/cell.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use async_std::task::block_on;
+use hemlockrock::clock;
 use hemlockrock::configs::http::HttpConfig;
 use hemlockrock::configs::store::StoreConfig;
 use hemlockrock::declarations::{
@@ -14,11 +15,10 @@
 };
 use hemlockrock::http::client::{self, Pool, Reply};
 use hemlockrock::ledger::seat::Holder;
-use hemlockrock::store::{self, Operation};
-use hemlockrock::clock;
 use hemlockrock::standin::runner::{RunnerConfig, RunnerStandin};
-use hemlockrock::standin::store::StoreStandin;
+use hemlockrock::standin::store::{faults::Faults, StoreStandin};
 use hemlockrock::store::client::HttpStore;
+use hemlockrock::store::{self, Operation};
 use http_types::Method;
 use sha2::{Digest as _, Sha256};
 
@@ -146,9 +146,9 @@
         owned_by(&self.entries[entry].address)
     }
 
-    /// Makes the store refuse every call and break those that wait.
-    pub fn stop_store(&self) {
-        block_on(self.store.stop());
+    /// Sets what goes wrong with the store.
+    pub fn set_store_faults(&self, faults: Faults) {
+        self.store.set_faults(faults);
     }
 
     /// Sends a request to an entry host and waits for its answer.
