--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -93,6 +93,7 @@
 struct Waiting {
     submitted: Arc<Submitted>,
     verdict: async_channel::Sender<Verdict>,
+    may_have_run: bool,
 }
 
 /// What was last taken in from the store, and when.
@@ -145,6 +146,7 @@
             self.look_around();
             self.step(route::Event::Tick);
             self.tick_seats();
+            self.hand_back_queued();
         }
     }
 
@@ -221,7 +223,7 @@
             is_forwarded: submitted.is_forwarded,
             deadline_ms: submitted.deadline_ms,
         };
-        self.waiting.insert(request, Waiting { submitted, verdict });
+        self.waiting.insert(request, Waiting { submitted, verdict, may_have_run: false });
         self.step(route::Event::Submit(submission));
     }
 
@@ -242,6 +244,47 @@
         !found.is_empty()
     }
 
+    /// Sends what still waits in queues on to the host's peers, once it owns nothing any more.
+    fn hand_back_queued(&mut self) {
+        if !self.is_draining || !self.ownership.owned().is_empty() {
+            return;
+        }
+        let in_queue = |request: &RequestKey, waiting: &Waiting| {
+            !waiting.may_have_run && !self.flights.contains_key(request)
+        };
+        let mut queued: Vec<RequestKey> = self
+            .waiting
+            .iter()
+            .filter(|(request, waiting)| in_queue(request, waiting))
+            .map(|(request, _)| *request)
+            .collect();
+        queued.sort();
+        for request in queued {
+            let Some(waiting) = self.waiting.get(&request) else { continue };
+            let verdict = match self.successor(&waiting.submitted) {
+                _ if waiting.submitted.is_forwarded => Verdict::not_run(Reason::Draining),
+                Some((peer, address)) => Verdict::Forward { peer, address },
+                None => continue,
+            };
+            self.finish(request, verdict);
+            self.step(route::Event::Cancel { request });
+        }
+    }
+
+    /// The host of the zone with the most free slots for a request.
+    fn successor(&self, submitted: &Submitted) -> Option<(String, String)> {
+        let config = &self.parts.config;
+        let recent = self.heard.recent(config.peers.heartbeat_age_ms);
+        let free = |host: &&Heartbeat| {
+            let loads = host.loads.iter().find(|(service, _)| *service == submitted.service);
+            loads.map_or(0, |(_, load)| load.free_slots)
+        };
+        let staying =
+            recent.into_iter().filter(|host| host.zone == config.zone && !host.is_leaving);
+        let best = staying.max_by_key(free)?;
+        Some((best.name.clone(), best.address.clone()))
+    }
+
     /// Drives the dispatcher and carries out what it decides.
     fn step(&mut self, event: route::Event) {
         let mut actions = std::mem::take(&mut self.actions);
@@ -294,10 +337,10 @@
     fn cut(&mut self) {
         let waiting = std::mem::take(&mut self.waiting);
         for (request, waiting) in waiting {
-            let was_sent = self.flights.contains_key(&request);
+            let may_have_run = waiting.may_have_run || self.flights.contains_key(&request);
             let reason = Reason::Draining;
             let verdict =
-                if was_sent { Verdict::unknown(reason) } else { Verdict::not_run(reason) };
+                if may_have_run { Verdict::unknown(reason) } else { Verdict::not_run(reason) };
             let _ = waiting.verdict.try_send(verdict);
         }
     }
--- a/src/entry/control/flights.rs
+++ b/src/entry/control/flights.rs
@@ -81,6 +81,11 @@
         if let Some(sign) = sign {
             self.step(route::Event::Sign { endpoint, sign });
         }
+        if matches!(result, SendResult::Lost { .. }) {
+            if let Some(waiting) = self.waiting.get_mut(&request) {
+                waiting.may_have_run = true;
+            }
+        }
         if let Some(reply) = reply {
             self.finish(request, Verdict::Answered(reply));
         }
--- a/src/entry/journey.rs
+++ b/src/entry/journey.rs
@@ -8,7 +8,7 @@
 use crate::clock;
 use crate::http::rpc::{self, Call, RpcError};
 use crate::http::server::CallerLink;
-use crate::outcome::Reason;
+use crate::outcome::{Outcome, Reason};
 use crate::route::RequestKey;
 
 use super::message::{Input, Submitted, Verdict};
@@ -101,6 +101,18 @@
     ended.unwrap_or_else(|_| Verdict::unknown(Reason::Draining))
 }
 
+/// Whether the peer certainly did not run it, and only because it dispatches to no endpoint now.
+fn lost_its_endpoints(answer: &PeerAnswer) -> bool {
+    matches!(
+        answer,
+        PeerAnswer::Ended {
+            outcome: Outcome::NotRun,
+            reason: Reason::NoEndpoint | Reason::Draining,
+            ..
+        }
+    )
+}
+
 enum Handed {
     Ended(Verdict),
     NotTaken,
@@ -126,6 +138,7 @@
         None
     };
     match future::or(answered, cancelled).await {
+        Some(Ok(answer)) if lost_its_endpoints(&answer) => Handed::NotTaken,
         Some(Ok(answer)) => Handed::Ended(answer.into_verdict()),
         Some(Err(error)) if error.is_certain() => Handed::NotTaken,
         Some(Err(_)) if submitted.is_idempotent => Handed::NotTaken,
--- a/src/entry/ownership.rs
+++ b/src/entry/ownership.rs
@@ -4,8 +4,9 @@
 //! one only after every other member of the zone has said that it gave it up,
 //! and after the endpoint's busy slots were read.
 
-use crate::collections::{stable_hash, HashMap, HashSet};
+use crate::collections::{HashMap, HashSet};
 use crate::membership::Member;
+use crate::route::owner::{self, Candidate};
 use crate::route::EndpointKey;
 use crate::store::LeaseId;
 
@@ -220,7 +221,12 @@
 
 /// The member that ranks first for `name`, among those that stay.
 pub fn first_ranked<'a>(members: &'a [Member], name: &str) -> Option<&'a str> {
-    let staying = members.iter().filter(|member| !member.is_leaving);
-    let ranked = staying.max_by_key(|member| stable_hash(format!("{name}|{}", member.name)));
-    ranked.map(|member| member.name.as_str())
+    let candidate = |member: &Member| Candidate {
+        name: member.name.clone(),
+        incarnation: member.incarnation,
+        is_leaving: member.is_leaving,
+    };
+    let candidates: Vec<Candidate> = members.iter().map(candidate).collect();
+    let first = owner::owner(&candidates, name)?;
+    members.iter().find(|member| member.name == first.name).map(|member| member.name.as_str())
 }
