--- a/src/configs/entry.rs
+++ b/src/configs/entry.rs
@@ -44,6 +44,8 @@
     pub drain: DrainConfig,
     /// Ownership of endpoints and connections to them.
     pub endpoints: EndpointsConfig,
+    /// Platform's list of hosts.
+    pub hosts: HostsConfig,
     /// Calls between entry hosts.
     pub peers: PeersConfig,
     /// Deadline of a request that does not set its own, in milliseconds.
@@ -69,6 +71,7 @@
             ledger: LedgerConfig::default(),
             drain: DrainConfig::default(),
             endpoints: EndpointsConfig::default(),
+            hosts: HostsConfig::default(),
             peers: PeersConfig::default(),
             default_deadline_ms: 10_000,
             max_deadline_ms: 600_000,
@@ -95,6 +98,7 @@
         report.nested("ledger", &self.ledger);
         report.nested("drain", &self.drain);
         report.nested("endpoints", &self.endpoints);
+        report.nested("hosts", &self.hosts);
         report.nested("peers", &self.peers);
     }
 }
@@ -148,6 +152,33 @@
     }
 }
 
+/// Settings of the platform's list of live and leaving hosts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct HostsConfig {
+    /// Address of the list, `IP:port`; empty for none.
+    pub address: String,
+    /// Time between readings, in milliseconds.
+    pub every_ms: u64,
+    /// Longest wait for the list, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+impl Default for HostsConfig {
+    fn default() -> Self {
+        Self { address: String::new(), every_ms: 500, timeout_ms: 1_000 }
+    }
+}
+
+impl Validate for HostsConfig {
+    fn validate(&self, report: &mut Report<'_>) {
+        let address = self.address.is_empty() || is_address(&self.address);
+        report.require(address, "address", "expected IP:port");
+        report.require(self.every_ms > 0, "every_ms", "expected at least 1");
+        report.require(self.timeout_ms > 0, "timeout_ms", "expected at least 1");
+    }
+}
+
 /// Settings of the calls between entry hosts.
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -7,6 +7,7 @@
 mod control;
 mod front;
 pub mod heartbeat;
+mod hosts;
 mod journey;
 mod keys;
 pub mod message;
@@ -84,6 +85,7 @@
     next_request: AtomicU64,
     was_ready: AtomicBool,
     is_draining: AtomicBool,
+    is_stopped: AtomicBool,
     open_ends: AtomicUsize,
 }
 
@@ -130,11 +132,13 @@
             next_request: AtomicU64::new(1),
             was_ready: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
+            is_stopped: AtomicBool::new(false),
             open_ends: AtomicUsize::new(0),
         });
         let app = front::app(Arc::clone(&shared));
         let server = Server::start_on(listener, app, config.http.clone()).wrap_err("server")?;
         task::spawn(beat::run(Arc::clone(&shared)));
+        task::spawn(hosts::run(Arc::clone(&shared)));
         spdlog::info!("entry host listens", kv: { name = config.name.as_str(), zone = config.zone.as_str() });
         Ok(Self { shared, server })
     }
@@ -163,6 +167,7 @@
         self.server.finish(LAST_ANSWERS_MS).await;
         self.shared.session.stop().await;
         self.shared.control.send(Input::Stop);
+        self.shared.is_stopped.store(true, Ordering::Release);
         spdlog::info!("drain ends", kv: { is_whole = ended.is_whole });
         ended
     }
@@ -190,6 +195,11 @@
         self.was_ready.load(Ordering::Acquire) && !self.is_draining()
     }
 
+    /// Whether the host has ended.
+    fn is_stopped(&self) -> bool {
+        self.is_stopped.load(Ordering::Acquire)
+    }
+
     fn is_draining(&self) -> bool {
         self.is_draining.load(Ordering::Acquire)
     }
--- a/src/entry/book.rs
+++ b/src/entry/book.rs
@@ -11,6 +11,8 @@
     pub key: EndpointKey,
     /// Service and name, the same on every host.
     pub name: String,
+    /// Name of the host that it is on, as the platform lists it.
+    pub host: String,
     /// Service that it serves.
     pub service: ServiceKey,
     /// Zone that it is in.
@@ -42,6 +44,7 @@
                 let endpoint = Endpoint {
                     key,
                     name,
+                    host: declared.name.clone(),
                     service: service_key,
                     zone: declared.zone.clone(),
                     address: declared.address.clone(),
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -3,6 +3,7 @@
 
 mod flights;
 mod seats;
+mod signs;
 mod zone;
 
 use std::collections::BTreeMap;
@@ -29,6 +30,7 @@
 use super::ownership::Ownership;
 
 use flights::Flight;
+use signs::Leaving;
 
 /// Longest time between two looks at members, declarations and due work, in milliseconds.
 const STEP_MS: u64 = 20;
@@ -81,6 +83,7 @@
     heard: Heard,
     waiting: HashMap<RequestKey, Waiting>,
     flights: HashMap<RequestKey, Flight>,
+    leaving: Leaving,
     seats: BTreeMap<String, Seat>,
     terms: HashMap<String, u64>,
     seat_tries: HashMap<String, u64>,
@@ -105,6 +108,7 @@
     foreign_read_ms: u64,
     progress_read_ms: u64,
     seats_ms: u64,
+    leaving_read_ms: u64,
 }
 
 impl Thread {
@@ -117,6 +121,7 @@
             heard: Heard::default(),
             waiting: HashMap::default(),
             flights: HashMap::default(),
+            leaving: Leaving::default(),
             seats: BTreeMap::new(),
             terms: HashMap::default(),
             seat_tries: HashMap::default(),
@@ -183,6 +188,7 @@
                 let _ = is_held.try_send(self.end_key(&zone, end));
             }
             Input::StoreEvent { zone, term, event } => self.take_store_event(&zone, term, event),
+            Input::Hosts(leaving) => self.take_hosts(leaving),
             Input::Heard(heartbeat) => self.hear(*heartbeat),
             Input::PeerFailed(name) => {
                 self.heard.forget(&name);
@@ -359,6 +365,7 @@
             is_leaving: self.is_draining,
             is_session_held: self.parts.session.lease().is_some(),
             config_revision: self.seen.config_revision,
+            leaving: self.leaving_names(),
             loads: load.services.into_iter().map(named).collect(),
         }
     }
--- a/src/entry/control/flights.rs
+++ b/src/entry/control/flights.rs
@@ -78,7 +78,9 @@
         sign: Option<Sign>,
     ) {
         self.flights.remove(&request);
-        if let Some(sign) = sign {
+        if sign == Some(Sign::Leaving) {
+            self.take_word(endpoint, true);
+        } else if let Some(sign) = sign {
             self.step(route::Event::Sign { endpoint, sign });
         }
         if matches!(result, SendResult::Lost { .. }) {
@@ -128,15 +130,14 @@
             let sign = if reading.said.is_some() { Sign::Answering } else { Sign::Silent };
             self.step(route::Event::Sign { endpoint, sign });
         }
-        if let Some(said) = reading.said {
-            let sign = if said.is_leaving { Sign::Leaving } else { Sign::Staying };
-            self.step(route::Event::Sign { endpoint, sign });
+        if let Some(is_leaving) = reading.said.and_then(|said| said.is_leaving) {
+            self.take_word(endpoint, is_leaving);
         }
         let still = |request: &&RequestKey| self.flights.contains_key(*request);
         let mine = reading.in_flight_before.iter().filter(still).count();
         let mine = u32::try_from(mine).unwrap_or(u32::MAX);
         match reading.purpose {
-            Purpose::Probe => {}
+            Purpose::Probe | Purpose::Word => {}
             Purpose::Foreign => self.learn_foreign(endpoint, reading.said, mine),
             Purpose::Progress => self.judge_progress(reading, mine),
         }
--- a/src/entry/control/zone.rs
+++ b/src/entry/control/zone.rs
@@ -14,7 +14,7 @@
 use super::super::message::{Control, Input, Purpose, Said};
 use super::super::ownership::Acquire;
 use super::super::peer::{self, ReleaseAnswer, ReleaseRequest};
-use super::{seats, Thread};
+use super::{seats, signs, Thread};
 
 /// Pause before a peer is asked again for endpoints that it still owns, in milliseconds.
 const ASK_AGAIN_MS: u64 = 50;
@@ -46,6 +46,10 @@
             self.seen.progress_read_ms = now_ms;
             self.watch_progress();
         }
+        if now_ms >= self.seen.leaving_read_ms + signs::READ_EVERY_MS {
+            self.seen.leaving_read_ms = now_ms;
+            self.read_leaving();
+        }
         if now_ms >= self.seen.seats_ms + seats::LOOK_EVERY_MS {
             self.seen.seats_ms = now_ms;
             self.look_at_seats(now_ms);
@@ -149,6 +153,7 @@
             }
             let guard = self.guard(now_ms);
             self.step(route::Event::Own { endpoint, service, slots, guard });
+            self.begin_signs(endpoint);
             self.read_endpoint(endpoint, Purpose::Foreign);
         }
     }
--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -24,6 +24,8 @@
     pub is_session_held: bool,
     /// Revision of the configuration in force there.
     pub config_revision: u64,
+    /// Owned endpoints that said that they leave.
+    pub leaving: Vec<String>,
     /// Load by service name.
     pub loads: Vec<(String, ServiceLoad)>,
 }
--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 
+use crate::collections::HashSet;
+
 use crate::http::client::Reply;
 use crate::ledger;
 use crate::outcome::{Outcome, Reason};
@@ -174,6 +176,8 @@
         /// What became of the call.
         event: ledger::Event,
     },
+    /// Names of the hosts that the platform lists as leaving or gone.
+    Hosts(HashSet<String>),
     /// A peer was heard.
     Heard(Box<Heartbeat>),
     /// A peer did not take a forwarded request.
@@ -212,6 +216,8 @@
     Foreign,
     /// Requests have been without an answer for long.
     Progress,
+    /// It said that it leaves.
+    Word,
 }
 
 /// An endpoint's word about itself.
@@ -219,8 +225,8 @@
 pub struct Said {
     /// Slots in use; nothing if it does not tell.
     pub busy: Option<u32>,
-    /// Whether it is leaving.
-    pub is_leaving: bool,
+    /// Whether it is leaving; nothing if it does not tell.
+    pub is_leaving: Option<bool>,
 }
 
 /// What a draining host still holds.
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -167,7 +167,7 @@
     #[serde(default)]
     struct Health {
         busy: Option<u32>,
-        leaving: bool,
+        leaving: Option<bool>,
     }
     let read = async {
         let stream = client::open(address, timeout_ms).await.ok()?;
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 use cell::{Ask, Cell, CellPlan};
+use hemlockrock::standin::hosts::{Host, HostState, HostsChange, HostsStandin};
+use hemlockrock::standin::runner::Mode;
 use hemlockrock::standin::store::faults::Faults;
 use support::eventually;
 
@@ -27,7 +29,7 @@
 fn a_killed_endpoint_leaves_its_request_unknown_and_run_once() {
     let cell = Cell::start(CellPlan { runners: 2, ..CellPlan::default() });
     for runner in &cell.runners {
-        runner.set_mode(hemlockrock::standin::runner::Mode::Reset);
+        runner.set_mode(Mode::Reset);
     }
     let answer = cell.ask(0, &Ask::new("score-1"));
     assert_eq!((answer.status, answer.outcome()), (504, "unknown"), "{answer:?}");
@@ -38,7 +40,7 @@
 fn a_short_answer_is_not_passed_as_whole() {
     let cell = Cell::start(CellPlan::default());
     for runner in &cell.runners {
-        runner.set_mode(hemlockrock::standin::runner::Mode::Short);
+        runner.set_mode(Mode::Short);
     }
     let answer = cell.ask(0, &Ask::new("short-1"));
     assert_eq!((answer.status, answer.outcome()), (504, "unknown"), "{answer:?}");
@@ -142,7 +144,7 @@
 #[test]
 fn a_silent_endpoint_does_not_hold_up_others_and_its_request_is_unknown() {
     let cell = Cell::start(CellPlan { runners: 3, ..CellPlan::default() });
-    cell.runners[0].set_mode(hemlockrock::standin::runner::Mode::Silent);
+    cell.runners[0].set_mode(Mode::Silent);
     let asks: Vec<(usize, Ask)> = (0..60)
         .map(|n| (0, Ask::new(format!("s{n}")).with_run_ms(10).with_deadline_ms(8_000)))
         .collect();
@@ -160,7 +162,7 @@
 fn a_leaving_endpoint_gets_nothing_new_within_two_seconds() {
     let cell = Cell::start(CellPlan { entries: vec!["z1", "z1"], ..CellPlan::default() });
     let leaving = &cell.runners[0];
-    leaving.set_mode(hemlockrock::standin::runner::Mode::Leaving);
+    leaving.set_mode(Mode::Leaving);
     let begun = std::time::Instant::now();
     let mut number = 0;
     while begun.elapsed() < Duration::from_secs(4) {
@@ -175,6 +177,25 @@
     assert_eq!(records.runs_after_leaving(2_000), 0);
 }
 
+#[test]
+fn an_endpoint_listed_as_leaving_gets_nothing_new_within_two_seconds() {
+    let hosts = async_std::task::block_on(HostsStandin::start("127.0.0.1:0")).unwrap();
+    let settings = format!("hosts:\n  address: {}\n", hosts.address());
+    let cell = Cell::start(CellPlan { settings, ..CellPlan::default() });
+    let listed = Host { name: "z1-r0".to_owned(), state: HostState::Leaving };
+    hosts.change(HostsChange { lag_ms: None, hosts: vec![listed] });
+    let listed_ms = hemlockrock::clock::unix_ms();
+    let begun = std::time::Instant::now();
+    while begun.elapsed() < Duration::from_secs(4) {
+        let asks: Vec<(usize, Ask)> = (0..8).map(|_| (0, Ask::idempotent())).collect();
+        for answer in cell.ask_all(&asks) {
+            assert_eq!(answer.outcome(), "done", "{answer:?}");
+        }
+    }
+    let runs = cell.runners[0].records().runs;
+    assert!(runs.iter().all(|run| run.start_ms <= listed_ms + 2_000));
+}
+
 #[test]
 fn a_drain_under_load_loses_no_request_also_with_a_second_signal() {
     let plan = CellPlan { entries: vec!["z1", "z1"], runners: 3, ..CellPlan::default() };
