--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -24,6 +24,9 @@
 /// Time for which ends wait for intents to be written together, in milliseconds.
 const ENDS_WAIT_MS: u64 = 100;
 
+/// Failed calls in a row after which the store is taken to be away.
+const AWAY_AFTER: u32 = 3;
+
 /// A request that waits for what the ledger says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Ticket(pub u64);
@@ -181,6 +184,10 @@
     ends: Vec<EndNote>,
     ends_since_ms: Option<u64>,
     in_flight: Option<Batch>,
+    /// Whether the write in flight has ended without an answer that settles it.
+    is_open: bool,
+    failures: u32,
+    failing_since_ms: u64,
     is_away: bool,
     next_commit_ms: u64,
 }
@@ -224,6 +231,9 @@
             ends: Vec::new(),
             ends_since_ms: None,
             in_flight: None,
+            is_open: false,
+            failures: 0,
+            failing_since_ms: 0,
             is_away: false,
             next_commit_ms: 0,
         }
@@ -234,8 +244,8 @@
         match event {
             Event::Loaded(log) => self.load(log, now_ms, out),
             Event::LoadFailed => {
-                self.is_away = true;
-                self.phase = Phase::LoadAt(now_ms + self.config.retry_ms);
+                self.note_failure(now_ms);
+                self.phase = Phase::LoadAt(now_ms + self.pause_ms());
             }
             Event::Begin(begin) => self.begin(begin, now_ms, out),
             Event::Abandon(ticket) => self.abandon(ticket),
@@ -279,7 +289,7 @@
     /// Takes in the whole log; what this holder granted itself stays open.
     fn load(&mut self, mut log: Vec<(Revision, Batch)>, now_ms: u64, out: &mut Vec<Action>) {
         log.sort_by_key(|(_, batch)| batch.seq);
-        self.is_away = false;
+        self.note_success();
         self.phase = Phase::Holding;
         self.written.clear();
         self.gathered.clear();
@@ -394,9 +404,10 @@
                 self.phase = Phase::LoadAt(now_ms);
             }
             CommitResult::Away | CommitResult::Lost => {
-                self.is_away = true;
+                self.note_failure(now_ms);
                 self.in_flight = Some(batch);
-                self.next_commit_ms = now_ms + self.config.retry_ms;
+                self.is_open = true;
+                self.next_commit_ms = now_ms + self.pause_ms();
             }
         }
     }
@@ -407,8 +418,31 @@
         self.ends = ends;
     }
 
-    fn apply(&mut self, modified: Revision, batch: &Batch, now_ms: u64, out: &mut Vec<Action>) {
+    fn note_success(&mut self) {
+        self.failures = 0;
         self.is_away = false;
+    }
+
+    /// Counts a call that did not succeed; after several the store is taken to be away.
+    fn note_failure(&mut self, now_ms: u64) {
+        if self.failures == 0 {
+            self.failing_since_ms = now_ms;
+        }
+        self.failures += 1;
+        let is_long = now_ms >= self.failing_since_ms + self.config.commit_wait_ms;
+        self.is_away = is_long || self.failures >= AWAY_AFTER;
+    }
+
+    /// Time between two writes.
+    fn pause_ms(&self) -> u64 {
+        if self.is_away {
+            return self.config.retry_ms;
+        }
+        self.config.commit_every_ms
+    }
+
+    fn apply(&mut self, modified: Revision, batch: &Batch, now_ms: u64, out: &mut Vec<Action>) {
+        self.note_success();
         self.next_seq = batch.seq + 1;
         for intent in &batch.carried {
             self.keys.carry(intent, batch.seq);
@@ -467,7 +501,7 @@
             return;
         }
         let batch = match &self.in_flight {
-            Some(batch) if self.is_away => batch.clone(),
+            Some(batch) if self.is_open => batch.clone(),
             Some(_) => return,
             None => {
                 let Some(batch) = self.next_batch(now_ms) else { return };
@@ -479,9 +513,8 @@
             Some(written) => Expect::Modified(written.modified),
             None => Expect::Absent,
         };
-        let pause_ms =
-            if self.is_away { self.config.retry_ms } else { self.config.commit_every_ms };
-        self.next_commit_ms = now_ms + pause_ms;
+        self.next_commit_ms = now_ms + self.pause_ms();
+        self.is_open = false;
         self.in_flight = Some(batch.clone());
         out.push(Action::Commit { place, expect, batch });
     }
--- a/tests/requests/cell.rs
+++ b/tests/requests/cell.rs
@@ -15,6 +15,7 @@
 };
 use hemlockrock::http::client::{self, Pool, Reply};
 use hemlockrock::ledger::seat::Holder;
+use hemlockrock::standin::proxy::ProxyStandin;
 use hemlockrock::standin::runner::{RunnerConfig, RunnerStandin};
 use hemlockrock::standin::store::{faults::Faults, StoreStandin};
 use hemlockrock::store::client::HttpStore;
@@ -37,11 +38,19 @@
     pub slots: u32,
     /// More settings of each entry host, in YAML.
     pub settings: String,
+    /// Whether connections to endpoints, to the store and between entry hosts go through proxies.
+    pub is_proxied: bool,
 }
 
 impl Default for CellPlan {
     fn default() -> Self {
-        Self { entries: vec!["z1"], runners: 2, slots: 8, settings: String::new() }
+        Self {
+            entries: vec!["z1"],
+            runners: 2,
+            slots: 8,
+            settings: String::new(),
+            is_proxied: false,
+        }
     }
 }
 
@@ -50,8 +59,15 @@
     pub store: StoreStandin,
     pub runners: Vec<RunnerStandin>,
     pub entries: Vec<Process>,
+    /// In front of each endpoint, if the plan asks for proxies.
+    pub endpoint_proxies: Vec<ProxyStandin>,
+    /// Between each entry host and the store.
+    pub store_proxies: Vec<ProxyStandin>,
+    /// In front of each entry host, for its peers.
+    pub peer_proxies: Vec<ProxyStandin>,
     pub declarations: Declarations,
-    _scratch: Scratch,
+    plan: CellPlan,
+    scratch: Scratch,
 }
 
 impl Cell {
@@ -61,6 +77,7 @@
         let mut zones: Vec<&str> = plan.entries.clone();
         zones.dedup();
         let mut runners = Vec::new();
+        let mut endpoint_proxies = Vec::new();
         let mut endpoints = Vec::new();
         for zone in &zones {
             for number in 0..plan.runners {
@@ -71,10 +88,15 @@
                     ..RunnerConfig::default()
                 };
                 let runner = block_on(RunnerStandin::start(config)).unwrap();
+                let mut address = runner.address();
+                if plan.is_proxied {
+                    endpoint_proxies.push(proxy(&address));
+                    address = endpoint_proxies[endpoint_proxies.len() - 1].address();
+                }
                 endpoints.push(EndpointDeclaration {
                     name,
                     zone: (*zone).to_owned(),
-                    address: runner.address(),
+                    address,
                     slots: plan.slots,
                     connections: 64,
                 });
@@ -97,15 +119,45 @@
         let client = http_store(&store.address());
         block_on(feed::publish(&client, &declarations)).unwrap();
         let scratch = Scratch::new();
-        let entries = plan.entries.iter().enumerate().map(|(number, zone)| {
-            start_entry(&scratch, &store.address(), number, zone, &plan.settings)
-        });
-        let entries = entries.collect();
-        let cell = Self { store, runners, entries, declarations, _scratch: scratch };
+        let mut cell = Self {
+            store,
+            runners,
+            entries: Vec::new(),
+            endpoint_proxies,
+            store_proxies: Vec::new(),
+            peer_proxies: Vec::new(),
+            declarations,
+            plan,
+            scratch,
+        };
+        for number in 0..cell.plan.entries.len() {
+            let entry = cell.start_entry(number);
+            cell.entries.push(entry);
+        }
         cell.wait_ready();
         cell
     }
 
+    /// Starts one entry process of the plan, also to replace one that has ended.
+    pub fn start_entry(&mut self, number: usize) -> Process {
+        let zone = self.plan.entries[number];
+        let mut settings = self.plan.settings.clone();
+        let mut store = self.store.address();
+        if self.plan.is_proxied {
+            if self.store_proxies.len() <= number {
+                self.store_proxies.push(proxy(&store));
+                self.peer_proxies.push(proxy("127.0.0.1:9"));
+            }
+            store = self.store_proxies[number].address();
+            settings.push_str(&format!("advertise: {}\n", self.peer_proxies[number].address()));
+        }
+        let entry = start_entry(&self.scratch, &store, number, zone, &settings);
+        if self.plan.is_proxied {
+            self.peer_proxies[number].set_target(entry.address.as_str());
+        }
+        entry
+    }
+
     /// Names of the entry hosts that hold a ledger.
     pub fn holders(&self) -> Vec<String> {
         let prefix = "cell/ledger/".to_owned();
@@ -124,9 +176,7 @@
     /// Waits until every entry host is ready and every endpoint is owned once.
     pub fn wait_ready(&self) {
         for entry in &self.entries {
-            eventually("an entry host is ready", READY_WITHIN, || {
-                get(&entry.address, "/readyz").is_some_and(|reply| reply.status == 200)
-            });
+            eventually("an entry host is ready", READY_WITHIN, || is_ready(&entry.address));
         }
         let zones = self.declarations.zones.len();
         eventually("every ledger is held", READY_WITHIN, || self.holders().len() == zones);
@@ -218,6 +268,15 @@
     HttpStore::new(config, Pool::new(HttpConfig::default()))
 }
 
+fn proxy(target: &str) -> ProxyStandin {
+    block_on(ProxyStandin::start("127.0.0.1:0", target)).unwrap()
+}
+
+/// Whether an entry host says that callers may be sent there.
+pub fn is_ready(address: &str) -> bool {
+    get(address, "/readyz").is_some_and(|reply| reply.status == 200)
+}
+
 fn owned_by(address: &str) -> usize {
     let Some(reply) = get(address, "/metrics") else { return 0 };
     let text = String::from_utf8_lossy(&reply.body).into_owned();
@@ -292,6 +351,14 @@
         self
     }
 
+    /// Cancels a request by its key; the status of the answer.
+    pub async fn cancel(address: &str, key: &str) -> u16 {
+        let path = format!("/v1/services/orders/requests/{key}");
+        let request = client::request(Method::Delete, address, &path).unwrap();
+        let stream = client::open(address, 2_000).await.unwrap();
+        client::exchange(stream, request, 1 << 20).await.unwrap().status
+    }
+
     /// Sends the request on a connection of its own.
     pub async fn send(&self, address: &str) -> Answer {
         let path = format!("/v1/services/{}/requests", self.service);
--- /dev/null
+++ b/tests/requests_faults.rs
@@ -0,0 +1,262 @@
+//! Requests while connections, the store and whole zones fail; the endpoints' own records are the
+//! oracle.
+#![allow(clippy::disallowed_methods, reason = "tests block their own thread")]
+
+#[path = "requests/cell.rs"]
+mod cell;
+mod support;
+
+use std::time::{Duration, Instant};
+
+use async_std::task::{block_on, JoinHandle};
+use cell::{is_ready, Answer, Ask, Cell, CellPlan};
+use hemlockrock::standin::proxy::{Fault, Kind};
+use hemlockrock::standin::store::faults::Faults;
+use support::eventually;
+
+const SOON: Duration = Duration::from_secs(20);
+
+/// A request that was begun at some time of a test.
+struct Begun {
+    key: String,
+    at: Instant,
+    task: JoinHandle<(Answer, Duration)>,
+}
+
+/// Begins a keyed request every `every` for `during`, in turns over the entry hosts.
+fn load(cell: &Cell, prefix: &str, during: Duration, every: Duration) -> Vec<Begun> {
+    load_of(cell, prefix, during, every, 10)
+}
+
+/// As [`load`], with a run time.
+fn load_of(
+    cell: &Cell,
+    prefix: &str,
+    during: Duration,
+    every: Duration,
+    run_ms: u64,
+) -> Vec<Begun> {
+    let mut begun = Vec::new();
+    let start = Instant::now();
+    while start.elapsed() < during {
+        let number = begun.len();
+        let key = format!("{prefix}{number}");
+        let ask = Ask::new(key.clone()).with_run_ms(run_ms).with_deadline_ms(5_000);
+        let address = cell.entries[number % cell.entries.len()].address.clone();
+        let at = Instant::now();
+        let task = async_std::task::spawn(async move {
+            let answer = ask.send(&address).await;
+            (answer, at.elapsed())
+        });
+        begun.push(Begun { key, at, task });
+        std::thread::sleep(every);
+    }
+    begun
+}
+
+/// Checks that what a caller was told agrees with what ran.
+fn check_truth(cell: &Cell, key: &str, answer: &Answer) {
+    let runs = cell.runs_of(key);
+    assert!(runs <= 1, "{key} ran {runs} times");
+    match answer.outcome() {
+        "done" => assert_eq!(runs, 1, "{key}: {answer:?}"),
+        "not_run" => assert_eq!(runs, 0, "{key}: {answer:?}"),
+        "unknown" => {}
+        _ => panic!("{key} got no outcome: {answer:?}"),
+    }
+}
+
+#[test]
+fn a_third_of_the_connections_going_silent_is_over_within_three_seconds() {
+    let plan = CellPlan { runners: 4, is_proxied: true, ..CellPlan::default() };
+    let cell = Cell::start(plan);
+    let calm = load_of(&cell, "calm", Duration::from_secs(1), Duration::from_millis(4), 60);
+    let struck_at = Instant::now();
+    for proxy in &cell.endpoint_proxies {
+        proxy.set_fault(Fault::new(Kind::Silent).with_fraction(0.34, 7));
+    }
+    let after = load_of(&cell, "after", Duration::from_secs(5), Duration::from_millis(4), 60);
+    let mut unknown = 0;
+    for begun in calm.into_iter().chain(after) {
+        let (answer, took) = block_on(begun.task);
+        check_truth(&cell, &begun.key, &answer);
+        unknown += usize::from(answer.outcome() == "unknown");
+        if begun.at > struck_at + Duration::from_secs(3) {
+            assert_eq!(answer.outcome(), "done", "{}: {answer:?}", begun.key);
+            assert!(took < Duration::from_millis(500), "{}: {took:?}", begun.key);
+        }
+    }
+    assert!((1..=32).contains(&unknown), "{unknown} requests were told unknown");
+    cell.check_limits();
+}
+
+#[test]
+fn cancelled_requests_leave_the_queue_and_never_run() {
+    let cell = Cell::start(CellPlan { runners: 1, slots: 1, ..CellPlan::default() });
+    let running = cell.begin(0, Ask::new("running").with_run_ms(1_500));
+    eventually("it runs", SOON, || cell.runs_of("running") == 1);
+    let by_key = cell.begin(0, Ask::new("by-key").with_run_ms(10));
+    let closed = cell.begin(0, Ask::new("closed").with_run_ms(10));
+    std::thread::sleep(Duration::from_millis(200));
+    let address = cell.entries[0].address.clone();
+    assert_eq!(block_on(Ask::cancel(&address, "by-key")), 202);
+    let cancelled = block_on(by_key);
+    assert_eq!((cancelled.outcome(), cancelled.reason()), ("not_run", "cancelled"));
+    assert_eq!(block_on(Ask::cancel(&address, "by-key")), 404);
+    block_on(closed.cancel());
+    assert_eq!(block_on(running).outcome(), "done");
+    let last = cell.ask(0, &Ask::new("last"));
+    assert_eq!(last.outcome(), "done", "{last:?}");
+    assert_eq!((cell.runs_of("by-key"), cell.runs_of("closed")), (0, 0));
+    let again = cell.ask(0, &Ask::new("by-key"));
+    assert_eq!((again.outcome(), cell.runs_of("by-key")), ("done", 1), "{again:?}");
+}
+
+#[test]
+fn lost_answers_of_the_store_double_nothing() {
+    let cell = Cell::start(CellPlan { entries: vec!["z1", "z1"], ..CellPlan::default() });
+    cell.set_store_faults(Faults { seed: 5, lose_answers: 0.3, ..Faults::default() });
+    let begun = load(&cell, "lost", Duration::from_secs(3), Duration::from_millis(10));
+    let (mut done, total) = (0, begun.len());
+    for begun in begun {
+        let (answer, _) = block_on(begun.task);
+        check_truth(&cell, &begun.key, &answer);
+        done += usize::from(answer.outcome() == "done");
+    }
+    println!("{done} of {total} done");
+    assert!(done > 0);
+}
+
+#[test]
+fn a_paused_holder_that_wakes_doubles_nothing() {
+    let cell = Cell::start(CellPlan { entries: vec!["z1", "z1"], ..CellPlan::default() });
+    let holder = cell.holder();
+    let before = load(&cell, "k", Duration::from_millis(500), Duration::from_millis(10));
+    cell.entries[holder].pause();
+    eventually("another holds the ledger", SOON, || {
+        cell.holders().first().is_some_and(|name| *name != format!("e{holder}"))
+    });
+    let other = 1 - holder;
+    let mut again = Vec::new();
+    for begun in &before {
+        let ask = Ask::new(begun.key.clone()).with_run_ms(10).with_deadline_ms(5_000);
+        again.push((begun.key.clone(), cell.begin(other, ask)));
+    }
+    std::thread::sleep(Duration::from_millis(100));
+    cell.entries[holder].resume();
+    let mut told = Vec::new();
+    for (key, task) in again {
+        told.push((key, block_on(task)));
+    }
+    for (begun, (key, second)) in before.into_iter().zip(&told) {
+        let (first, _) = block_on(begun.task);
+        check_truth(&cell, key, second);
+        check_truth(&cell, key, &first);
+        if first.outcome() == "done" && second.outcome() == "done" {
+            assert_eq!(first.body(), second.body(), "{key}");
+        }
+    }
+    let fresh = cell.ask(holder, &Ask::new("fresh"));
+    assert_eq!(fresh.outcome(), "done", "{fresh:?}");
+    cell.check_limits();
+}
+
+#[test]
+fn a_zone_cut_from_the_store_and_the_other_zone_goes_on_and_doubles_nothing_after_healing() {
+    let plan =
+        CellPlan { entries: vec!["z1", "z2"], runners: 2, is_proxied: true, ..CellPlan::default() };
+    let cell = Cell::start(plan);
+    cell.store_proxies[0].set_fault(Fault::new(Kind::Cut));
+    for proxy in &cell.peer_proxies {
+        proxy.set_fault(Fault::new(Kind::Cut));
+    }
+    let (mut asked, mut done) = (0, 0);
+    let begun = Instant::now();
+    let mut keyed = Vec::new();
+    while begun.elapsed() < Duration::from_secs(8) {
+        for entry in 0..2 {
+            let answer = cell.ask(entry, &Ask::idempotent().with_deadline_ms(3_000));
+            asked += 1;
+            done += usize::from(answer.outcome() == "done");
+            let key = format!("cut{}", keyed.len());
+            let ask = Ask::new(key.clone()).with_deadline_ms(3_000);
+            keyed.push((
+                key,
+                ask.clone(),
+                cell.begin(entry, ask.clone()),
+                cell.begin(1 - entry, ask),
+            ));
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    println!("idempotent: {done} of {asked} done");
+    assert!(done * 100 >= asked * 95, "idempotent: {done} of {asked} done");
+    cell.store_proxies[0].set_fault(Fault::new(Kind::Pass));
+    for proxy in &cell.peer_proxies {
+        proxy.set_fault(Fault::new(Kind::Pass));
+    }
+    cell.wait_ready();
+    let mut outcomes = std::collections::BTreeMap::new();
+    for (key, ask, left, right) in keyed {
+        let answers = [block_on(left), block_on(right), cell.ask(0, &ask)];
+        let runs = cell.runs_of(&key);
+        assert!(runs <= 1, "{key} ran {runs} times: {answers:?}");
+        let bodies: Vec<&[u8]> =
+            answers.iter().filter(|answer| answer.outcome() == "done").map(Answer::body).collect();
+        assert!(bodies.windows(2).all(|pair| pair[0] == pair[1]), "{key}: {answers:?}");
+        for answer in &answers {
+            *outcomes.entry(answer.outcome().to_owned()).or_insert(0) += 1;
+        }
+    }
+    println!("keyed: {outcomes:?}");
+    cell.check_limits();
+}
+
+#[test]
+fn a_rolling_replacement_under_load_loses_no_request() {
+    let plan = CellPlan { entries: vec!["z1", "z1", "z1"], runners: 3, ..CellPlan::default() };
+    let mut cell = Cell::start(plan);
+    let addresses: Vec<String> = cell.entries.iter().map(|entry| entry.address.clone()).collect();
+    let balancer = std::sync::Arc::new(std::sync::Mutex::new(addresses));
+    let is_over = std::sync::Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let callers = {
+        let (balancer, is_over) = (balancer.clone(), is_over.clone());
+        std::thread::spawn(move || {
+            let mut tasks = Vec::new();
+            while !is_over.load(std::sync::atomic::Ordering::Acquire) {
+                let number = tasks.len();
+                let key = format!("roll{number}");
+                let known = balancer.lock().unwrap().clone();
+                let address = known[number % known.len()].clone();
+                let ask = Ask::new(key.clone()).with_run_ms(50).with_deadline_ms(10_000);
+                let task = async_std::task::spawn(async move { ask.send(&address).await });
+                tasks.push((key, task));
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            tasks
+        })
+    };
+    for number in 0..3 {
+        let old = cell.entries[number].address.clone();
+        cell.entries[number].terminate();
+        // The balancer sees within its delay that the host is not ready.
+        eventually("it is not ready", SOON, || !is_ready(&old));
+        balancer.lock().unwrap().retain(|address| *address != old);
+        assert_eq!(cell.entries[number].wait(SOON), Some(0));
+        let fresh = cell.start_entry(number);
+        let address = fresh.address.clone();
+        cell.entries[number] = fresh;
+        cell.wait_ready();
+        balancer.lock().unwrap().push(address);
+    }
+    is_over.store(true, std::sync::atomic::Ordering::Release);
+    let tasks = callers.join().unwrap();
+    let total = tasks.len();
+    for (key, task) in tasks {
+        let answer = block_on(task);
+        assert_eq!(answer.outcome(), "done", "{key} of {total}: {answer:?}");
+        check_truth(&cell, &key, &answer);
+    }
+    println!("{total} requests");
+    cell.check_limits();
+}
