--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -2,8 +2,11 @@
 //! requests that are here, and turns actions of the dispatcher into tasks.
 
 mod flights;
+mod seats;
+mod signs;
 mod zone;
 
+use std::collections::BTreeMap;
 use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
@@ -12,11 +15,12 @@
 use crate::configs::entry::EntryConfig;
 use crate::declarations::feed::Feed;
 use crate::http::client::Pool;
+use crate::ledger::seat::Seat;
 use crate::membership::Session;
 use crate::outcome::{Outcome, Reason};
 use crate::route::{self, Action, Dispatcher, RequestKey, Submission};
 use crate::store::mirror::Mirror;
-use crate::store::Revision;
+use crate::store::{Revision, Store};
 
 use super::authority::Authority;
 use super::book::{self, Book};
@@ -26,6 +30,7 @@
 use super::ownership::Ownership;
 
 use flights::Flight;
+use signs::Leaving;
 
 /// Longest time between two looks at members, declarations and due work, in milliseconds.
 const STEP_MS: u64 = 20;
@@ -38,6 +43,8 @@
 pub(super) struct Parts {
     /// Settings.
     pub(super) config: Arc<EntryConfig>,
+    /// Platform's store.
+    pub(super) store: Arc<dyn Store>,
     /// Session with the store.
     pub(super) session: Session,
     /// Copy of the store's keys.
@@ -76,6 +83,10 @@
     heard: Heard,
     waiting: HashMap<RequestKey, Waiting>,
     flights: HashMap<RequestKey, Flight>,
+    leaving: Leaving,
+    seats: BTreeMap<String, Seat>,
+    terms: HashMap<String, u64>,
+    seat_tries: HashMap<String, u64>,
     seen: Seen,
     is_draining: bool,
     actions: Vec<Action>,
@@ -85,6 +96,7 @@
 struct Waiting {
     submitted: Arc<Submitted>,
     verdict: async_channel::Sender<Verdict>,
+    may_have_run: bool,
 }
 
 /// What was last taken in from the store, and when.
@@ -95,6 +107,8 @@
     peers_told_ms: u64,
     foreign_read_ms: u64,
     progress_read_ms: u64,
+    seats_ms: u64,
+    leaving_read_ms: u64,
 }
 
 impl Thread {
@@ -107,6 +121,10 @@
             heard: Heard::default(),
             waiting: HashMap::default(),
             flights: HashMap::default(),
+            leaving: Leaving::default(),
+            seats: BTreeMap::new(),
+            terms: HashMap::default(),
+            seat_tries: HashMap::default(),
             seen: Seen::default(),
             is_draining: false,
             actions: Vec::new(),
@@ -132,12 +150,16 @@
             }
             self.look_around();
             self.step(route::Event::Tick);
+            self.tick_seats();
+            self.hand_back_queued();
         }
     }
 
     /// Time until something is due, at most one step.
     fn pause(&self) -> Duration {
+        let seats_due_ms = self.seats.values().filter_map(Seat::next_due_ms).min();
         let due_ms = self.dispatcher.next_due_ms().unwrap_or(u64::MAX);
+        let due_ms = due_ms.min(seats_due_ms.unwrap_or(u64::MAX));
         let left_ms = due_ms.saturating_sub(clock::now_ms());
         Duration::from_millis(left_ms.clamp(1, STEP_MS))
     }
@@ -160,6 +182,13 @@
             Input::Release { request, answer } => {
                 let _ = answer.try_send(self.release(&request));
             }
+            Input::BeginKey { zone, begin, verdict } => self.begin_key(&zone, begin, verdict),
+            Input::AbandonKey { zone, ticket } => self.abandon_key(&zone, ticket),
+            Input::EndKey { zone, end, is_held } => {
+                let _ = is_held.try_send(self.end_key(&zone, end));
+            }
+            Input::StoreEvent { zone, term, event } => self.take_store_event(&zone, term, event),
+            Input::Hosts(leaving) => self.take_hosts(leaving),
             Input::Heard(heartbeat) => self.hear(*heartbeat),
             Input::PeerFailed(name) => {
                 self.heard.forget(&name);
@@ -200,7 +229,7 @@
             is_forwarded: submitted.is_forwarded,
             deadline_ms: submitted.deadline_ms,
         };
-        self.waiting.insert(request, Waiting { submitted, verdict });
+        self.waiting.insert(request, Waiting { submitted, verdict, may_have_run: false });
         self.step(route::Event::Submit(submission));
     }
 
@@ -221,6 +250,47 @@
         !found.is_empty()
     }
 
+    /// Sends what still waits in queues on to the host's peers, once it owns nothing any more.
+    fn hand_back_queued(&mut self) {
+        if !self.is_draining || !self.ownership.owned().is_empty() {
+            return;
+        }
+        let in_queue = |request: &RequestKey, waiting: &Waiting| {
+            !waiting.may_have_run && !self.flights.contains_key(request)
+        };
+        let mut queued: Vec<RequestKey> = self
+            .waiting
+            .iter()
+            .filter(|(request, waiting)| in_queue(request, waiting))
+            .map(|(request, _)| *request)
+            .collect();
+        queued.sort();
+        for request in queued {
+            let Some(waiting) = self.waiting.get(&request) else { continue };
+            let verdict = match self.successor(&waiting.submitted) {
+                _ if waiting.submitted.is_forwarded => Verdict::not_run(Reason::Draining),
+                Some((peer, address)) => Verdict::Forward { peer, address },
+                None => continue,
+            };
+            self.finish(request, verdict);
+            self.step(route::Event::Cancel { request });
+        }
+    }
+
+    /// The host of the zone with the most free slots for a request.
+    fn successor(&self, submitted: &Submitted) -> Option<(String, String)> {
+        let config = &self.parts.config;
+        let recent = self.heard.recent(config.peers.heartbeat_age_ms);
+        let free = |host: &&Heartbeat| {
+            let loads = host.loads.iter().find(|(service, _)| *service == submitted.service);
+            loads.map_or(0, |(_, load)| load.free_slots)
+        };
+        let staying =
+            recent.into_iter().filter(|host| host.zone == config.zone && !host.is_leaving);
+        let best = staying.max_by_key(free)?;
+        Some((best.name.clone(), best.address.clone()))
+    }
+
     /// Drives the dispatcher and carries out what it decides.
     fn step(&mut self, event: route::Event) {
         let mut actions = std::mem::take(&mut self.actions);
@@ -273,10 +343,10 @@
     fn cut(&mut self) {
         let waiting = std::mem::take(&mut self.waiting);
         for (request, waiting) in waiting {
-            let was_sent = self.flights.contains_key(&request);
+            let may_have_run = waiting.may_have_run || self.flights.contains_key(&request);
             let reason = Reason::Draining;
             let verdict =
-                if was_sent { Verdict::unknown(reason) } else { Verdict::not_run(reason) };
+                if may_have_run { Verdict::unknown(reason) } else { Verdict::not_run(reason) };
             let _ = waiting.verdict.try_send(verdict);
         }
     }
@@ -295,6 +365,7 @@
             is_leaving: self.is_draining,
             is_session_held: self.parts.session.lease().is_some(),
             config_revision: self.seen.config_revision,
+            leaving: self.leaving_names(),
             loads: load.services.into_iter().map(named).collect(),
         }
     }
