test(jobs): a task is not run again once its end was acknowledged

The check that no finished task runs again failed for a worker that went silent between the end of a task and its report: nobody can know that end.

--- a/src/demo/jobs.rs
+++ b/src/demo/jobs.rs
@@ -12,7 +12,7 @@
 use crate::demo::oracle::GangTruth;
 use crate::demo::report::{JobReport, PlacementReport};
 use crate::http::client::{self, Pool};
-use crate::jobs::api::{JobView, SubmitAnswer, SubmitOutcome, Submission, JOBS_PATH};
+use crate::jobs::api::{JobView, Submission, SubmitAnswer, SubmitOutcome, JOBS_PATH};
 use crate::load::report::Quantiles;
 use crate::place::message::JobState;
 use crate::place::spec::{JobKind, JobSpec, Resources};
@@ -122,8 +122,7 @@
         "gang" => JobKind::Gang,
         _ => JobKind::Batch,
     };
-    let resources =
-        Resources::new(config.cpu_millis, config.memory_bytes, config.accelerators);
+    let resources = Resources::new(config.cpu_millis, config.memory_bytes, config.accelerators);
     let spec = JobSpec { name: config.name.clone(), ..JobSpec::new(&config.team, config.tasks) };
     let spec = spec.with_kind(kind).with_resources(resources).with_expected_ms(config.run_ms);
     let run_ms = config.run_ms.to_string();
@@ -168,7 +167,11 @@
         workers.iter().map(|(_, truth)| truth).filter(|truth| !truth.runs.is_empty()).collect();
     let mean = |share: &dyn Fn(&Truth) -> f64| {
         let sum: f64 = used.iter().map(|truth| share(truth)).sum();
-        if used.is_empty() { 0.0 } else { sum / used.len() as f64 }
+        if used.is_empty() {
+            0.0
+        } else {
+            sum / used.len() as f64
+        }
     };
     PlacementReport {
         starts,
--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -7,7 +7,9 @@
 use crate::configs::placer::PlacerConfig;
 use crate::declarations::Declarations;
 use crate::inventory::WorkerKey;
-use crate::jobs::api::{JobExplanation, JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView};
+use crate::jobs::api::{
+    JobExplanation, JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView,
+};
 use crate::jobs::journal::{Journal, Met, Write};
 use crate::jobs::record::JobRecord;
 use crate::place::message::{JobId, JobProgress, JobState, Refusal, Rejection};
--- a/src/standin/worker/agent.rs
+++ b/src/standin/worker/agent.rs
@@ -39,6 +39,8 @@
     pub started_at_ms: u64,
     /// When and how it ended, once it did.
     pub ended: Option<(u64, RunEnd)>,
+    /// Whether a placer let the worker forget it: its end is known and recorded.
+    pub is_acknowledged: bool,
 }
 
 /// How an attempt really ended.
@@ -152,6 +154,7 @@
         self.barrier = call.barrier.map_or(self.barrier, |barrier| barrier.max(self.barrier));
         for attempt in &call.forget {
             if self.ended.remove(attempt).is_some() {
+                self.acknowledge(*attempt);
                 self.forgotten.insert(*attempt, now_ms + call.lease_ms);
             }
         }
@@ -172,6 +175,13 @@
         answer
     }
 
+    fn acknowledge(&mut self, attempt: Attempt) {
+        let mut runs = self.truth.runs.iter_mut().rev();
+        if let Some(run) = runs.find(|run| run.attempt == attempt) {
+            run.is_acknowledged = true;
+        }
+    }
+
     fn fence(&mut self, call: &WorkerCall) -> WorkerAnswer {
         self.truth.fenced += 1;
         let epoch = self.truth.epoch;
@@ -253,6 +263,7 @@
             task: start.task.clone(),
             started_at_ms: now_ms,
             ended: None,
+            is_acknowledged: false,
         });
         self.running.insert(start.attempt, task);
     }
