--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -61,6 +61,11 @@
         Self { child, address }
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
