--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -35,6 +35,7 @@
     cancels: HashMap<JobId, Vec<Waiter<JobView>>>,
     is_fenced: bool,
     is_closing: bool,
+    is_store_away: bool,
     actions: Vec<Action>,
 }
 
@@ -86,6 +87,7 @@
             cancels: HashMap::default(),
             is_fenced: false,
             is_closing: false,
+            is_store_away: false,
             actions: Vec::new(),
         };
         active.step(Event::Declared(declarations));
@@ -219,6 +221,9 @@
             Err(failure) => return self.call_failed(worker, &called.call, &failure),
         };
         if answer.is_fenced || answer.epoch > self.epoch {
+            if self.is_fenced {
+                return;
+            }
             spdlog::warn!("worker knows epoch {}", answer.epoch, kv: { zone = self.zone.as_str(), epoch = self.epoch });
             self.is_fenced = true;
             return;
@@ -259,17 +264,26 @@
                 }
             },
             WriteResult::NoEffect(error) => {
-                spdlog::warn!("jobs not recorded: {}", error, kv: { zone = self.zone.as_str() });
+                self.note_store_away(&error.to_string());
                 self.refuse_unrecorded(&error.to_string());
                 return Standing::Held;
             }
         };
+        self.is_store_away = false;
         for stored in self.journal.written(revision) {
             self.stored(&stored.id, stored.version);
         }
         Standing::Held
     }
 
+    /// Logs the first write of an outage that took no effect.
+    fn note_store_away(&mut self, problem: &str) {
+        if !self.is_store_away {
+            spdlog::warn!("jobs not recorded: {}", problem, kv: { zone = self.zone.as_str() });
+        }
+        self.is_store_away = true;
+    }
+
     /// New jobs of a write without effect are withdrawn and refused; progress waits for the next.
     fn refuse_unrecorded(&mut self, reason: &str) {
         for id in self.journal.failed(clock::now_ms()) {
@@ -468,6 +482,11 @@
         })
     }
 
+    fn worker_state(&self, worker: WorkerKey) -> String {
+        let view = self.placer.workers.get(worker);
+        view.map(|view| view.state.as_str().to_owned()).unwrap_or_default()
+    }
+
     fn workers(&self) -> Vec<WorkerView> {
         let inventory = self.placer.inventory();
         let views = inventory.workers().map(|(key, worker)| WorkerView {
@@ -475,7 +494,7 @@
             zone: self.zone.clone(),
             rack: inventory.rack(worker.rack).map(|rack| rack.name.clone()).unwrap_or_default(),
             address: worker.address.clone(),
-            state: String::new(),
+            state: self.worker_state(key),
             capacity: worker.capacity,
             reserved: self.placer.reserved(key),
             is_draining: worker.is_draining,
--- a/src/placer/zone.rs
+++ b/src/placer/zone.rs
@@ -150,6 +150,10 @@
                 return None;
             }
         }
+        if is_known && entry.is_none() {
+            // Removed with its session: the zone is acquired anew under a higher epoch.
+            return None;
+        }
         let confirmed_until_ms = self.session.valid_until_ms();
         let is_renewed = confirmed_until_ms > held.told_until_ms;
         if is_renewed && self.session.lease() == Some(held.lease) {
--- a/tests/jobs_cell/mod.rs
+++ b/tests/jobs_cell/mod.rs
@@ -35,8 +35,53 @@
 /// Means of each worker.
 pub const MEANS: Resources = Resources::new(4_000, 8 << 30, 0);
 
+/// Times of the placers of a cell, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    pub session_ttl_ms: u64,
+    pub session_renew_ms: u64,
+    pub worker_timeout_ms: u64,
+    pub task_lease_ms: u64,
+    pub margin_ms: u64,
+    pub renew_every_ms: u64,
+    pub silent_after_ms: u64,
+    pub holding_window_ms: u64,
+}
+
+impl Timing {
+    /// Short times, for tests.
+    pub fn short() -> Self {
+        Self {
+            session_ttl_ms: SESSION_TTL.as_millis() as u64,
+            session_renew_ms: 300,
+            worker_timeout_ms: 500,
+            task_lease_ms: TASK_LEASE.as_millis() as u64,
+            margin_ms: 300,
+            renew_every_ms: 400,
+            silent_after_ms: 1_500,
+            holding_window_ms: 1_500,
+        }
+    }
+
+    /// The times that a daemon has without settings, for measurements.
+    pub fn default_of_the_daemon() -> Self {
+        let config = hemlockrock::configs::placer::PlacerConfig::default();
+        Self {
+            session_ttl_ms: config.membership.session_ttl_ms,
+            session_renew_ms: config.membership.renew_every_ms,
+            worker_timeout_ms: config.worker_timeout_ms,
+            task_lease_ms: config.place.task_lease_ms,
+            margin_ms: config.place.clock_margin_ms,
+            renew_every_ms: config.place.renew_every_ms,
+            silent_after_ms: config.place.silent_after_ms,
+            holding_window_ms: config.place.holding_window_ms,
+        }
+    }
+}
+
 /// A cell with one zone.
 pub struct Cell {
+    timing: Timing,
     pub store: StoreStandin,
     pub workers: WorkerStandin,
     pub placers: Vec<Process>,
@@ -62,12 +107,26 @@
         let pool = Pool::new(HttpConfig::default());
         let store_address = store_address.unwrap_or_else(|| store.address());
         let scratch = Scratch::new();
-        let cell =
-            Self { store, workers, placers: Vec::new(), pool, scratch, store_address, names };
+        let cell = Self {
+            timing: Timing::short(),
+            store,
+            workers,
+            placers: Vec::new(),
+            pool,
+            scratch,
+            store_address,
+            names,
+        };
         cell.declare(|_| {}).await;
         cell
     }
 
+    /// The cell with other times for placers that are started from now on.
+    pub fn with_timing(mut self, timing: Timing) -> Self {
+        self.timing = timing;
+        self
+    }
+
     /// Publishes declarations of the zone and its workers, with a change.
     pub async fn declare(&self, change: impl FnOnce(&mut Declarations)) {
         const PER_RACK: usize = 6;
@@ -97,16 +156,23 @@
 
     /// Starts a placer as a process.
     pub fn add_placer(&mut self, name: &str) -> usize {
+        let timing = self.timing;
         let text = format!(
-            "name: {name}\nzone: {ZONE}\nworker_timeout_ms: 500\nsubmit_timeout_ms: 3000\n\
+            "name: {name}\nzone: {ZONE}\nworker_timeout_ms: {}\nsubmit_timeout_ms: 3000\n\
              store: {{address: '{}', timeout_ms: 500, watch_wait_ms: 2000}}\n\
-             membership: {{session_ttl_ms: {}, renew_every_ms: 300}}\n\
-             place: {{task_lease_ms: {}, clock_margin_ms: 300, renew_every_ms: 400, \
-             silent_after_ms: 1500, holding_window_ms: 1500}}\n\
+             membership: {{session_ttl_ms: {}, renew_every_ms: {}}}\n\
+             place: {{task_lease_ms: {}, clock_margin_ms: {}, renew_every_ms: {}, \
+             silent_after_ms: {}, holding_window_ms: {}}}\n\
              drain: {{balancer_delay_ms: 100}}\nlog: {{level: warn}}\n",
+            timing.worker_timeout_ms,
             self.store_address,
-            SESSION_TTL.as_millis(),
-            TASK_LEASE.as_millis(),
+            timing.session_ttl_ms,
+            timing.session_renew_ms,
+            timing.task_lease_ms,
+            timing.margin_ms,
+            timing.renew_every_ms,
+            timing.silent_after_ms,
+            timing.holding_window_ms,
         );
         let path = self.scratch.write(&format!("{name}.yaml"), &text);
         let binary = env!("CARGO_BIN_EXE_hemlock-placer");
@@ -245,6 +311,13 @@
     matches!(run.ended, Some((_, RunEnd::Own(End::Finished))))
 }
 
+/// Sends a job to the placer at `address`, whatever the answer.
+pub async fn post(pool: &Pool, address: &str, job: &Submission) -> Option<u16> {
+    let mut request = client::request(Method::Post, address, "/v1/jobs").unwrap();
+    request.set_body(serde_json::to_vec(job).unwrap());
+    pool.send(address, request, 10_000).await.ok().map(|reply| reply.status)
+}
+
 /// A batch job whose tasks each run for a time.
 pub fn sleeping(id: &str, tasks: u32, run_ms: u64) -> Submission {
     let spec = JobSpec::new("range", tasks).with_resources(Resources::new(1_000, 1 << 30, 0));
