--- a/src/place/assign.rs
+++ b/src/place/assign.rs
@@ -46,6 +46,9 @@
 impl Placer {
     /// Places waiting tasks if something changed that may let them start.
     pub(crate) fn assign(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        if self.wake == Wake::Nothing || !self.is_sure_to_hold(now_ms) {
+            return;
+        }
         let mut pass = Pass {
             searches: self.config.searches_per_step,
             placements: self.config.placements_per_step,
--- a/src/place/explain.rs
+++ b/src/place/explain.rs
@@ -211,7 +211,7 @@
         _ if worker.is_draining || worker.is_removed => Some(RuledOut::Draining),
         WorkerState::Unread => Some(RuledOut::Unread),
         WorkerState::Silent => Some(RuledOut::Silent),
-        _ if view.needs_read => Some(RuledOut::Silent),
+        _ if view.needs_read.is_some() => Some(RuledOut::Silent),
         WorkerState::Probation if view.not_before_ms > 0 || !view.tasks.is_empty() => {
             Some(RuledOut::Probation)
         }
--- a/src/place/gang.rs
+++ b/src/place/gang.rs
@@ -108,10 +108,9 @@
         }
         let size = self.size_of(key);
         let count = u32::try_from(waiting.len()).unwrap_or(u32::MAX);
-        if !self.quota_allows(team, size.times(count)) {
-            return Outcome::Blocked;
-        }
-        if let Some(workers) = self.choose_whole(key, &waiting, size, now_ms) {
+        let is_allowed = self.quota_allows(team, size.times(count));
+        let chosen = if is_allowed { self.choose_whole(key, &waiting, size, now_ms) } else { None };
+        if let Some(workers) = chosen {
             for (task, worker) in waiting.into_iter().zip(workers) {
                 self.start(task, worker, size, now_ms, out);
             }
@@ -122,7 +121,7 @@
             self.stop_members(key, now_ms, out);
             return Outcome::Blocked;
         }
-        if !self.preempt_whole(key, &waiting, size, now_ms, out) {
+        if is_allowed && !self.preempt_whole(key, &waiting, size, now_ms, out) {
             self.claim_for(key, size, count, now_ms);
         }
         Outcome::Blocked
--- a/src/place/health.rs
+++ b/src/place/health.rs
@@ -4,8 +4,8 @@
 //! A worker on which several jobs fail goes on probation, and what failed there
 //! is no longer held against the jobs.
 
-use super::life::{WorkerEvent, WorkerState};
-use super::message::{Action, JobState, Rejection, StopMode};
+use super::life::{TaskEvent, WorkerEvent, WorkerState};
+use super::message::{Action, StopMode};
 use super::placer::{Placer, Wake};
 use super::state::{JobKey, TaskKey};
 use crate::inventory::WorkerKey;
@@ -107,17 +107,17 @@
     fn give_up(&mut self, key: JobKey, now_ms: u64, out: &mut Vec<Action>) {
         self.dequeue(key);
         self.drop_claim(key);
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.is_given_up = true;
+        }
         for task in self.jobs.get(key).map(|job| job.tasks.clone()).unwrap_or_default() {
             if self.tasks.get(task).is_some_and(|task| task.state.is_placed()) {
                 self.stop_task(task, StopMode::Stop, now_ms, out);
-            } else {
-                self.task_event(task, super::life::TaskEvent::GiveUp, now_ms);
+            } else if !self.may_run_unseen(key) {
+                self.task_event(task, TaskEvent::GiveUp, now_ms);
             }
         }
-        if let Some(job) = self.jobs.get_mut(key) {
-            job.is_given_up = true;
-        }
-        self.end_job(key, JobState::Rejected(Rejection::Poison), out);
+        self.refresh_job(key, now_ms, out);
     }
 
     fn backoff(&self, failures: u32) -> u64 {
--- a/src/place/jobs.rs
+++ b/src/place/jobs.rs
@@ -52,6 +52,9 @@
         if let Some(ended) = &progress.ended {
             job.state = ended.clone();
         }
+        if progress.is_cancelled {
+            self.dequeue(key);
+        }
     }
 
     /// Why the job can never run here, whatever else runs.
@@ -152,7 +155,7 @@
     pub(crate) fn cancel(&mut self, job_id: &JobId, now_ms: u64, out: &mut Vec<Action>) {
         let Some(&key) = self.job_ids.get(job_id) else { return };
         let Some(job) = self.jobs.get_mut(key) else { return };
-        if job.is_cancelled || is_ended(&job.state) {
+        if job.is_cancelled || job.is_given_up || is_ended(&job.state) {
             return;
         }
         job.is_cancelled = true;
@@ -161,7 +164,7 @@
         self.drop_claim(key);
         for task in self.jobs.get(key).map(|job| job.tasks.clone()).unwrap_or_default() {
             match self.tasks.get(task).map(|task| task.state) {
-                Some(TaskState::Waiting) => {
+                Some(TaskState::Waiting) if !self.may_run_unseen(key) => {
                     self.task_event(task, TaskEvent::Cancel, now_ms);
                 }
                 Some(state) if state.is_placed() => {
@@ -281,6 +284,11 @@
         });
     }
 
+    /// Whether waiting tasks of a job may run on workers that were not yet read.
+    pub(crate) fn may_run_unseen(&self, key: JobKey) -> bool {
+        self.is_locating && self.jobs.get(key).is_some_and(|job| job.is_restored)
+    }
+
     /// Marks the progress of a job as changed.
     pub(crate) fn touch(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(key) else { return };
@@ -327,6 +335,7 @@
         }
         let open = job.waiting_count + job.placed_count;
         let state = match (open, job.is_cancelled) {
+            (0, _) if job.is_given_up => JobState::Rejected(Rejection::Poison),
             (0, true) => JobState::Cancelled,
             (0, false) => JobState::Finished,
             _ if job.running_count > 0 => JobState::Running,
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -40,7 +40,7 @@
 /// use std::sync::Arc;
 /// use hemlockrock::configs::place::PlaceConfig;
 /// use hemlockrock::declarations::{Declarations, WorkerDeclaration};
-/// use hemlockrock::place::message::WorkerReport;
+/// use hemlockrock::place::message::{Attempt, WorkerReport};
 /// use hemlockrock::place::spec::JobSpec;
 /// use hemlockrock::place::{Action, Event, Placer};
 ///
@@ -54,7 +54,9 @@
 /// placer.step(Event::Declared(declared), 0, &mut out);
 /// placer.step(Event::Holding { epoch: 7, confirmed_until_ms: 10_000 }, 0, &mut out);
 /// let key = placer.inventory().key("w1").unwrap();
-/// placer.step(Event::Report { worker: key, report: WorkerReport::default() }, 1, &mut out);
+/// let barrier = Attempt { epoch: 7, counter: 0 };
+/// let report = WorkerReport { barrier, ..Default::default() };
+/// placer.step(Event::Report { worker: key, report }, 1, &mut out);
 /// out.clear();
 /// let spec = Arc::new(JobSpec::new("range", 1));
 /// placer.step(Event::Submit { job_id: "j1".into(), spec }, 2, &mut out);
@@ -208,8 +210,8 @@
     }
 
     /// Whether work was left over that the next step should go on with.
-    pub fn has_work(&self) -> bool {
-        self.wake != Wake::Nothing
+    pub fn has_work(&self, now_ms: u64) -> bool {
+        self.wake != Wake::Nothing && self.epoch.is_some() && self.is_sure_to_hold(now_ms)
     }
 
     fn declare(&mut self, declarations: Arc<Declarations>, now_ms: u64) {
--- a/src/place/report.rs
+++ b/src/place/report.rs
@@ -1,6 +1,6 @@
 //! Reports of workers: what they run is taken over, confirmed, or stopped.
 
-use super::life::{TaskEvent, TaskState, WorkerEvent, WorkerState};
+use super::life::{TaskEvent, TaskState, WorkerEvent};
 use super::message::{Action, Attempt, AttemptReport, AttemptState, End, StopMode, WorkerReport};
 use super::placer::{Placer, Wake};
 use super::state::{Orphan, TaskKey};
@@ -15,19 +15,35 @@
         out: &mut Vec<Action>,
     ) {
         let Some(view) = self.workers.get_mut(worker) else { return };
-        view.heard_at_ms = now_ms;
-        view.token_ms = report.token_ms;
-        view.token_at_ms = now_ms;
         // A report without our barrier answers a call of an earlier epoch.
         let is_ours = Some(report.barrier.epoch) == self.epoch;
-        if view.state == WorkerState::Unread && !is_ours && report.barrier.epoch != 0 {
+        if !view.was_read && !is_ours {
             return;
         }
-        let barrier_now = Attempt { epoch: self.epoch.unwrap_or(0), counter: self.counter };
-        if report.barrier >= barrier_now || view.state != WorkerState::Ready {
-            view.needs_read = false;
+        view.was_read = true;
+        view.heard_at_ms = now_ms;
+        if let Some(asked_at_ms) = view.asked_at_ms.take() {
+            view.took_epoch_at_ms = asked_at_ms;
         }
+        view.token_ms = report.token_ms;
+        view.token_at_ms = now_ms;
+        if view.needs_read.is_some_and(|barrier| report.barrier < barrier) {
+            self.settle_reported(worker, report, now_ms, out);
+            return;
+        }
+        view.needs_read = None;
         self.worker_event(worker, WorkerEvent::Read);
+        self.settle_reported(worker, report, now_ms, out);
+        self.update_locating(now_ms, out);
+    }
+
+    fn settle_reported(
+        &mut self,
+        worker: WorkerKey,
+        report: &WorkerReport,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
         for item in &report.attempts {
             self.reported(worker, item, now_ms, out);
         }
@@ -35,7 +51,6 @@
         self.settle_orphans(worker, report);
         self.take_usage(worker, report, now_ms, out);
         self.refresh_room(worker);
-        self.update_locating(now_ms);
     }
 
     fn reported(
@@ -84,6 +99,10 @@
         if let Some(task) = self.tasks.get_mut(key) {
             task.since_ms = now_ms.saturating_sub(item.age_ms);
         }
+        let job = self.tasks[key].job;
+        if self.jobs.get(job).is_some_and(|job| job.is_cancelled || job.is_given_up) {
+            self.stop_task(key, StopMode::Stop, now_ms, out);
+        }
         self.settle(key, now_ms, out);
         true
     }
@@ -156,6 +175,7 @@
         now_ms: u64,
         out: &mut Vec<Action>,
     ) {
+        let barrier = self.barrier();
         let Some(view) = self.workers.get(worker) else { return };
         for key in view.tasks.clone() {
             let Some(task) = self.tasks.get(key) else { continue };
@@ -166,7 +186,7 @@
             if attempt <= report.barrier {
                 self.attempt_event(attempt, TaskEvent::Absent, now_ms, out);
             } else if task.state != TaskState::Starting {
-                self.workers[worker].needs_read = true;
+                self.workers[worker].needs_read = Some(barrier);
             }
         }
     }
--- a/src/place/state.rs
+++ b/src/place/state.rs
@@ -165,9 +165,15 @@
     /// Time after which no lease on it can last, if that is certain.
     pub(crate) horizon_ms: Option<u64>,
     pub(crate) heard_at_ms: u64,
+    /// Time at which the oldest call that is not yet answered was made, in milliseconds.
+    pub(crate) asked_at_ms: Option<u64>,
+    /// Time after which it certainly still took calls of this epoch, in milliseconds.
+    pub(crate) took_epoch_at_ms: u64,
     pub(crate) next_call_ms: u64,
-    /// Whether an answer was lost, so that it must be read.
-    pub(crate) needs_read: bool,
+    /// Whether it was read under this epoch.
+    pub(crate) was_read: bool,
+    /// Barrier that its next report must have, where an answer was lost.
+    pub(crate) needs_read: Option<Attempt>,
 }
 
 impl WorkerView {
@@ -190,8 +196,11 @@
             token_at_ms: 0,
             horizon_ms: None,
             heard_at_ms: now_ms,
+            asked_at_ms: None,
+            took_epoch_at_ms: 0,
             next_call_ms: now_ms,
-            needs_read: false,
+            was_read: false,
+            needs_read: None,
         }
     }
 
--- a/src/place/workers.rs
+++ b/src/place/workers.rs
@@ -1,9 +1,9 @@
 //! Workers: reads, reports, silence, renewals and the certain end of leases.
 
-use super::life::{TaskEvent, WorkerEvent, WorkerState};
+use super::life::{TaskEvent, TaskState, WorkerEvent, WorkerState};
 use super::message::{Action, Attempt, StopMode};
 use super::placer::{Placer, Wake};
-use super::state::WorkerView;
+use super::state::{JobKey, WorkerView};
 use crate::inventory::WorkerKey;
 
 impl Placer {
@@ -86,7 +86,7 @@
         };
         let probes = view.state == WorkerState::Probation;
         let is_open = view.state.takes_tasks()
-            && !view.needs_read
+            && view.needs_read.is_none()
             && !worker.is_draining
             && !(probes && (view.not_before_ms > 0 || !view.tasks.is_empty()));
         let was_open = self.index.is_open(view.row);
@@ -120,8 +120,10 @@
 
     pub(crate) fn silence(&mut self, key: WorkerKey, now_ms: u64) {
         self.worker_event(key, WorkerEvent::Silence);
+        let barrier = self.barrier();
         let Some(view) = self.workers.get_mut(key) else { return };
-        view.needs_read = true;
+        view.needs_read = Some(barrier);
+        view.asked_at_ms = None;
         for task in view.tasks.clone() {
             self.task_event(task, TaskEvent::Lose, now_ms);
         }
@@ -139,8 +141,9 @@
     pub(crate) fn need_read(&mut self, worker: WorkerKey, now_ms: u64, out: &mut Vec<Action>) {
         let barrier = self.barrier();
         let Some(view) = self.workers.get_mut(worker) else { return };
-        view.needs_read = true;
+        view.needs_read = Some(barrier);
         view.next_call_ms = now_ms + self.config.renew_every_ms;
+        view.asked_at_ms = view.asked_at_ms.or(Some(now_ms));
         out.push(Action::Read { worker, barrier });
         self.refresh_room(worker);
     }
@@ -166,11 +169,11 @@
     }
 
     /// Ends the search for tasks of restored jobs once they can run nowhere unseen.
-    pub(crate) fn update_locating(&mut self, now_ms: u64) {
+    pub(crate) fn update_locating(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         if !self.is_locating {
             return;
         }
-        let unread = self.workers.values().filter(|view| view.state == WorkerState::Unread).count();
+        let unread = self.workers.values().filter(|view| !view.was_read).count();
         let total = self.workers.len();
         if self.inherited_until_ms.is_none() && (total - unread) * 2 > total {
             let lease = self.config.task_lease_ms + self.config.clock_margin_ms;
@@ -181,6 +184,22 @@
             self.is_locating = false;
             self.unlocated_teams.clear();
             self.wake = Wake::All;
+            self.settle_cancelled(now_ms, out);
+        }
+    }
+
+    /// Ends the tasks of cancelled jobs that were found on no worker.
+    fn settle_cancelled(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let cancelled = self.jobs.iter().filter(|(_, job)| job.is_cancelled || job.is_given_up);
+        let cancelled: Vec<JobKey> = cancelled.map(|(key, _)| key).collect();
+        for key in cancelled {
+            for task in self.jobs[key].tasks.clone() {
+                if self.tasks[task].state == TaskState::Waiting {
+                    self.task_event(task, TaskEvent::Cancel, now_ms);
+                }
+            }
+            self.dequeue(key);
+            self.refresh_job(key, now_ms, out);
         }
     }
 
@@ -189,7 +208,7 @@
         for key in keys {
             self.check_silence(key, now_ms, out);
         }
-        self.update_locating(now_ms);
+        self.update_locating(now_ms, out);
         self.wake_delayed(now_ms);
         self.expire_nominations(now_ms);
         self.upkeep(now_ms, out);
@@ -217,31 +236,37 @@
     /// Reads workers that must be read and renews the leases on the others, each when it is due.
     fn call_workers(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let barrier = self.barrier();
-        let may_renew = self.may_renew(now_ms);
+        let may_renew = self.is_sure_to_hold(now_ms);
         let lease_ms = self.config.task_lease_ms + self.config.clock_margin_ms;
         for (worker, view) in &mut self.workers {
             if now_ms < view.next_call_ms {
                 continue;
             }
             view.next_call_ms = now_ms + self.config.renew_every_ms;
-            if view.needs_read || !view.state.takes_tasks() {
+            if view.needs_read.is_some() || !view.state.takes_tasks() {
+                view.asked_at_ms = view.asked_at_ms.or(Some(now_ms));
                 out.push(Action::Read { worker, barrier });
             } else if may_renew {
+                view.asked_at_ms = view.asked_at_ms.or(Some(now_ms));
                 view.horizon_ms = view.horizon_ms.max(Some(view.token_at_ms + lease_ms));
                 out.push(Action::Renew { worker, token_ms: view.token_ms });
             }
         }
     }
 
-    /// Whether no other holder can have taken the zone unnoticed: the store
-    /// confirms it, or more than half of the workers answered lately.
-    fn may_renew(&self, now_ms: u64) -> bool {
+    /// Whether no other holder can have read most of the workers unnoticed: the
+    /// store confirms this one, or more than half of the workers lately took its epoch.
+    ///
+    /// Neither starts nor renewals are sent without this. A successor that has
+    /// read more than half of the workers can so tell when its predecessor's
+    /// leases have lapsed, also on workers that it cannot reach.
+    pub(crate) fn is_sure_to_hold(&self, now_ms: u64) -> bool {
         if now_ms < self.confirmed_until_ms {
             return true;
         }
         let since_ms = now_ms.saturating_sub(self.config.holding_window_ms);
         let views = self.workers.values();
-        let heard = views.filter(|view| view.state.takes_tasks() && view.heard_at_ms >= since_ms);
-        heard.count() * 2 > self.workers.len()
+        let took = views.filter(|view| view.was_read && view.took_epoch_at_ms >= since_ms);
+        took.count() * 2 > self.workers.len()
     }
 }
--- a/tests/place_support/mod.rs
+++ b/tests/place_support/mod.rs
@@ -1,6 +1,8 @@
 //! A zone of workers around one placer, driven step by step.
 #![allow(dead_code, reason = "each test binary uses its own part")]
 
+pub(crate) mod world;
+
 use std::sync::Arc;
 
 use hemlockrock::configs::place::PlaceConfig;
