--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -10,6 +10,9 @@
 /// Largest latency that a histogram tells apart, in microseconds.
 const LATENCY_LIMIT_US: u64 = 120_000_000;
 
+/// First status that tells of a failure of the endpoint.
+const SERVER_ERROR: u16 = 500;
+
 /// Microseconds in a millisecond.
 const US_PER_MS: f64 = 1_000.0;
 
@@ -73,7 +76,10 @@
     pub unknown: u64,
     /// Requests without a whole answer.
     pub unanswered: u64,
-    /// Answers `done` that were not whole or not the request's own.
+    /// Requests answered `done` with a failure of the endpoint.
+    #[serde(default)]
+    pub failed: u64,
+    /// Other answers `done` that were not whole or not the request's own.
     pub wrong_answers: u64,
     /// Latency of `done` requests from their intended sending.
     pub latency: Quantiles,
@@ -118,7 +124,9 @@
         not_run: count(Some(Outcome::NotRun)),
         unknown: count(Some(Outcome::Unknown)),
         unanswered: count(None),
-        wrong_answers: done().filter(|one| !one.is_own_answer).count() as u64,
+        failed: done().filter(|one| one.status >= SERVER_ERROR).count() as u64,
+        wrong_answers: done().filter(|one| one.status < SERVER_ERROR && !one.is_own_answer).count()
+            as u64,
         latency: Quantiles::new(done().map(|one| one.latency_us)),
         wait: Quantiles::new(done().map(|one| one.latency_us.saturating_sub(besides_us))),
     }
--- a/src/load/results.rs
+++ b/src/load/results.rs
@@ -208,7 +208,7 @@
 
 /// Titles of the columns of windows.
 const HEADER: &str =
-    "window     kind         sent  in time     done  not run  unknown no answer  wrong \
+    "window     kind         sent  in time     done  not run  unknown no answer failed  wrong \
                       |   p50 ms    p99 ms  wait p50  wait p99";
 
 impl Window {
@@ -216,7 +216,7 @@
         for kind in &self.kinds {
             let _ = writeln!(
                 text,
-                "  {:<10} {:<8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9} {:>6} | {:>8.2} {:>9.2} {:>9.2} {:>9.2}",
+                "  {:<10} {:<8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>9} {:>6} {:>6} | {:>8.2} {:>9.2} {:>9.2} {:>9.2}",
                 self.name,
                 kind.kind,
                 kind.sent,
@@ -225,6 +225,7 @@
                 kind.not_run,
                 kind.unknown,
                 kind.unanswered,
+                kind.failed,
                 kind.wrong_answers,
                 kind.latency.p50_ms,
                 kind.latency.p99_ms,
--- a/src/load/suite.rs
+++ b/src/load/suite.rs
@@ -246,11 +246,8 @@
             Window::new("onset", &plan, &told, onset_ms..after_ms),
             Window::new("after", &plan, &told, after_ms..end_ms),
         ];
-        const SERVER_ERROR: u16 = 500;
-        let after = || told.iter().filter(|one| one.arrival.at_us >= after_ms * US_PER_MS);
-        let is_failed =
-            |one: &&Told| one.outcome == Some(Outcome::Done) && one.status >= SERVER_ERROR;
-        let part = after().filter(is_failed).count() as f64 / after().count().max(1) as f64;
+        let after = run.window("after").kind("short");
+        let part = after.failed as f64 / after.sent.max(1) as f64;
         run.figures.insert("failed_part".to_owned(), part);
         run.targets.push(Target::at_most("requests that touch the failer", part, 0.02));
         Ok(vec![run])
--- a/src/route/results.rs
+++ b/src/route/results.rs
@@ -10,7 +10,7 @@
 use super::Dispatcher;
 use crate::outcome::Reason;
 
-/// Run time of a lost request, as a multiple of the usual tail, after which its slot is free.
+/// Run time, as a multiple of the usual tail, after which a request has certainly ended or is lost.
 const HOLD_TAILS: f64 = 2.0;
 
 impl Dispatcher {
@@ -40,7 +40,9 @@
         }
         self.services[at].pool.update(endpoint, now_ms, Endpoint::release);
         self.forget_if_gone(at, endpoint);
-        self.judge(at, endpoint, result, now_ms);
+        if self.is_telling(at, &request, sent_at_ms, result, now_ms) {
+            self.judge(at, endpoint, result, now_ms);
+        }
         self.settle(at, &request, result, now_ms, out);
         self.note_stranded(at, now_ms, out);
         self.dispatch(at, now_ms, out);
@@ -84,6 +86,30 @@
         }
     }
 
+    /// Whether the end of a send says something about the endpoint.
+    ///
+    /// A send that was broken off here, or whose deadline passed before even
+    /// a usual run would have ended, does not.
+    fn is_telling(
+        &self,
+        at: usize,
+        request: &Request,
+        sent_at_ms: u64,
+        result: SendResult,
+        now_ms: u64,
+    ) -> bool {
+        let SendResult::Lost { reason } = result else { return true };
+        match reason {
+            Reason::Cancelled | Reason::Draining => false,
+            Reason::TimedOut => {
+                let usual_ms = self.services[at].kinds.estimate(request.submission.kind).tail_ms;
+                let elapsed_ms = now_ms.saturating_sub(sent_at_ms) as f64;
+                elapsed_ms >= usual_ms * HOLD_TAILS
+            }
+            _ => !request.is_cancelled,
+        }
+    }
+
     /// Learns about the endpoint and the pool.
     fn judge(&mut self, at: usize, endpoint: EndpointKey, result: SendResult, now_ms: u64) {
         let limits = EjectLimits {
--- a/tests/route/rules.rs
+++ b/tests/route/rules.rs
@@ -197,6 +197,21 @@
     assert_eq!(end, [(1, Outcome::NotRun, Reason::Cancelled)]);
 }
 
+#[test]
+fn requests_broken_off_here_say_nothing_about_their_endpoint() {
+    for reason in [Reason::Cancelled, Reason::TimedOut] {
+        let mut bench = Bench::new(RouteConfig::default()).with_endpoint(FIRST, 1);
+        bench.submit(0, true);
+        for request in 1..100 {
+            bench.submit(request, true);
+            bench.step(Event::Cancel { request: RequestKey(request - 1) });
+            bench.end(request - 1, FIRST, SendResult::Lost { reason });
+            let sent = bench.wait(2 * RouteConfig::default().prior_run_ms);
+            assert_eq!(sends(&sent), [FIRST], "{reason:?} of request {request}");
+        }
+    }
+}
+
 #[test]
 fn the_earliest_deadline_goes_first() {
     let mut bench = Bench::new(RouteConfig::default()).with_endpoint(FIRST, 1);
