fix(entry): a request that a peer may have run is never told not_run

An idempotent request whose peer answer was lost went back to dispatch, and a refusal there was passed on as it was. Ruled out: the dispatcher itself, which keeps may_have_run for its own sends.

--- a/src/demo/host.rs
+++ b/src/demo/host.rs
@@ -116,12 +116,22 @@
         self.peer_link.set_fault(Fault::new(Kind::Cut));
     }
 
+    /// Cuts the host off from the store alone.
+    pub fn cut_store(&self) {
+        self.store_link.set_fault(Fault::new(Kind::Cut));
+    }
+
     /// Lets no byte pass between the host and the store or other entry hosts; nothing is closed.
     pub fn silence(&self) {
         self.store_link.set_fault(Fault::new(Kind::Drop));
         self.peer_link.set_fault(Fault::new(Kind::Drop));
     }
 
+    /// Loses every answer that this host gives to other entry hosts.
+    pub fn lose_peer_answers(&self) {
+        self.peer_link.set_fault(Fault::new(Kind::LostAnswer));
+    }
+
     /// Ends the faults of this host's links.
     pub fn heal(&self) {
         const US_PER_MS: f64 = 1_000.0;
--- a/src/demo/storm.rs
+++ b/src/demo/storm.rs
@@ -250,9 +250,9 @@
     }
 
     async fn replace_lost(&mut self, number: usize) {
-        let is_replaced = self.cell.replace_lost(number).await.is_ok();
+        let replaced = self.cell.replace_lost(number).await;
         self.cell.slots[number].caller_link.set_fault(Fault::default());
-        self.note(format!("host {number} is replaced: {is_replaced}"));
+        self.note(format!("host {number} is replaced: {}", outcome(&replaced)));
     }
 
     fn silence_runner_links(&mut self) {
@@ -275,8 +275,8 @@
     fn cut_zone(&mut self) -> String {
         let zones = self.cell.declarations().zones;
         let zone = zones[self.random.random_range(0..zones.len())].name.clone();
-        self.hosts_of(&zone).iter().for_each(Host::cut_off);
-        self.note(format!("zone {zone} is cut off from the store and its entry hosts from others"));
+        self.hosts_of(&zone).iter().for_each(Host::cut_store);
+        self.note(format!("zone {zone} is cut off from the store"));
         zone
     }
 
@@ -315,11 +315,12 @@
             ..DemoJobConfig::default()
         };
         let address = self.cell.job_address();
-        let is_accepted = JobClient::new(address.as_str()).submit(&job).await.is_ok();
+        let accepted = JobClient::new(address.as_str()).submit(&job).await;
         let path = format!("{JOBS_PATH}/{}", job.name);
         let is_cancelled = delete(&address, &path).await;
         self.note(format!(
-            "a wave of {WAVE_TASKS} tasks: accepted {is_accepted}, cancelled {is_cancelled}"
+            "a wave of {WAVE_TASKS} tasks: accepted: {}, cancelled: {is_cancelled}",
+            outcome(&accepted)
         ));
     }
 
@@ -341,12 +342,20 @@
 
     async fn replace_all(&mut self) {
         for number in 0..self.cell.slots.len() {
-            let is_replaced = self.cell.replace(number).await.is_ok();
-            self.note(format!("host {number} is replaced in turn: {is_replaced}"));
+            let replaced = self.cell.replace(number).await;
+            self.note(format!("host {number} is replaced in turn: {}", outcome(&replaced)));
         }
     }
 }
 
+/// How a step of the storm ended, for the timeline.
+fn outcome<T>(result: &eyre::Result<T>) -> String {
+    match result {
+        Ok(_) => "done".to_owned(),
+        Err(error) => format!("{error:#}"),
+    }
+}
+
 async fn delete(address: &str, path: &str) -> bool {
     const TIMEOUT_MS: u64 = 6_000;
     const ERRORS_FROM: u16 = 300;
--- a/src/entry/journey.rs
+++ b/src/entry/journey.rs
@@ -64,13 +64,17 @@
 pub(super) async fn dispatch(shared: &Shared, submitted: Submitted, gone: &Gone) -> Verdict {
     let mut submitted = Arc::new(submitted);
     let mut failed_peers = 0;
+    let mut may_have_run = false;
     loop {
         let verdict = dispatch_here(shared, Arc::clone(&submitted), gone).await;
-        let Verdict::Forward { peer, address } = verdict else { return verdict };
+        let Verdict::Forward { peer, address } = verdict else {
+            return truthful(verdict, may_have_run);
+        };
         shared.metrics.forwarded();
         match hand_over(shared, &submitted, &address, gone).await {
-            Handed::Ended(verdict) => return verdict,
-            Handed::NotTaken => {
+            Handed::Ended(verdict) => return truthful(verdict, may_have_run),
+            Handed::NotTaken { is_certain } => {
+                may_have_run |= !is_certain;
                 shared.control.send(Input::PeerFailed(peer));
                 failed_peers += 1;
                 let changed = Arc::make_mut(&mut submitted);
@@ -80,6 +84,16 @@
     }
 }
 
+/// The verdict, but never `not_run` once a peer may have run the request.
+fn truthful(verdict: Verdict, may_have_run: bool) -> Verdict {
+    match verdict {
+        Verdict::Ended { outcome: Outcome::NotRun, .. } if may_have_run => {
+            Verdict::unknown(Reason::ConnectionLost)
+        }
+        verdict => verdict,
+    }
+}
+
 async fn dispatch_here(shared: &Shared, submitted: Arc<Submitted>, gone: &Gone) -> Verdict {
     let request = RequestKey(shared.next_request.fetch_add(1, Ordering::Relaxed));
     let (sender, verdict) = async_channel::bounded(1);
@@ -115,7 +129,8 @@
 
 enum Handed {
     Ended(Verdict),
-    NotTaken,
+    /// The peer gave no answer of its own; `is_certain` if it certainly did not run the request.
+    NotTaken { is_certain: bool },
 }
 
 async fn hand_over(shared: &Shared, submitted: &Submitted, address: &str, gone: &Gone) -> Handed {
@@ -138,10 +153,10 @@
         None
     };
     match future::or(answered, cancelled).await {
-        Some(Ok(answer)) if lost_its_endpoints(&answer) => Handed::NotTaken,
+        Some(Ok(answer)) if lost_its_endpoints(&answer) => Handed::NotTaken { is_certain: true },
         Some(Ok(answer)) => Handed::Ended(answer.into_verdict()),
-        Some(Err(error)) if error.is_certain() => Handed::NotTaken,
-        Some(Err(_)) if submitted.is_idempotent => Handed::NotTaken,
+        Some(Err(error)) if error.is_certain() => Handed::NotTaken { is_certain: true },
+        Some(Err(_)) if submitted.is_idempotent => Handed::NotTaken { is_certain: false },
         Some(Err(_)) => Handed::Ended(Verdict::unknown(Reason::ConnectionLost)),
         // Closing the connection tells the peer; it may have sent the request before.
         None => Handed::Ended(Verdict::unknown(Reason::Cancelled)),
