--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -11,6 +11,7 @@
 use crate::collections;
 use crate::store::api::Change;
 use crate::store::backoff::Backoff;
+use crate::store::budget::TokenBucket;
 use crate::store::{self, Answer, Entry, Operation, Priority, Revision, Store, StoreError};
 
 /// Prefix of the keys that every daemon follows.
@@ -22,6 +23,12 @@
 /// Longest pause before a failed watch is begun again, in milliseconds.
 const RETRY_MAX_MS: u64 = 2_000;
 
+/// Watches a second when changes come fast; more changes are read by one watch.
+const WATCHES_PER_S: u64 = 5;
+
+/// Watches that follow on each other at once before they are paced.
+const WATCH_BURST: u64 = 3;
+
 /// The keys under `cell/` as last seen.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
@@ -133,7 +140,11 @@
         if !taken {
             return Err(StoreError::Lost("the answer is older than the copy".to_owned()));
         }
+        let mut pace = TokenBucket::new(WATCHES_PER_S, WATCH_BURST, clock::now_ms());
         while !self.sender.is_closed() {
+            while !pace.take(clock::now_ms(), 0) {
+                task::sleep(Duration::from_millis(pace.wait_ms(0).max(1))).await;
+            }
             let after = self.lock().revision;
             let watch =
                 Operation::Watch { prefix: PREFIX.to_owned(), after, wait_ms: self.watch_wait_ms };
