--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -13,5 +13,6 @@
 pub mod placer;
 pub mod quota;
 pub mod route;
+pub mod secret;
 pub mod standin;
 pub mod store;
--- a/src/ctl.rs
+++ b/src/ctl.rs
@@ -21,6 +21,7 @@
 
 use crate::audit::trail::TrailError;
 use crate::configs::ctl::CtlConfig;
+use crate::configs::secret::Secret;
 use crate::declarations::feed::FeedError;
 use crate::declarations::publish::PublishError;
 use crate::findings::Findings;
@@ -128,7 +129,7 @@
     /// Connections to daemons.
     pub pool: Pool,
     /// Token of the cell; empty for none.
-    pub token: String,
+    pub token: Secret,
     /// Whether output is JSON.
     pub is_json: bool,
 }
@@ -141,7 +142,8 @@
     pub fn new(config: CtlConfig, is_json: bool) -> Result<Self, CtlError> {
         let pool = Pool::new(config.http.clone());
         let store = Arc::new(HttpStore::new(config.store.clone(), pool.clone()));
-        let token = read_token(&config.token_file)?;
+        let token = Secret::read(&config.token_file)
+            .map_err(|error| CtlError::Refused(error.to_string()))?;
         Ok(Self { config, store, pool, token, is_json })
     }
 
@@ -157,23 +159,6 @@
     }
 }
 
-/// Reads a token from a file, without the line end; an empty path gives no token.
-///
-/// # Errors
-/// The file cannot be read or is empty.
-pub fn read_token(path: &str) -> Result<String, CtlError> {
-    if path.is_empty() {
-        return Ok(String::new());
-    }
-    let text = std::fs::read_to_string(path)
-        .map_err(|error| CtlError::Refused(format!("token file {path}: {error}")))?;
-    let token = text.trim().to_owned();
-    if token.is_empty() {
-        return Err(CtlError::Refused(format!("token file {path} is empty")));
-    }
-    Ok(token)
-}
-
 /// The command line.
 pub fn command() -> Command {
     Command::new("hemlockctl")
