--- a/src/entry/journey.rs
+++ b/src/entry/journey.rs
@@ -8,12 +8,12 @@
 use crate::clock;
 use crate::http::rpc::{self, Call, RpcError};
 use crate::http::server::CallerLink;
-use crate::outcome::Reason;
+use crate::outcome::{Outcome, Reason};
 use crate::route::RequestKey;
 
 use super::message::{Input, Submitted, Verdict};
 use super::peer::{self, PeerAnswer, PeerRequest};
-use super::Shared;
+use super::{keys, Shared};
 
 /// Peers that are tried before a request stays here.
 const MAX_PEERS: u32 = 2;
@@ -46,6 +46,20 @@
     future::or(&mut journey, watched).await
 }
 
+/// Runs a request to its end: under its key if it may run only once.
+pub(super) async fn run(shared: &Arc<Shared>, submitted: Submitted, gone: &Gone) -> Verdict {
+    if submitted.is_idempotent {
+        return dispatch(shared, submitted, gone).await;
+    }
+    let grant = match keys::begin(shared, &submitted, gone).await {
+        Ok(grant) => grant,
+        Err(verdict) => return verdict,
+    };
+    let verdict = dispatch(shared, submitted, gone).await;
+    grant.end(shared, &verdict);
+    verdict
+}
+
 /// Dispatches a request here or at a peer, and waits for its end.
 pub(super) async fn dispatch(shared: &Shared, submitted: Submitted, gone: &Gone) -> Verdict {
     let mut submitted = Arc::new(submitted);
@@ -87,6 +101,18 @@
     ended.unwrap_or_else(|_| Verdict::unknown(Reason::Draining))
 }
 
+/// Whether the peer certainly did not run it, and only because it dispatches to no endpoint now.
+fn lost_its_endpoints(answer: &PeerAnswer) -> bool {
+    matches!(
+        answer,
+        PeerAnswer::Ended {
+            outcome: Outcome::NotRun,
+            reason: Reason::NoEndpoint | Reason::Draining,
+            ..
+        }
+    )
+}
+
 enum Handed {
     Ended(Verdict),
     NotTaken,
@@ -112,6 +138,7 @@
         None
     };
     match future::or(answered, cancelled).await {
+        Some(Ok(answer)) if lost_its_endpoints(&answer) => Handed::NotTaken,
         Some(Ok(answer)) => Handed::Ended(answer.into_verdict()),
         Some(Err(error)) if error.is_certain() => Handed::NotTaken,
         Some(Err(_)) if submitted.is_idempotent => Handed::NotTaken,
--- a/src/jobs/api.rs
+++ b/src/jobs/api.rs
@@ -4,6 +4,7 @@
 use sha2::{Digest as _, Sha256};
 
 use crate::jobs::record::JobRecord;
+use crate::place::explain::Explanation;
 use crate::place::message::{JobId, JobState};
 use crate::place::spec::{JobSpec, Resources};
 
@@ -162,6 +163,22 @@
     }
 }
 
+/// Why a job is in its state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct JobExplanation {
+    /// Id of the job.
+    pub id: JobId,
+    /// Zone that runs it.
+    pub zone: String,
+    /// State.
+    pub state: JobState,
+    /// Why it was rejected, if it was.
+    pub reason: Option<String>,
+    /// Why it waits, as long as it has not ended: workers ruled out, by reason.
+    pub explanation: Option<Explanation>,
+}
+
 /// A worker as operators see it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/placer/control.rs
+++ b/src/placer/control.rs
@@ -11,7 +11,7 @@
 use crate::declarations::feed::Accepted;
 use crate::jobs::journal::{Journal, JournalError, Met, Write};
 use crate::place::Event;
-use crate::placer::active::{Active, Standing};
+use crate::placer::active::{Active, Holding, Standing};
 use crate::placer::links::Caller;
 use crate::placer::message::{AskError, Message, WriteResult};
 use crate::placer::metrics::Metrics;
@@ -36,6 +36,8 @@
     opening: Option<Opening>,
     drain: Option<async_channel::Sender<Option<u64>>>,
     next_tick_ms: u64,
+    /// Whether placing was cut short and goes on without waiting.
+    has_work: bool,
 }
 
 /// A takeover that has not finished: the journal is read and claimed under the new epoch.
@@ -64,6 +66,7 @@
             opening: None,
             drain: None,
             next_tick_ms: 0,
+            has_work: false,
         }
     }
 
@@ -71,7 +74,10 @@
     #[allow(clippy::needless_pass_by_value, reason = "the thread owns its receiver")]
     pub(crate) fn run(mut self, inbox: Receiver<Message>) {
         loop {
-            let wait_ms = self.next_tick_ms.saturating_sub(clock::now_ms());
+            let wait_ms = match self.has_work {
+                true => 0,
+                false => self.next_tick_ms.saturating_sub(clock::now_ms()),
+            };
             match inbox.recv_timeout(Duration::from_millis(wait_ms)) {
                 Ok(Message::Stop) | Err(RecvTimeoutError::Disconnected) => break,
                 Ok(message) => self.take(message),
@@ -95,10 +101,12 @@
             self.next_tick_ms = clock::now_ms() + self.config.tick_ms;
         }
         let is_opening = self.opening.is_some();
+        self.has_work = false;
         if let Some(active) = &mut self.active {
             if is_due {
                 active.tick();
             }
+            self.has_work = active.go_on();
             let write = active.flush();
             let (epoch, is_fenced) = (active.epoch(), active.is_fenced());
             if let Some(write) = write {
@@ -208,7 +216,7 @@
 
     fn written(&mut self, epoch: u64, result: WriteResult) {
         if self.opening.as_ref().is_some_and(|opening| opening.epoch == epoch) {
-            return self.claimed(epoch, result);
+            return self.claimed(epoch, &result);
         }
         let Some(active) = self.active_of(epoch) else { return };
         if active.written(result) == Standing::Superseded && self.opening.is_none() {
@@ -217,10 +225,10 @@
     }
 
     /// The claim of the journal ended: hold the zone, or read the journal again.
-    fn claimed(&mut self, epoch: u64, result: WriteResult) {
+    fn claimed(&mut self, epoch: u64, result: &WriteResult) {
         let Some(mut opening) = self.opening.take() else { return };
         let Some(mut journal) = opening.journal.take() else { return };
-        let revision = match &result {
+        let revision = match result {
             WriteResult::Written(revision) => Some(*revision),
             WriteResult::Conflict(current) => match journal.met(current.as_ref()) {
                 Met::Own(revision) => Some(revision),
@@ -248,8 +256,7 @@
         let jobs = journal.len();
         self.active = Some(Active::new(
             &self.config,
-            epoch,
-            opening.confirmed_until_ms,
+            Holding { epoch, confirmed_until_ms: opening.confirmed_until_ms },
             journal,
             Arc::new(self.declared.declarations.clone()),
             self.caller.clone(),
