perf(entry): look around every 10 ms, declared names looked up once a revision

Also: a host closes connections to endpoints that it gave up, keeps at most 8 idle ones each, and asks all hosts at once to cancel.

--- a/src/configs/entry.rs
+++ b/src/configs/entry.rs
@@ -132,7 +132,7 @@
     fn default() -> Self {
         Self {
             fresh_ms: 1_000,
-            max_idle: 32,
+            max_idle: 8,
             settle_ms: 300,
             guard_slots: 1,
             guard_ms: 10_000,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -18,7 +18,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use async_std::net::TcpListener;
@@ -26,9 +26,10 @@
 use eyre::WrapErr as _;
 
 use crate::clock;
+use crate::collections::HashSet;
 use crate::configs::entry::EntryConfig;
 use crate::configs::http::HttpConfig;
-use crate::declarations::feed::Feed;
+use crate::declarations::feed::{Accepted, Feed};
 use crate::drain::{Drain, Drained};
 use crate::http::client::Pool;
 use crate::http::server::Server;
@@ -82,6 +83,7 @@
     feed: Feed,
     peers: Pool,
     metrics: Arc<Metrics>,
+    declared: Mutex<Arc<Declared>>,
     next_request: AtomicU64,
     was_ready: AtomicBool,
     is_draining: AtomicBool,
@@ -129,6 +131,7 @@
             feed,
             peers,
             metrics,
+            declared: Mutex::default(),
             next_request: AtomicU64::new(1),
             was_ready: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
@@ -185,7 +188,39 @@
     }
 }
 
+/// What each request looks up in the declarations in force.
+#[derive(Debug, Default)]
+struct Declared {
+    /// Number of the accepted change.
+    revision: u64,
+    /// Names of the services.
+    services: HashSet<String>,
+    /// Names of the zones.
+    zones: Vec<String>,
+}
+
+impl Declared {
+    fn new(accepted: &Accepted) -> Self {
+        let declarations = &accepted.declarations;
+        Self {
+            revision: accepted.revision,
+            services: declarations.services.iter().map(|service| service.name.clone()).collect(),
+            zones: declarations.zones.iter().map(|zone| zone.name.clone()).collect(),
+        }
+    }
+}
+
 impl Shared {
+    /// The services and zones in force.
+    fn declared(&self) -> Arc<Declared> {
+        let accepted = self.feed.current();
+        let mut declared = self.declared.lock().unwrap_or_else(PoisonError::into_inner);
+        if declared.revision != accepted.revision {
+            *declared = Arc::new(Declared::new(&accepted));
+        }
+        Arc::clone(&declared)
+    }
+
     /// Whether configuration is in force and a session was held, and no shutdown has begun.
     fn is_ready(&self) -> bool {
         let holds = self.session.lease().is_some() && self.feed.current().revision > 0;
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -35,6 +35,9 @@
 /// Longest time between two looks at members, declarations and due work, in milliseconds.
 const STEP_MS: u64 = 20;
 
+/// Shortest time between two looks, in milliseconds.
+const LOOK_EVERY_MS: u64 = 10;
+
 /// Inputs taken in before due work is looked at again.
 const INPUTS_A_STEP: usize = 512;
 
@@ -109,6 +112,7 @@
     progress_read_ms: u64,
     seats_ms: u64,
     leaving_read_ms: u64,
+    looked_ms: u64,
 }
 
 impl Thread {
@@ -148,11 +152,28 @@
                 }
                 Err(mpsc::RecvTimeoutError::Timeout) => {}
             }
-            self.look_around();
+            self.do_due();
+        }
+    }
+
+    /// Does what is due by time.
+    fn do_due(&mut self) {
+        let now_ms = clock::now_ms();
+        if self.dispatcher.next_due_ms().is_some_and(|due_ms| due_ms <= now_ms) {
             self.step(route::Event::Tick);
+        }
+        let seats_due_ms = self.seats.values().filter_map(Seat::next_due_ms).min();
+        if seats_due_ms.is_some_and(|due_ms| due_ms <= now_ms) {
             self.tick_seats();
-            self.hand_back_queued();
         }
+        if now_ms < self.seen.looked_ms + LOOK_EVERY_MS {
+            return;
+        }
+        self.seen.looked_ms = now_ms;
+        self.look_around();
+        self.step(route::Event::Tick);
+        self.tick_seats();
+        self.hand_back_queued();
     }
 
     /// Time until something is due, at most one step.
--- a/src/entry/control/flights.rs
+++ b/src/entry/control/flights.rs
@@ -78,6 +78,7 @@
         sign: Option<Sign>,
     ) {
         self.flights.remove(&request);
+        self.close_if_released(endpoint);
         if sign == Some(Sign::Leaving) {
             self.take_word(endpoint, true);
         } else if let Some(sign) = sign {
@@ -94,6 +95,16 @@
         self.step(route::Event::Ended { request, endpoint, result });
     }
 
+    /// Closes connections to an endpoint that another host owns by now.
+    fn close_if_released(&self, endpoint: EndpointKey) {
+        if self.ownership.owned().contains_key(&endpoint) {
+            return;
+        }
+        if let Some(declared) = self.book.endpoint(endpoint) {
+            self.parts.endpoints.forget(&declared.address);
+        }
+    }
+
     /// Requests in flight to an endpoint.
     pub(super) fn in_flight(&self, endpoint: EndpointKey) -> u32 {
         let here = self.flights.values().filter(|flight| flight.endpoint == endpoint);
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -4,10 +4,11 @@
 
 use std::sync::Arc;
 
+use async_std::task;
+
 use tide::{Response, StatusCode};
 
 use crate::clock;
-use crate::collections::HashSet;
 use crate::http::error::ApiError;
 use crate::http::rpc;
 use crate::http::server::{self, CallerLink};
@@ -92,20 +93,19 @@
         service: request.param("service").unwrap_or_default().to_owned(),
         key: request.param("key").unwrap_or_default().to_owned(),
     };
-    let mut was_found = cancel_here(shared, &cancel).await;
+    if cancel_here(shared, &cancel).await {
+        return Ok(Response::new(StatusCode::Accepted));
+    }
     let members = membership::members(&shared.mirror.snapshot());
     let others = members
         .into_iter()
         .filter(|member| member.role == Role::Entry && member.name != shared.config.name);
-    for member in others {
-        let call = rpc::Call {
-            address: &member.address,
-            path: peer::CANCEL_PATH,
-            token: &shared.config.token,
-            timeout_ms: shared.config.peers.call_timeout_ms,
-        };
-        let found: Result<bool, _> = rpc::call(&shared.peers, &call, &cancel).await;
-        was_found |= found.unwrap_or(false);
+    let asked: Vec<_> = others
+        .map(|member| task::spawn(cancel_at(Arc::clone(shared), member.address, cancel.clone())))
+        .collect();
+    let mut was_found = false;
+    for found in asked {
+        was_found |= found.await;
     }
     if was_found {
         return Ok(Response::new(StatusCode::Accepted));
@@ -114,6 +114,16 @@
     Ok(ApiError::new(404, "no_such_request", message).to_response())
 }
 
+async fn cancel_at(shared: Arc<Shared>, address: String, cancel: CancelRequest) -> bool {
+    let call = rpc::Call {
+        address: &address,
+        path: peer::CANCEL_PATH,
+        token: &shared.config.token,
+        timeout_ms: shared.config.peers.call_timeout_ms,
+    };
+    rpc::call(&shared.peers, &call, &cancel).await.unwrap_or(false)
+}
+
 async fn cancel_here(shared: &Shared, cancel: &CancelRequest) -> bool {
     let (service, key) = (cancel.service.clone(), cancel.key.clone());
     let found = shared.control.ask(|found| Input::CancelKey { service, key, found }).await;
@@ -199,11 +209,3 @@
     let body = server::read_body(request, &peer_http(&shared.config)).await?;
     rpc::decode(&body).map_err(|error| ApiError::new(400, "bad_call", error.to_string()))
 }
-
-/// Names of the declared services.
-fn is_declared(shared: &Shared, service: &str) -> bool {
-    let accepted = shared.feed.current();
-    let names: HashSet<&str> =
-        accepted.declarations.services.iter().map(|declared| declared.name.as_str()).collect();
-    names.contains(service)
-}
--- a/src/entry/front/parse.rs
+++ b/src/entry/front/parse.rs
@@ -12,7 +12,7 @@
 
 use super::super::message::Submitted;
 use super::super::{deadline, peer, Shared};
-use super::{is_declared, Request};
+use super::Request;
 
 /// Header that says whether a second run does no harm.
 const IDEMPOTENT: &str = "Hemlock-Idempotent";
@@ -46,10 +46,11 @@
 
 fn check_service(shared: &Shared, service: &str) -> Result<(), ApiError> {
     const RETRY_AFTER_MS: u64 = 1_000;
-    if is_declared(shared, service) {
+    let declared = shared.declared();
+    if declared.services.contains(service) {
         return Ok(());
     }
-    if shared.feed.current().revision == 0 {
+    if declared.revision == 0 {
         let error = ApiError::new(503, "not_ready", "no configuration is in force yet");
         return Err(error.with_retry_after_ms(RETRY_AFTER_MS));
     }
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -57,8 +57,8 @@
     gone: &Gone,
 ) -> Result<Grant, Verdict> {
     let key = format!("{}/{}", submitted.service, submitted.key);
-    let accepted = shared.feed.current();
-    let zones = accepted.declarations.zones.iter().map(|zone| zone.name.as_str());
+    let declared = shared.declared();
+    let zones = declared.zones.iter().map(String::as_str);
     let Some(zone) = seat::home_zone(zones, &key).map(str::to_owned) else {
         return Err(Verdict::not_run(Reason::LedgerAway));
     };
--- a/tests/ledger_model.rs
+++ b/tests/ledger_model.rs
@@ -410,7 +410,7 @@
             for action in out {
                 match action {
                     Action::Load => {
-                        events.push(Event::Loaded(self.log.values().cloned().collect()))
+                        events.push(Event::Loaded(self.log.values().cloned().collect()));
                     }
                     Action::Commit { place, batch, .. } => {
                         let revision = Revision(batch.seq + 1);
