--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -6,13 +6,16 @@
 use crate::collections::HashMap;
 use crate::configs::placer::PlacerConfig;
 use crate::declarations::Declarations;
-use crate::jobs::api::{JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView};
+use crate::inventory::WorkerKey;
+use crate::jobs::api::{
+    JobExplanation, JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView,
+};
 use crate::jobs::journal::{Journal, Met, Write};
 use crate::jobs::record::JobRecord;
 use crate::place::message::{JobId, JobProgress, JobState, Refusal, Rejection};
 use crate::place::{Action, Event, Placer};
 use crate::placer::links::{Caller, Links};
-use crate::placer::message::{Ask, AskError, Called, Reply, WriteResult};
+use crate::placer::message::{Ask, AskError, CallFailure, Called, Reply, WriteResult};
 use crate::placer::metrics::Metrics;
 use crate::placer::wire::{Start, Stop, WorkerCall};
 
@@ -32,6 +35,7 @@
     cancels: HashMap<JobId, Vec<Waiter<JobView>>>,
     is_fenced: bool,
     is_closing: bool,
+    is_store_away: bool,
     actions: Vec<Action>,
 }
 
@@ -42,6 +46,13 @@
     until_ms: u64,
 }
 
+/// Under which epoch the zone is held and until when the store says so.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Holding {
+    pub(crate) epoch: u64,
+    pub(crate) confirmed_until_ms: u64,
+}
+
 /// What follows from the end of a journal write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Standing {
@@ -55,13 +66,13 @@
     /// Begins to hold the zone with the jobs of a claimed journal.
     pub(crate) fn new(
         config: &PlacerConfig,
-        epoch: u64,
-        confirmed_until_ms: u64,
+        holding: Holding,
         journal: Journal,
         declarations: Arc<Declarations>,
         caller: Caller,
         metrics: Metrics,
     ) -> Self {
+        let Holding { epoch, confirmed_until_ms } = holding;
         let mut active = Self {
             zone: config.zone.clone(),
             epoch,
@@ -76,6 +87,7 @@
             cancels: HashMap::default(),
             is_fenced: false,
             is_closing: false,
+            is_store_away: false,
             actions: Vec::new(),
         };
         active.step(Event::Declared(declarations));
@@ -126,6 +138,14 @@
         self.metrics.jobs.set(i64::try_from(self.journal.len()).unwrap_or(i64::MAX));
     }
 
+    /// Goes on with placing what the last steps left over; returns whether more is left.
+    pub(crate) fn go_on(&mut self) -> bool {
+        if self.placer.has_work() {
+            self.step(Event::Tick);
+        }
+        self.placer.has_work()
+    }
+
     /// Sends the calls that can go; returns the journal's write that is due.
     pub(crate) fn flush(&mut self) -> Option<Write> {
         for (worker, call) in self.links.take_due() {
@@ -201,6 +221,9 @@
             Err(failure) => return self.call_failed(worker, &called.call, &failure),
         };
         if answer.is_fenced || answer.epoch > self.epoch {
+            if self.is_fenced {
+                return;
+            }
             spdlog::warn!("worker knows epoch {}", answer.epoch, kv: { zone = self.zone.as_str(), epoch = self.epoch });
             self.is_fenced = true;
             return;
@@ -216,14 +239,9 @@
         }
     }
 
-    fn call_failed(
-        &mut self,
-        worker: crate::inventory::WorkerKey,
-        call: &WorkerCall,
-        failure: &crate::placer::message::CallFailure,
-    ) {
+    fn call_failed(&mut self, worker: WorkerKey, call: &WorkerCall, failure: &CallFailure) {
         spdlog::debug!("call failed: {}", failure, kv: { worker = call.worker.as_str() });
-        let is_certain = matches!(failure, crate::placer::message::CallFailure::NoEffect(_));
+        let is_certain = matches!(failure, CallFailure::NoEffect(_));
         for start in &call.starts {
             let attempt = start.attempt;
             match is_certain {
@@ -246,17 +264,26 @@
                 }
             },
             WriteResult::NoEffect(error) => {
-                spdlog::warn!("jobs not recorded: {}", error, kv: { zone = self.zone.as_str() });
+                self.note_store_away(&error.to_string());
                 self.refuse_unrecorded(&error.to_string());
                 return Standing::Held;
             }
         };
+        self.is_store_away = false;
         for stored in self.journal.written(revision) {
             self.stored(&stored.id, stored.version);
         }
         Standing::Held
     }
 
+    /// Logs the first write of an outage that took no effect.
+    fn note_store_away(&mut self, problem: &str) {
+        if !self.is_store_away {
+            spdlog::warn!("jobs not recorded: {}", problem, kv: { zone = self.zone.as_str() });
+        }
+        self.is_store_away = true;
+    }
+
     /// New jobs of a write without effect are withdrawn and refused; progress waits for the next.
     fn refuse_unrecorded(&mut self, reason: &str) {
         for id in self.journal.failed(clock::now_ms()) {
@@ -439,9 +466,25 @@
         records.iter().filter_map(|record| self.view(&record.id)).collect()
     }
 
-    fn explain(&self, id: &str) -> Result<serde_json::Value, AskError> {
-        let view = self.view(id).ok_or(AskError::NoSuchJob)?;
-        Ok(serde_json::json!({ "id": view.id, "zone": view.zone, "state": view.state }))
+    fn explain(&self, id: &str) -> Result<JobExplanation, AskError> {
+        let state = self.state(id).ok_or(AskError::NoSuchJob)?;
+        let explanation = self.placer.explain(id, clock::now_ms());
+        let reason = match &state {
+            JobState::Rejected(rejection) => Some(rejection_text(rejection)),
+            _ => None,
+        };
+        Ok(JobExplanation {
+            id: JobId::from(id),
+            zone: self.zone.clone(),
+            state,
+            reason,
+            explanation,
+        })
+    }
+
+    fn worker_state(&self, worker: WorkerKey) -> String {
+        let view = self.placer.workers.get(worker);
+        view.map(|view| view.state.as_str().to_owned()).unwrap_or_default()
     }
 
     fn workers(&self) -> Vec<WorkerView> {
@@ -451,7 +494,7 @@
             zone: self.zone.clone(),
             rack: inventory.rack(worker.rack).map(|rack| rack.name.clone()).unwrap_or_default(),
             address: worker.address.clone(),
-            state: String::new(),
+            state: self.worker_state(key),
             capacity: worker.capacity,
             reserved: self.placer.reserved(key),
             is_draining: worker.is_draining,
