--- a/src/configs/entry.rs
+++ b/src/configs/entry.rs
@@ -153,7 +153,8 @@
 }
 
 /// Settings of the platform's list of live and leaving hosts.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HostsConfig {
     /// Address of the list, `IP:port`; empty for none.
--- a/src/configs/ledger.rs
+++ b/src/configs/ledger.rs
@@ -15,6 +15,8 @@
     pub retention_ms: u64,
     /// Shortest time between two commits, in milliseconds.
     pub commit_every_ms: u64,
+    /// Wait for the answer of a commit before it is written again, in milliseconds; doubles each time.
+    pub commit_timeout_ms: u64,
     /// Longest wait of a request for its commit, in milliseconds.
     pub commit_wait_ms: u64,
     /// Largest batch, in keys.
@@ -37,6 +39,7 @@
             slots: 6_000,
             retention_ms: 120_000,
             commit_every_ms: 20,
+            commit_timeout_ms: 150,
             commit_wait_ms: 500,
             max_batch: 2_000,
             max_waiting: 10_000,
@@ -54,6 +57,7 @@
         report.require(self.max_batch > 0, "max_batch", "expected at least 1");
         report.require(self.max_waiting > 0, "max_waiting", "expected at least 1");
         report.require(self.commit_wait_ms > 0, "commit_wait_ms", "expected at least 1");
+        report.require(self.commit_timeout_ms > 0, "commit_timeout_ms", "expected at least 1");
         report.require(self.retry_ms > 0, "retry_ms", "expected at least 1");
         let held = u64::from(self.slots) * self.commit_every_ms >= self.retention_ms;
         report.require(held, "slots", "expected at least retention_ms / commit_every_ms");
--- a/src/entry/hosts.rs
+++ b/src/entry/hosts.rs
@@ -17,13 +17,15 @@
 const PATH: &str = "/v1/hosts";
 
 /// A host in the list.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Host {
     name: String,
     state: State,
 }
 
-#[derive(Debug, PartialEq, Eq, Deserialize)]
+#[derive(Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum State {
     Live,
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -30,7 +30,8 @@
 pub const END_PATH: &str = "/v1/peer/ledger/end";
 
 /// Asks the holder of a ledger whether a request may run under its key.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct BeginRequest {
     /// Zone whose ledger keeps the key.
     pub zone: String,
@@ -49,7 +50,8 @@
 }
 
 /// Tells the holder of a ledger how a granted request ended; answered with whether it holds it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct EndRequest {
     /// Zone whose ledger keeps the key.
     pub zone: String,
--- a/src/ledger/batch.rs
+++ b/src/ledger/batch.rs
@@ -5,7 +5,8 @@
 use super::Claim;
 
 /// The intent to run a key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Intent {
     /// Service and idempotency key.
     pub key: String,
@@ -18,7 +19,8 @@
 }
 
 /// How a key's run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum EndKind {
     /// It ran, and its caller has the whole answer.
     Done,
@@ -29,7 +31,8 @@
 }
 
 /// The end of a key's run.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EndNote {
     /// Service and idempotency key.
     pub key: String,
@@ -40,7 +43,8 @@
 }
 
 /// One write of the log.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Batch {
     /// Number of the write, from 0.
     pub seq: u64,
--- a/src/ledger/seat.rs
+++ b/src/ledger/seat.rs
@@ -1,6 +1,7 @@
 //! The seat of a zone's ledger: who holds it, and the calls to the store that its state machine asks for.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -13,7 +14,8 @@
 use super::{Action, CommitResult, Event, KeyVerdict, Ledger, Ticket};
 
 /// The record that says which entry host holds the ledger of a zone.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Holder {
     /// Name of the host.
     pub name: String,
@@ -94,9 +96,9 @@
     fn act(&mut self, action: Action) -> Option<StoreCall> {
         match action {
             Action::Load => Some(StoreCall::Load { prefix: log_prefix(&self.zone) }),
-            Action::Commit { place, expect, batch } => {
+            Action::Commit { place, expect, batch, timeout_ms } => {
                 let key = format!("{}{place:06}", log_prefix(&self.zone));
-                Some(StoreCall::Commit { key, expect, batch })
+                Some(StoreCall::Commit { key, expect, batch, timeout_ms })
             }
             Action::Answer { ticket, verdict } => {
                 if let Some(waiting) = self.tickets.remove(&ticket) {
@@ -124,6 +126,8 @@
         expect: Expect,
         /// What is written.
         batch: Batch,
+        /// Time after which the answer is taken as lost, in milliseconds.
+        timeout_ms: u64,
     },
 }
 
@@ -132,8 +136,11 @@
     pub async fn run(self, store: Arc<dyn Store>) -> Event {
         match self {
             Self::Load { prefix } => load(store.as_ref(), &prefix).await,
-            Self::Commit { key, expect, batch } => {
-                Event::Committed(commit(store.as_ref(), key, expect, &batch).await)
+            Self::Commit { key, expect, batch, timeout_ms } => {
+                let limit = Duration::from_millis(timeout_ms);
+                let written = commit(store.as_ref(), key, expect, &batch);
+                let result = async_std::future::timeout(limit, written).await;
+                Event::Committed(result.unwrap_or(CommitResult::Lost))
             }
         }
     }
--- a/tests/ledger_model.rs
+++ b/tests/ledger_model.rs
@@ -316,7 +316,7 @@
         for action in out {
             match action {
                 Action::Load => self.calls.push((holder, self.generations[holder], Call::Load)),
-                Action::Commit { place, expect, batch } => {
+                Action::Commit { place, expect, batch, .. } => {
                     let call = Call::Commit { place, expect, batch };
                     self.calls.push((holder, self.generations[holder], call));
                 }
--- a/tests/requests/cell.rs
+++ b/tests/requests/cell.rs
@@ -4,8 +4,12 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, reason = "a helper that fails fails its test")]
 #![allow(clippy::disallowed_methods, reason = "tests block their own thread")]
 
+pub mod ask;
+
 use std::time::Duration;
 
+pub use ask::{Answer, Ask};
+
 use async_std::task::block_on;
 use hemlockrock::clock;
 use hemlockrock::configs::http::HttpConfig;
@@ -21,7 +25,6 @@
 use hemlockrock::store::client::HttpStore;
 use hemlockrock::store::{self, Operation};
 use http_types::Method;
-use sha2::{Digest as _, Sha256};
 
 use super::support::{eventually, Process, Scratch};
 
@@ -293,130 +296,3 @@
         async_std::future::timeout(limit, exchange).await.ok()?.ok()
     })
 }
-
-/// One request of a caller.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    service: String,
-    headers: Vec<(String, String)>,
-    body: String,
-}
-
-impl Ask {
-    /// A request with an idempotency key that may run once.
-    pub fn new(key: impl Into<String>) -> Self {
-        Self::without_key().with_header("Idempotency-Key", &key.into())
-    }
-
-    /// A request without a key.
-    pub fn without_key() -> Self {
-        Self { service: "orders".to_owned(), headers: Vec::new(), body: "body".to_owned() }
-    }
-
-    /// An idempotent request without a key.
-    pub fn idempotent() -> Self {
-        Self::without_key().with_header("Hemlock-Idempotent", "true")
-    }
-
-    /// Sets a header.
-    #[must_use]
-    pub fn with_header(mut self, name: &str, value: &str) -> Self {
-        self.headers.push((name.to_owned(), value.to_owned()));
-        self
-    }
-
-    /// Sets the run time at the endpoint.
-    #[must_use]
-    pub fn with_run_ms(self, run_ms: u64) -> Self {
-        self.with_header("Hemlock-Standin-Run-Ms", &run_ms.to_string())
-    }
-
-    /// Sets the deadline.
-    #[must_use]
-    pub fn with_deadline_ms(self, deadline_ms: u64) -> Self {
-        self.with_header("Hemlock-Deadline-Ms", &deadline_ms.to_string())
-    }
-
-    /// Sets the body.
-    #[must_use]
-    pub fn with_body(mut self, body: impl Into<String>) -> Self {
-        self.body = body.into();
-        self
-    }
-
-    /// Sets the service.
-    #[must_use]
-    pub fn with_service(mut self, service: &str) -> Self {
-        self.service = service.to_owned();
-        self
-    }
-
-    /// Cancels a request by its key; the status of the answer.
-    pub async fn cancel(address: &str, key: &str) -> u16 {
-        let path = format!("/v1/services/orders/requests/{key}");
-        let request = client::request(Method::Delete, address, &path).unwrap();
-        let stream = client::open(address, 2_000).await.unwrap();
-        client::exchange(stream, request, 1 << 20).await.unwrap().status
-    }
-
-    /// Sends the request on a connection of its own.
-    pub async fn send(&self, address: &str) -> Answer {
-        let path = format!("/v1/services/{}/requests", self.service);
-        let mut request = client::request(Method::Post, address, &path).unwrap();
-        request.set_body(self.body.as_bytes());
-        for (name, value) in &self.headers {
-            request.insert_header(name.as_str(), value.as_str());
-        }
-        let exchange = async {
-            let stream = client::open(address, 2_000).await?;
-            client::exchange(stream, request, 8 << 20).await
-        };
-        match async_std::future::timeout(Duration::from_secs(60), exchange).await {
-            Ok(Ok(reply)) => {
-                Answer { status: reply.status, reply: Some(reply), error: String::new() }
-            }
-            Ok(Err(error)) => Answer { status: 0, reply: None, error: error.to_string() },
-            Err(_) => Answer { status: 0, reply: None, error: "hangs".to_owned() },
-        }
-    }
-}
-
-/// What a caller got; status 0 if the connection broke.
-#[derive(Clone, Debug)]
-pub struct Answer {
-    pub status: u16,
-    pub reply: Option<Reply>,
-    pub error: String,
-}
-
-impl Answer {
-    /// The outcome header; empty without an answer.
-    pub fn outcome(&self) -> &str {
-        self.reply.as_ref().and_then(|reply| reply.header("Hemlock-Outcome")).unwrap_or("")
-    }
-
-    /// The reason header.
-    pub fn reason(&self) -> &str {
-        self.reply.as_ref().and_then(|reply| reply.header("Hemlock-Reason")).unwrap_or("")
-    }
-
-    /// The body.
-    pub fn body(&self) -> &[u8] {
-        self.reply.as_ref().map_or(&[], |reply| &reply.body)
-    }
-
-    /// Whether this is an endpoint's whole answer to a request with `body`.
-    pub fn is_answer_to(&self, body: &str) -> bool {
-        let digest = format!("{:x}", Sha256::digest(body.as_bytes()));
-        let answer: Result<hemlockrock::standin::runner::RunAnswer, _> =
-            serde_json::from_slice(self.body());
-        answer.is_ok_and(|answer| answer.sha256 == digest)
-    }
-
-    /// Paths of the findings in an error.
-    pub fn findings(&self) -> Vec<String> {
-        let error: hemlockrock::http::error::ApiError =
-            serde_json::from_slice(self.body()).unwrap();
-        error.findings.items.into_iter().map(|finding| finding.path).collect()
-    }
-}
