perf(placer): workers report what changed

Now a report carries what differs from the one that the caller has, and the default interval is 4 s.

--- a/src/configs/placer.rs
+++ b/src/configs/placer.rs
@@ -59,7 +59,12 @@
             store: StoreConfig::default(),
             membership: MembershipConfig::default(),
             http: HttpConfig::default(),
-            place: PlaceConfig::default(),
+            place: PlaceConfig {
+                task_lease_ms: 15_000,
+                renew_every_ms: 4_000,
+                silent_after_ms: 9_000,
+                ..PlaceConfig::default()
+            },
             drain: DrainConfig::default(),
             log: LogConfig::default(),
         }
--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -234,7 +234,8 @@
         for refused in answer.refused {
             self.step(Event::Refused { attempt: refused.attempt, refusal: refused.refusal });
         }
-        if let Some(report) = answer.report {
+        let report = answer.report.and_then(|update| self.links.updated(worker, update));
+        if let Some(report) = report {
             self.step(Event::Report { worker, report });
         }
     }
--- a/src/placer/control.rs
+++ b/src/placer/control.rs
@@ -127,7 +127,7 @@
             Message::Written { epoch, result } => self.written(epoch, result),
             Message::Called(called) => {
                 if let Some(active) = self.active_of(called.epoch) {
-                    active.called(called);
+                    active.called(*called);
                 }
             }
             Message::Ask(ask) => match &mut self.active {
--- a/src/placer/links.rs
+++ b/src/placer/links.rs
@@ -8,8 +8,9 @@
 use crate::http::client::Pool;
 use crate::http::rpc::{self, Call};
 use crate::inventory::WorkerKey;
+use crate::place::message::WorkerReport;
 use crate::placer::message::{CallFailure, Called, Message};
-use crate::placer::wire::{self, WorkerCall};
+use crate::placer::wire::{self, ReportUpdate, WorkerCall};
 
 /// Where and how workers are called.
 #[derive(Clone, Debug)]
@@ -31,6 +32,8 @@
 #[derive(Debug, Default)]
 struct Link {
     outbox: WorkerCall,
+    /// Last report with its number.
+    report: Option<(u64, WorkerReport)>,
     is_busy: bool,
     is_due: bool,
 }
@@ -66,11 +69,29 @@
                 continue;
             }
             link.is_busy = true;
-            calls.push((worker, std::mem::take(&mut link.outbox)));
+            let known_report = link.report.as_ref().map_or(0, |(number, _)| *number);
+            calls.push((worker, WorkerCall { known_report, ..std::mem::take(&mut link.outbox) }));
         }
         calls
     }
 
+    /// The whole report after an update; none when the update is of a report that is not here, and
+    /// then the next call asks for all.
+    pub(crate) fn updated(
+        &mut self,
+        worker: WorkerKey,
+        update: ReportUpdate,
+    ) -> Option<WorkerReport> {
+        let link = self.links.get_mut(&worker)?;
+        let number = update.number;
+        let report = update.apply(link.report.take());
+        link.report = report.clone().map(|report| (number, report));
+        if report.is_none() {
+            self.outbox(worker).wants_report = true;
+        }
+        report
+    }
+
     /// Whether nothing is on its way or waits.
     pub(crate) fn is_idle(&self) -> bool {
         self.links.values().all(|link| !link.is_busy && link.outbox.is_empty())
@@ -84,7 +105,7 @@
         task::spawn(async move {
             let result = caller.call(&address, &call).await;
             let called = Called { epoch: call.epoch, worker, call, result };
-            let _ = caller.results.send(Message::Called(called));
+            let _ = caller.results.send(Message::Called(Box::new(called)));
         });
     }
 
--- a/src/placer/message.rs
+++ b/src/placer/message.rs
@@ -31,7 +31,7 @@
         result: WriteResult,
     },
     /// A call to a worker ended.
-    Called(Called),
+    Called(Box<Called>),
     /// A caller asks.
     Ask(Ask),
     /// Give the zone up once all is recorded; the answer carries the epoch that was held.
--- a/src/placer/wire.rs
+++ b/src/placer/wire.rs
@@ -3,7 +3,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::place::message::{Attempt, Refusal, StopMode, TaskId, WorkerReport};
+use crate::collections::{HashMap, HashSet};
+use crate::place::message::{Attempt, AttemptReport, Refusal, StopMode, TaskId, WorkerReport};
 use crate::place::spec::Resources;
 
 /// Path at which a worker takes calls.
@@ -37,6 +38,8 @@
     pub starts: Vec<Start>,
     /// Whether the answer is to carry a report.
     pub wants_report: bool,
+    /// Number of the last report that the caller has; 0 for none.
+    pub known_report: u64,
 }
 
 impl WorkerCall {
@@ -94,7 +97,88 @@
     pub refused: Vec<RefusedStart>,
     /// All that the worker runs, if it was asked for.
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub report: Option<WorkerReport>,
+    pub report: Option<ReportUpdate>,
+}
+
+/// The report of a worker, whole or as a change of an earlier one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(default)]
+pub struct ReportUpdate {
+    /// Number of this report, unlike that of any other of the worker.
+    pub number: u64,
+    /// Number of the report that this one changes; 0 when it is whole.
+    pub base: u64,
+    /// The worker's own clock, in milliseconds.
+    pub token_ms: u64,
+    /// Highest barrier that the worker has seen.
+    pub barrier: Attempt,
+    /// Attempts that are new or in another state than in the base.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub changed: Vec<AttemptReport>,
+    /// Attempts of the base that the worker has forgotten.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub gone: Vec<Attempt>,
+}
+
+impl ReportUpdate {
+    /// The shortest update from `base`, if there is one, to `report`.
+    pub fn new(number: u64, base: Option<(u64, &WorkerReport)>, report: &WorkerReport) -> Self {
+        let (base, before) = base.map_or((0, &[][..]), |(number, base)| (number, &base.attempts));
+        let known: HashMap<Attempt, &AttemptReport> =
+            before.iter().map(|item| (item.attempt, item)).collect();
+        let now: HashSet<Attempt> = report.attempts.iter().map(|item| item.attempt).collect();
+        let is_changed = |item: &&AttemptReport| {
+            known.get(&item.attempt).is_none_or(|before| differs(before, item))
+        };
+        Self {
+            number,
+            base,
+            token_ms: report.token_ms,
+            barrier: report.barrier,
+            changed: report.attempts.iter().filter(is_changed).cloned().collect(),
+            gone: before.iter().map(|item| item.attempt).filter(|at| !now.contains(at)).collect(),
+        }
+    }
+
+    /// The whole report, from the one that the caller has; none when they do not fit together.
+    ///
+    /// ```
+    /// use hemlockrock::place::message::WorkerReport;
+    /// use hemlockrock::placer::wire::ReportUpdate;
+    ///
+    /// let first = WorkerReport { token_ms: 5, ..WorkerReport::default() };
+    /// let second = WorkerReport { token_ms: 9, ..WorkerReport::default() };
+    /// let update = ReportUpdate::new(2, Some((1, &first)), &second);
+    /// assert_eq!(update.clone().apply(Some((1, first))), Some(second));
+    /// assert_eq!(update.apply(None), None);
+    /// ```
+    pub fn apply(self, known: Option<(u64, WorkerReport)>) -> Option<WorkerReport> {
+        let Self { base, token_ms, barrier, changed, gone, .. } = self;
+        if base == 0 {
+            return Some(WorkerReport { token_ms, barrier, attempts: changed });
+        }
+        let (_, mut report) = known.filter(|(number, _)| *number == base)?;
+        let gone: HashSet<Attempt> = gone.into_iter().collect();
+        let mut changed: HashMap<Attempt, AttemptReport> =
+            changed.into_iter().map(|item| (item.attempt, item)).collect();
+        let passed_ms = token_ms.saturating_sub(report.token_ms);
+        report.attempts.retain(|item| !gone.contains(&item.attempt));
+        for item in &mut report.attempts {
+            match changed.remove(&item.attempt) {
+                Some(newer) => *item = newer,
+                None => item.age_ms += passed_ms,
+            }
+        }
+        report.attempts.extend(changed.into_values());
+        report.attempts.sort_unstable_by_key(|item| item.attempt);
+        Some(WorkerReport { token_ms, barrier, attempts: report.attempts })
+    }
+}
+
+/// Whether two reports of an attempt differ in more than its age.
+fn differs(before: &AttemptReport, now: &AttemptReport) -> bool {
+    before.state != now.state || before.usage != now.usage || before.reserved != now.reserved
 }
 
 /// A start that did not begin and never will.
--- a/src/standin/worker/agent.rs
+++ b/src/standin/worker/agent.rs
@@ -1,4 +1,4 @@
-//! One worker as a pure state machine, with the record of what really ran there.
+//! One worker as a state machine without I/O, with the record of what really ran there.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -7,7 +7,7 @@
     Attempt, AttemptReport, AttemptState, End, Refusal, StopMode, TaskId, WorkerReport,
 };
 use crate::place::spec::Resources;
-use crate::placer::wire::{RefusedStart, Start, WorkerAnswer, WorkerCall};
+use crate::placer::wire::{RefusedStart, ReportUpdate, Start, WorkerAnswer, WorkerCall};
 use crate::standin::worker::program::Program;
 use crate::standin::worker::Mode;
 
@@ -67,6 +67,8 @@
     ended: BTreeMap<Attempt, AttemptReport>,
     forgotten: BTreeMap<Attempt, u64>,
     past_reports: VecDeque<WorkerReport>,
+    last_report: Option<(u64, WorkerReport)>,
+    next_report: u64,
     saved_ms: HashMap<TaskId, u64>,
     truth: Truth,
 }
@@ -95,6 +97,8 @@
             ended: BTreeMap::new(),
             forgotten: BTreeMap::new(),
             past_reports: VecDeque::new(),
+            last_report: None,
+            next_report: rand::random::<u32>().into(),
             saved_ms: HashMap::default(),
             truth: Truth { means, ..Truth::default() },
         }
@@ -124,6 +128,7 @@
             attempts.into_iter().for_each(|attempt| self.end(attempt, RunEnd::Died, now_ms));
             self.ended.clear();
             self.saved_ms.clear();
+            self.last_report = None;
         }
     }
 
@@ -171,10 +176,23 @@
             }
         }
         self.advance(now_ms);
-        answer.report = call.wants_report.then(|| self.report(now_ms));
+        if call.wants_report {
+            answer.report = Some(self.update(call.known_report, now_ms));
+        }
         answer
     }
 
+    /// The report as a change of the one that the caller has, or whole.
+    fn update(&mut self, known_report: u64, now_ms: u64) -> ReportUpdate {
+        let report = self.report(now_ms);
+        self.next_report += 1;
+        let base = self.last_report.as_ref().filter(|(number, _)| *number == known_report);
+        let base = base.map(|(number, report)| (*number, report));
+        let update = ReportUpdate::new(self.next_report, base, &report);
+        self.last_report = Some((self.next_report, report));
+        update
+    }
+
     fn acknowledge(&mut self, attempt: Attempt) {
         let mut runs = self.truth.runs.iter_mut().rev();
         if let Some(run) = runs.find(|run| run.attempt == attempt) {
--- /dev/null
+++ b/tests/jobs_records.rs
@@ -0,0 +1,185 @@
+//! Job records and worker reports as pure state: journals against a fake store, updates of reports.
+#![allow(clippy::unwrap_used, reason = "a test stops at what is missing")]
+
+use std::sync::Arc;
+
+use hemlockrock::configs::placer::RecordsConfig;
+use hemlockrock::jobs::journal::{Journal, Met};
+use hemlockrock::jobs::record::JobRecord;
+use hemlockrock::place::message::{
+    Attempt, AttemptReport, AttemptState, JobProgress, JobState, TaskId, WorkerReport,
+};
+use hemlockrock::place::spec::{JobSpec, Resources};
+use hemlockrock::placer::wire::ReportUpdate;
+use hemlockrock::standin::store::State;
+use hemlockrock::store::{Answer, Entry, Operation, Revision};
+use proptest::prelude::*;
+
+fn record(id: usize, version: u64, ended: bool) -> JobRecord {
+    JobRecord {
+        id: format!("j{id}").into(),
+        spec: Arc::new(JobSpec::new("range", 1)),
+        command: vec!["sleep".to_owned()].into(),
+        progress: JobProgress {
+            version,
+            ended: ended.then_some(JobState::Finished),
+            ..JobProgress::default()
+        },
+        accepted_at_ms: id as u64,
+        ended_at_ms: u64::from(ended),
+    }
+}
+
+fn list(store: &mut State) -> Vec<Entry> {
+    match store.apply(Operation::List { prefix: Journal::prefix("mid-1") }, 0) {
+        Answer::Entries { entries, .. } => entries,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Does a write; the outcome says whether it took effect for the journal.
+fn commit(
+    store: &mut State,
+    journal: &mut Journal,
+    write: hemlockrock::jobs::journal::Write,
+) -> bool {
+    let put =
+        Operation::Put { key: write.key, value: write.value, expect: write.expect, lease: None };
+    let revision = match store.apply(put, 0) {
+        Answer::Written { revision } => revision,
+        Answer::Conflict { current } => match journal.met(current.as_ref()) {
+            Met::Own(revision) => revision,
+            Met::Superseded(_) | Met::Stale => return false,
+        },
+        other => panic!("{other:?}"),
+    };
+    journal.written(revision);
+    true
+}
+
+fn open(store: &mut State, epoch: u64) -> Journal {
+    let config = RecordsConfig { keep_ended_ms: u64::MAX / 4, ..RecordsConfig::default() };
+    let mut journal = Journal::open(config, "mid-1", epoch, &list(store)).unwrap();
+    let claim = journal.claim(0).unwrap();
+    assert!(commit(store, &mut journal, claim));
+    journal
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
+
+    /// Whatever a holder was told is stored is found by the next one, over many turns of the ring.
+    #[test]
+    fn what_is_stored_is_found_by_the_next_holder(
+        steps in proptest::collection::vec((0_usize..40, 0_u8..10), 1..400),
+    ) {
+        let mut store = State::new();
+        let mut epoch = 1;
+        let mut journal = open(&mut store, epoch);
+        let mut versions = std::collections::BTreeMap::new();
+        let mut now_ms = 0;
+        for (id, kind) in steps {
+            if kind == 0 {
+                epoch += 1;
+                journal = open(&mut store, epoch);
+                prop_assert_eq!(journal.len(), versions.len());
+                for (id, version) in &versions {
+                    let found = journal.get(&format!("j{id}")).unwrap().progress.version;
+                    prop_assert_eq!(found, *version, "j{}", id);
+                }
+            }
+            let version = versions.get(&id).map_or(0, |version| version + 1);
+            versions.insert(id, version);
+            journal.put(record(id, version, kind == 1));
+            if kind < 8 {
+                now_ms += 1_000;
+                let write = journal.next_write(now_ms).unwrap();
+                prop_assert!(commit(&mut store, &mut journal, write));
+            } else {
+                // Not written yet: a crash now may lose it, so it is written before the next check.
+                now_ms += 1_000;
+                let write = journal.next_write(now_ms).unwrap();
+                journal.failed(now_ms);
+                now_ms += 1_000;
+                prop_assert_eq!(journal.next_write(now_ms).unwrap().key, write.key);
+                let current = journal.next_write(now_ms);
+                prop_assert!(current.is_none(), "one write at a time");
+                prop_assert!(!journal.failed(now_ms).is_empty());
+                now_ms += 1_000;
+                let write = journal.next_write(now_ms).unwrap();
+                prop_assert!(commit(&mut store, &mut journal, write));
+            }
+        }
+    }
+
+    /// An update leads to the report that it was made from, ages included.
+    #[test]
+    fn updates_give_the_whole_report(
+        reports in proptest::collection::vec(proptest::collection::btree_map(0_u64..12, (0_u8..3, 0_u64..3), 0..10), 1..20),
+    ) {
+        let mut known: Option<(u64, WorkerReport)> = None;
+        for (number, attempts) in reports.iter().enumerate() {
+            let token_ms = 1_000 * number as u64;
+            let report = WorkerReport {
+                token_ms,
+                barrier: Attempt { epoch: 1, counter: number as u64 },
+                attempts: attempts.iter().map(|(counter, (state, usage))| item(*counter, *state, *usage, token_ms)).collect(),
+            };
+            let base = known.as_ref().map(|(number, report)| (*number, report));
+            let update = ReportUpdate::new(number as u64 + 1, base, &report);
+            let whole = update.apply(known.take()).unwrap();
+            prop_assert_eq!(&whole, &report);
+            known = Some((number as u64 + 1, whole));
+        }
+    }
+}
+
+fn item(counter: u64, state: u8, usage: u64, age_ms: u64) -> AttemptReport {
+    AttemptReport {
+        task: TaskId { job_id: "j".into(), index: 0 },
+        attempt: Attempt { epoch: 1, counter },
+        state: [AttemptState::Running, AttemptState::Stopping, AttemptState::Stopped]
+            [usize::from(state)],
+        reserved: Resources::new(1, 1, 0),
+        usage: Resources::new(usage, 0, 0),
+        age_ms,
+    }
+}
+
+#[test]
+fn a_holder_that_was_overtaken_can_record_nothing_more() {
+    let mut store = State::new();
+    let mut old = open(&mut store, 1);
+    old.put(record(1, 0, false));
+    let held_back = old.next_write(1_000).unwrap();
+    let mut new = open(&mut store, 2);
+    assert!(!commit(&mut store, &mut old, held_back), "the old write meets the claim");
+    assert!(new.get("j1").is_none());
+    // However far the ring of the new holder turns, no old expectation holds again.
+    for turn in 0..200_u64 {
+        new.put(record(2, turn, false));
+        let write = new.next_write(10_000 * (turn + 1)).unwrap();
+        assert!(commit(&mut store, &mut new, write));
+        old.failed(0);
+        old.put(record(1, 0, false));
+        let late = old.next_write(u64::MAX / 2).unwrap();
+        assert!(!commit(&mut store, &mut old, late), "turn {turn}");
+    }
+}
+
+#[test]
+fn a_write_whose_answer_was_lost_is_known_again() {
+    let mut store = State::new();
+    let mut journal = open(&mut store, 1);
+    journal.put(record(1, 0, false));
+    let write = journal.next_write(1_000).unwrap();
+    let put = |store: &mut State| {
+        let (key, value, expect) = (write.key.clone(), write.value.clone(), write.expect);
+        store.apply(Operation::Put { key, value, expect, lease: None }, 0)
+    };
+    assert!(matches!(put(&mut store), Answer::Written { .. }));
+    let Answer::Conflict { current } = put(&mut store) else { panic!("the retry conflicts") };
+    let Met::Own(revision) = journal.met(current.as_ref()) else { panic!("its own value") };
+    assert!(revision > Revision(0));
+    assert_eq!(journal.written(revision).len(), 1);
+}
