--- a/src/place/jobs.rs
+++ b/src/place/jobs.rs
@@ -44,11 +44,17 @@
         let key = self.add_job(job_id, spec, true);
         self.add_tasks(key, progress, now_ms);
         let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.waiting_count > 0 {
+            self.unlocated_teams.insert(job.team);
+        }
         job.version = progress.version;
         job.is_cancelled = progress.is_cancelled;
         if let Some(ended) = &progress.ended {
             job.state = ended.clone();
         }
+        if progress.is_cancelled {
+            self.dequeue(key);
+        }
     }
 
     /// Why the job can never run here, whatever else runs.
@@ -149,7 +155,7 @@
     pub(crate) fn cancel(&mut self, job_id: &JobId, now_ms: u64, out: &mut Vec<Action>) {
         let Some(&key) = self.job_ids.get(job_id) else { return };
         let Some(job) = self.jobs.get_mut(key) else { return };
-        if job.is_cancelled || is_ended(&job.state) {
+        if job.is_cancelled || job.is_given_up || is_ended(&job.state) {
             return;
         }
         job.is_cancelled = true;
@@ -158,7 +164,7 @@
         self.drop_claim(key);
         for task in self.jobs.get(key).map(|job| job.tasks.clone()).unwrap_or_default() {
             match self.tasks.get(task).map(|task| task.state) {
-                Some(TaskState::Waiting) => {
+                Some(TaskState::Waiting) if !self.may_run_unseen(key) => {
                     self.task_event(task, TaskEvent::Cancel, now_ms);
                 }
                 Some(state) if state.is_placed() => {
@@ -278,6 +284,11 @@
         });
     }
 
+    /// Whether waiting tasks of a job may run on workers that were not yet read.
+    pub(crate) fn may_run_unseen(&self, key: JobKey) -> bool {
+        self.is_locating && self.jobs.get(key).is_some_and(|job| job.is_restored)
+    }
+
     /// Marks the progress of a job as changed.
     pub(crate) fn touch(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(key) else { return };
@@ -324,13 +335,17 @@
         }
         let open = job.waiting_count + job.placed_count;
         let state = match (open, job.is_cancelled) {
+            (0, _) if job.is_given_up => JobState::Rejected(Rejection::Poison),
             (0, true) => JobState::Cancelled,
             (0, false) => JobState::Finished,
             _ if job.running_count > 0 => JobState::Running,
             _ => JobState::Waiting,
         };
         if is_ended(&state) {
-            self.end_job(key, state, out);
+            // Another attempt of a task that ended may still run unseen.
+            if !self.may_run_unseen(key) {
+                self.end_job(key, state, out);
+            }
         } else if job.state != state {
             job.state = state.clone();
             out.push(Action::JobState { job_id: Arc::clone(&job.id), state });
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -10,8 +10,9 @@
 use super::learn::Learned;
 use super::life::{TaskEvent, TaskState, WorkerEvent};
 use super::message::{Action, Attempt, Event, JobId, JobState};
+use super::policy::RecentSizes;
 use super::preempt::Nomination;
-use super::queue::Queue;
+use super::queue::{Queue, TeamKey};
 use super::rules::Rules;
 use super::spec::Resources;
 use super::state::{Job, JobKey, Orphan, Task, TaskKey, WorkerView};
@@ -39,7 +40,7 @@
 /// use std::sync::Arc;
 /// use hemlockrock::configs::place::PlaceConfig;
 /// use hemlockrock::declarations::{Declarations, WorkerDeclaration};
-/// use hemlockrock::place::message::WorkerReport;
+/// use hemlockrock::place::message::{Attempt, WorkerReport};
 /// use hemlockrock::place::spec::JobSpec;
 /// use hemlockrock::place::{Action, Event, Placer};
 ///
@@ -53,7 +54,9 @@
 /// placer.step(Event::Declared(declared), 0, &mut out);
 /// placer.step(Event::Holding { epoch: 7, confirmed_until_ms: 10_000 }, 0, &mut out);
 /// let key = placer.inventory().key("w1").unwrap();
-/// placer.step(Event::Report { worker: key, report: WorkerReport::default() }, 1, &mut out);
+/// let barrier = Attempt { epoch: 7, counter: 0 };
+/// let report = WorkerReport { barrier, ..Default::default() };
+/// placer.step(Event::Report { worker: key, report }, 1, &mut out);
 /// out.clear();
 /// let spec = Arc::new(JobSpec::new("range", 1));
 /// placer.step(Event::Submit { job_id: "j1".into(), spec }, 2, &mut out);
@@ -79,6 +82,7 @@
     pub(crate) index: Index,
     pub(crate) rules: Rules,
     pub(crate) learned: Learned,
+    pub(crate) recent_sizes: RecentSizes,
     pub(crate) nominations: HashMap<TaskKey, Nomination>,
     /// Tasks whose stop is being weighed for a gang.
     pub(crate) planned_victims: HashSet<TaskKey>,
@@ -91,6 +95,8 @@
     pub(crate) dirty_jobs: Vec<JobKey>,
     /// Services of which some replicas run an earlier specification.
     pub(crate) renewing: Vec<JobKey>,
+    /// Teams with tasks that may run unseen, and so unaccounted for, while tasks are located.
+    pub(crate) unlocated_teams: HashSet<TeamKey>,
     /// Whether tasks of restored jobs may still run on workers that were not read.
     pub(crate) is_locating: bool,
     pub(crate) is_restored: bool,
@@ -120,6 +126,7 @@
             index: Index::default(),
             rules: Rules::default(),
             learned: Learned::default(),
+            recent_sizes: RecentSizes::default(),
             nominations: HashMap::default(),
             planned_victims: HashSet::default(),
             claim: None,
@@ -128,6 +135,7 @@
             delayed: BTreeSet::new(),
             dirty_jobs: Vec::new(),
             renewing: Vec::new(),
+            unlocated_teams: HashSet::default(),
             is_locating: false,
             is_restored: false,
             inherited_until_ms: None,
@@ -202,8 +210,8 @@
     }
 
     /// Whether work was left over that the next step should go on with.
-    pub fn has_work(&self) -> bool {
-        self.wake != Wake::Nothing
+    pub fn has_work(&self, now_ms: u64) -> bool {
+        self.wake != Wake::Nothing && self.epoch.is_some() && self.is_sure_to_hold(now_ms)
     }
 
     fn declare(&mut self, declarations: Arc<Declarations>, now_ms: u64) {
