--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -140,10 +140,10 @@
 
     /// Goes on with placing what the last steps left over; returns whether more is left.
     pub(crate) fn go_on(&mut self) -> bool {
-        if self.placer.has_work() {
+        if self.placer.has_work(clock::now_ms()) {
             self.step(Event::Tick);
         }
-        self.placer.has_work()
+        self.placer.has_work(clock::now_ms())
     }
 
     /// Sends the calls that can go; returns the journal's write that is due.
