--- a/src/configs/placer.rs
+++ b/src/configs/placer.rs
@@ -56,7 +56,7 @@
             worker_timeout_ms: 2_000,
             submit_timeout_ms: 5_000,
             records: RecordsConfig::default(),
-            store: StoreConfig::default(),
+            store: StoreConfig { watch_wait_ms: 2_000, ..StoreConfig::default() },
             membership: MembershipConfig::default(),
             http: HttpConfig::default(),
             place: PlaceConfig {
--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -114,9 +114,9 @@
         self.is_closing = true;
     }
 
-    /// Whether all is recorded and no call is on its way.
+    /// Whether all is recorded. Calls may be on their way: the next holder reads every worker.
     pub(crate) fn is_settled(&self) -> bool {
-        self.journal.is_settled() && self.links.is_idle()
+        self.journal.is_settled()
     }
 
     /// Takes in one event.
--- a/src/placer/daemon.rs
+++ b/src/placer/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Sender};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 
 use async_std::task;
 use eyre::WrapErr as _;
@@ -46,6 +46,7 @@
     metrics: Metrics,
     mirror: Mirror,
     is_draining: Arc<AtomicBool>,
+    control: Weak<()>,
 }
 
 impl PlacerDaemon {
@@ -61,11 +62,14 @@
         let (messages, inbox) = channel();
         let metrics = Metrics::new()?;
         let is_draining = Arc::new(AtomicBool::new(false));
+        // Held by the control thread as long as it runs.
+        let control_runs = Arc::new(());
 
         let mut app = tide::with_state(Pages {
             metrics: metrics.clone(),
             mirror: mirror.clone(),
             is_draining: Arc::clone(&is_draining),
+            control: Arc::downgrade(&control_runs),
         });
         pages(&mut app);
         // The door needs the address, which is known once the listener is bound.
@@ -86,7 +90,11 @@
         let control =
             Control::new(config.clone(), Arc::clone(&store), caller, metrics, messages.clone());
         let thread = std::thread::Builder::new().name("control".to_owned());
-        thread.spawn(move || control.run(inbox)).wrap_err("control thread cannot be started")?;
+        let run = move || {
+            let _control_runs = control_runs;
+            control.run(inbox);
+        };
+        thread.spawn(run).wrap_err("control thread cannot be started")?;
         task::spawn(follow_declarations(feed.clone(), messages.clone()));
 
         let address = server.address().to_string();
@@ -165,7 +173,11 @@
 }
 
 fn pages(app: &mut tide::Server<Pages>) {
-    app.at("/healthz").get(|_| async { Ok(Response::new(StatusCode::Ok)) });
+    app.at("/healthz").get(|request: tide::Request<Pages>| async move {
+        let is_alive = request.state().control.strong_count() > 0;
+        let status = if is_alive { StatusCode::Ok } else { StatusCode::InternalServerError };
+        Ok(Response::new(status))
+    });
     app.at("/readyz").get(|request: tide::Request<Pages>| async move {
         let pages = request.state();
         let is_ready =
--- a/src/placer/links.rs
+++ b/src/placer/links.rs
@@ -91,11 +91,6 @@
         }
         report
     }
-
-    /// Whether nothing is on its way or waits.
-    pub(crate) fn is_idle(&self) -> bool {
-        self.links.values().all(|link| !link.is_busy && link.outbox.is_empty())
-    }
 }
 
 impl Caller {
--- a/tests/jobs_cell/mod.rs
+++ b/tests/jobs_cell/mod.rs
@@ -87,25 +87,18 @@
     pub placers: Vec<Process>,
     pub pool: Pool,
     scratch: Scratch,
-    store_address: String,
     names: Vec<String>,
 }
 
 impl Cell {
     /// A cell with `workers` workers and no placer.
     pub async fn start(workers: usize) -> Self {
-        Self::start_behind(workers, None).await
-    }
-
-    /// A cell whose placers reach the store at another address, such as that of a proxy.
-    pub async fn start_behind(workers: usize, store_address: Option<String>) -> Self {
         let store = StoreStandin::start("127.0.0.1:0").await.unwrap();
         let names: Vec<String> = (0..workers).map(|number| format!("w{number:04}")).collect();
         let hosted = names.iter().map(|name| HostedWorker::new(name, MEANS)).collect();
         let config = WorkerConfig { workers: hosted, usage_lag_ms: 200, ..WorkerConfig::default() };
         let workers = WorkerStandin::start(config).await.unwrap();
         let pool = Pool::new(HttpConfig::default());
-        let store_address = store_address.unwrap_or_else(|| store.address());
         let scratch = Scratch::new();
         let cell = Self {
             timing: Timing::short(),
@@ -156,6 +149,11 @@
 
     /// Starts a placer as a process.
     pub fn add_placer(&mut self, name: &str) -> usize {
+        self.add_placer_behind(name, &self.store.address())
+    }
+
+    /// Starts a placer that reaches the store at another address, such as that of a proxy.
+    pub fn add_placer_behind(&mut self, name: &str, store_address: &str) -> usize {
         let timing = self.timing;
         let text = format!(
             "name: {name}\nzone: {ZONE}\nworker_timeout_ms: {}\nsubmit_timeout_ms: 3000\n\
@@ -165,7 +163,7 @@
              silent_after_ms: {}, holding_window_ms: {}}}\n\
              drain: {{balancer_delay_ms: 100}}\nlog: {{level: warn}}\n",
             timing.worker_timeout_ms,
-            self.store_address,
+            store_address,
             timing.session_ttl_ms,
             timing.session_renew_ms,
             timing.task_lease_ms,
--- a/tests/jobs_faults.rs
+++ b/tests/jobs_faults.rs
@@ -11,6 +11,7 @@
 use hemlockrock::jobs::api::SubmitOutcome;
 use hemlockrock::place::message::JobState;
 use hemlockrock::place::spec::{JobKind, Resources};
+use hemlockrock::standin::proxy::{Fault, Kind, ProxyStandin};
 use hemlockrock::standin::store::faults::Faults;
 use hemlockrock::standin::worker::Mode;
 use http_types::Method;
@@ -224,3 +225,50 @@
     cell.wait_for_state(placer, "mixed", &JobState::Finished).await;
     cell.check();
 }
+
+#[async_std::test]
+async fn a_placer_cut_off_from_the_store_is_fenced_by_the_workers() {
+    let mut cell = Cell::start(4).await;
+    let proxy = ProxyStandin::start("127.0.0.1:0", cell.store.address()).await.unwrap();
+    let first = cell.add_placer_behind("p1", &proxy.address());
+    eventually("p1 holds the zone", PATIENCE, || cell.holder().is_some());
+    let second = cell.add_placer("p2");
+    cell.submit_until_accepted(first, &sleeping("busy", 8, 600_000)).await;
+    cell.submit_until_accepted(first, &sleeping("queue", 80, 300)).await;
+    proxy.set_fault(Fault::new(Kind::Drop));
+    eventually("p2 holds the zone", PATIENCE, || {
+        cell.holder().is_some_and(|(name, _)| name == "p2")
+    });
+    cell.submit_until_accepted(second, &sleeping("after", 8, 100)).await;
+    cell.wait_for_state(second, "queue", &JobState::Finished).await;
+    cell.wait_for_state(second, "after", &JobState::Finished).await;
+    proxy.set_fault(Fault::new(Kind::Pass));
+    cell.wait_for_state(first, "after", &JobState::Finished).await;
+    cell.placers[second].kill();
+    cell.submit_until_accepted(first, &sleeping("again", 4, 100)).await;
+    cell.wait_for_state(first, "again", &JobState::Finished).await;
+    assert_eq!((cell.running_of("busy"), cell.cut_short()), (8, 0));
+    cell.check_each_finished_once();
+}
+
+#[async_std::test]
+async fn tasks_outlast_connections_to_their_workers_that_go_silent() {
+    let mut cell = Cell::start(3).await;
+    let proxy = ProxyStandin::start("127.0.0.1:0", cell.workers.address()).await.unwrap();
+    let address = proxy.address();
+    cell.declare(|declared| {
+        declared.workers.iter_mut().for_each(|worker| worker.address.clone_from(&address));
+    })
+    .await;
+    let placer = cell.add_placer("p1");
+    cell.submit_until_accepted(placer, &sleeping("busy", 6, 600_000)).await;
+    cell.submit_until_accepted(placer, &sleeping("queue", 60, 200)).await;
+    eventually("all run", PATIENCE, || cell.running_of("busy") == 6);
+    for _ in 0..3 {
+        proxy.set_fault(Fault::new(Kind::Silent));
+        task::sleep(TASK_LEASE).await;
+    }
+    cell.wait_for_state(placer, "queue", &JobState::Finished).await;
+    assert_eq!((cell.running_of("busy"), cell.cut_short()), (6, 0));
+    cell.check_each_finished_once();
+}
