--- a/src/place/jobs.rs
+++ b/src/place/jobs.rs
@@ -343,7 +343,9 @@
         };
         if is_ended(&state) {
             // Another attempt of a task that ended may still run unseen.
-            if !self.may_run_unseen(key) {
+            let id = &self.jobs[key].id;
+            let has_orphan = self.orphans.values().any(|orphan| orphan.task.job_id == *id);
+            if !has_orphan && !self.may_run_unseen(key) {
                 self.end_job(key, state, out);
             }
         } else if job.state != state {
--- a/src/place/report.rs
+++ b/src/place/report.rs
@@ -48,7 +48,7 @@
             self.reported(worker, item, now_ms, out);
         }
         self.settle_absent(worker, report, now_ms, out);
-        self.settle_orphans(worker, report);
+        self.settle_orphans(worker, report, now_ms, out);
         self.take_usage(worker, report, now_ms, out);
         self.refresh_room(worker);
     }
@@ -148,8 +148,9 @@
         if self.orphans.contains_key(&item.attempt) {
             return;
         }
-        let orphan = Orphan { worker, task: item.task.clone(), reserved: item.reserved };
-        self.orphans.insert(item.attempt, orphan);
+        let (task, reserved) = (item.task.clone(), item.reserved);
+        self.orphans.insert(item.attempt, Orphan { worker, task, reserved, team: None });
+        self.charge_orphan(item.attempt);
         if let Some(view) = self.workers.get_mut(worker) {
             view.reserved = view.reserved.plus(item.reserved);
             view.orphans.push(item.attempt);
@@ -157,8 +158,21 @@
         self.refresh_room(worker);
     }
 
+    /// Charges the team of an orphan, if its job is known.
+    pub(crate) fn charge_orphan(&mut self, attempt: Attempt) {
+        let Some(orphan) = self.orphans.get_mut(&attempt) else { return };
+        let job = self.job_ids.get(&orphan.task.job_id).and_then(|key| self.jobs.get(*key));
+        if let (None, Some(job)) = (orphan.team, job) {
+            orphan.team = Some(job.team);
+            self.queue.charge(job.team, orphan.reserved);
+        }
+    }
+
     fn drop_orphan(&mut self, attempt: Attempt) {
         let Some(orphan) = self.orphans.remove(&attempt) else { return };
+        if let Some(team) = orphan.team {
+            self.queue.refund(team, orphan.reserved);
+        }
         if let Some(view) = self.workers.get_mut(orphan.worker) {
             view.reserved = view.reserved.minus(orphan.reserved);
             view.orphans.retain(|held| *held != attempt);
@@ -191,7 +205,13 @@
         }
     }
 
-    fn settle_orphans(&mut self, worker: WorkerKey, report: &WorkerReport) {
+    fn settle_orphans(
+        &mut self,
+        worker: WorkerKey,
+        report: &WorkerReport,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
         let Some(view) = self.workers.get(worker) else { return };
         for attempt in view.orphans.clone() {
             let runs = report.attempts.iter().any(|item| {
@@ -199,8 +219,13 @@
                 item.attempt == attempt
                     && matches!(state, AttemptState::Running | AttemptState::Stopping)
             });
-            if !runs {
-                self.drop_orphan(attempt);
+            if runs {
+                continue;
+            }
+            let job_id = self.orphans.get(&attempt).map(|orphan| orphan.task.job_id.clone());
+            self.drop_orphan(attempt);
+            if let Some(&key) = job_id.and_then(|id| self.job_ids.get(&id)) {
+                self.refresh_job(key, now_ms, out);
             }
         }
     }
--- a/src/place/state.rs
+++ b/src/place/state.rs
@@ -134,6 +134,8 @@
     pub(crate) worker: WorkerKey,
     pub(crate) task: TaskId,
     pub(crate) reserved: Resources,
+    /// Team that is charged for it, once its job is known.
+    pub(crate) team: Option<TeamKey>,
 }
 
 /// A worker as the placer sees it.
--- a/src/place/workers.rs
+++ b/src/place/workers.rs
@@ -158,6 +158,7 @@
         let mut attempts: Vec<Attempt> = self.orphans.keys().copied().collect();
         attempts.sort_unstable();
         for attempt in attempts {
+            self.charge_orphan(attempt);
             let orphan = &self.orphans[&attempt];
             let known = self.job_ids.contains_key(&orphan.task.job_id);
             if !known {
