--- a/src/bin/hemlock-demo.rs
+++ b/src/bin/hemlock-demo.rs
@@ -1,3 +1,107 @@
-//! hemlock-demo.
+//! Runs a whole cell in one process from one file and prints what happened.
 
-fn main() {}
+use std::io::Write as _;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{value_parser, Arg, ArgAction, ArgMatches, Command};
+use eyre::WrapErr as _;
+use hemlockrock::configs::demo::DemoConfig;
+use hemlockrock::{demo, settings, telemetry};
+
+/// Exit code when a promise was broken.
+const BROKEN: u8 = 1;
+
+/// Exit code when the settings have findings.
+const FINDINGS: u8 = 2;
+
+/// Shortest storm, in seconds.
+const MIN_STORM_S: u64 = 15;
+
+fn main() -> eyre::Result<ExitCode> {
+    let matches = command().get_matches();
+    let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
+    let mut config: DemoConfig = match settings::load(&path) {
+        Ok(config) => config,
+        Err(findings) => {
+            writeln!(std::io::stderr(), "{findings}")?;
+            return Ok(ExitCode::from(FINDINGS));
+        }
+    };
+    if let Some(seed) = matches.get_one::<u64>("seed") {
+        config.seed = *seed;
+    }
+    telemetry::start_log(&config.log)?;
+    if matches.get_flag("storm") {
+        return run_storm(&config, &matches);
+    }
+    #[allow(clippy::disallowed_methods, reason = "the top of a binary")]
+    let report = async_std::task::block_on(demo::run(&config))?;
+    writeln!(std::io::stdout(), "{report}")?;
+    write_json(&matches, &report)?;
+    Ok(exit_code(report.is_kept()))
+}
+
+fn run_storm(config: &DemoConfig, matches: &ArgMatches) -> eyre::Result<ExitCode> {
+    const MS_PER_S: u64 = 1_000;
+    let duration_s = matches.get_one::<u64>("duration-s").copied().unwrap_or(MIN_STORM_S);
+    let storm = demo::storm::run(config, duration_s * MS_PER_S);
+    #[allow(clippy::disallowed_methods, reason = "the top of a binary")]
+    let report = async_std::task::block_on(storm)?;
+    writeln!(std::io::stdout(), "{}", report.text())?;
+    write_json(matches, &report)?;
+    Ok(exit_code(report.is_kept()))
+}
+
+fn write_json(matches: &ArgMatches, report: &impl serde::Serialize) -> eyre::Result<()> {
+    let Some(file) = matches.get_one::<PathBuf>("json") else { return Ok(()) };
+    let text = serde_json::to_string_pretty(report)?;
+    std::fs::write(file, text).wrap_err_with(|| file.display().to_string())
+}
+
+fn exit_code(is_kept: bool) -> ExitCode {
+    if is_kept {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(BROKEN)
+    }
+}
+
+fn command() -> Command {
+    Command::new("hemlock-demo")
+        .about("Runs a whole cell in one process on loopback and prints what happened")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(
+            Arg::new("settings")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Cell to run, such as examples/trentvale.yaml"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Also writes the report as JSON"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_parser(value_parser!(u64))
+                .help("Replaces the seed of the settings"),
+        )
+        .arg(
+            Arg::new("storm")
+                .long("storm")
+                .action(ArgAction::SetTrue)
+                .help("Causes every kind of fault under load, then checks that the cell settles"),
+        )
+        .arg(
+            Arg::new("duration-s")
+                .long("duration-s")
+                .default_value("30")
+                .requires("storm")
+                .value_parser(value_parser!(u64).range(MIN_STORM_S..=3_600))
+                .help("Length of the storm, in seconds"),
+        )
+}
--- a/src/configs/place.rs
+++ b/src/configs/place.rs
@@ -5,7 +5,8 @@
 use crate::settings::{Report, Validate};
 
 /// How a worker is chosen for a task.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Policy {
     /// By least waste over all resources, with spreading, gangs and preemption.
@@ -18,7 +19,8 @@
 }
 
 /// Settings of placement.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct PlaceConfig {
     /// How a worker is chosen: full, first_fit or best_fit.
--- a/src/declarations.rs
+++ b/src/declarations.rs
@@ -1,13 +1,22 @@
 //! What operators declare: the inventory, services, teams and rules.
 
+pub mod check;
+pub mod collect;
+pub mod diff;
 pub mod feed;
+pub mod files;
+pub mod parts;
+pub mod peer;
+pub mod publish;
+pub mod read;
 
 use serde::{Deserialize, Serialize};
 
 use crate::collections::HashMap;
 
 /// Everything that operators declare, as one document.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Declarations {
     /// Availability zones.
@@ -23,7 +32,8 @@
 }
 
 /// An availability zone.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ZoneDeclaration {
     /// Name of the zone.
@@ -33,7 +43,8 @@
 }
 
 /// A worker and its means.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct WorkerDeclaration {
     /// Name of the worker.
@@ -57,7 +68,8 @@
 }
 
 /// A service that takes requests.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ServiceDeclaration {
     /// Name of the service.
@@ -71,7 +83,8 @@
 }
 
 /// An endpoint (runner) of a service.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EndpointDeclaration {
     /// Name of the endpoint.
@@ -87,7 +100,8 @@
 }
 
 /// A team and its quota over the whole cell.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct TeamDeclaration {
     /// Name of the team.
@@ -101,7 +115,8 @@
 }
 
 /// A rule on tasks chosen by a label.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct RuleDeclaration {
     /// Name of the rule.
--- a/src/findings.rs
+++ b/src/findings.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A place in an input file; lines and columns count from 1, 0 means unknown.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 pub struct Place {
     /// Line, from 1.
     pub line: u32,
@@ -14,7 +15,8 @@
 }
 
 /// One thing that is wrong in an input.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Finding {
     /// Name of the file or interface that the input came from.
     pub file: String,
@@ -34,7 +36,8 @@
 }
 
 /// All findings of one check, in the order in which they were met.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Findings {
     /// The findings.
     pub items: Vec<Finding>,
--- a/src/place/spec.rs
+++ b/src/place/spec.rs
@@ -8,9 +8,8 @@
 pub const MAX_TASKS: u32 = 100_000;
 
 /// Means of a worker, or the part of them that a task needs.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Resources {
     /// Processor time, in thousandths of a core.
@@ -100,9 +99,8 @@
 }
 
 /// How the tasks of a job belong together.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JobKind {
     /// Replicas that are kept running.
@@ -115,9 +113,8 @@
 }
 
 /// Which work goes before other work.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Priority {
     /// Runs on what the others leave.
@@ -137,7 +134,8 @@
 }
 
 /// A job as its caller sends it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct JobSpec {
     /// Name for people; need not be unique.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! Starts the real binaries for tests: each on a free port, ended when its handle is dropped.
-#![allow(dead_code, reason = "each test binary uses its own part")]
+#![allow(dead_code, unreachable_pub, reason = "each test binary uses its own part")]
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a helper that fails fails its test")]
 
 use std::io::{BufRead as _, BufReader};
 use std::path::PathBuf;
@@ -60,6 +61,11 @@
         Self { child, address }
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
