--- /dev/null
+++ b/tests/place_quota.rs
@@ -0,0 +1,139 @@
+//! Quotas: shares never add up to more than the quota, through races and isolation.
+
+use std::collections::BTreeMap;
+
+use hemlockrock::configs::quota::QuotaConfig;
+use hemlockrock::declarations::TeamDeclaration;
+use hemlockrock::place::spec::Resources;
+use hemlockrock::quota::{Ledger, Need};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const ZONES: [&str; 3] = ["lat-1", "lat-2", "mid-1"];
+const TOTAL: u64 = 10_000;
+
+fn team(cpu_millis: u64) -> TeamDeclaration {
+    TeamDeclaration { name: "range".into(), cpu_millis, ..TeamDeclaration::default() }
+}
+
+fn needs(used: u64, waiting: u64) -> BTreeMap<String, Need> {
+    let cpu = |amount| Resources::new(amount, 0, 0);
+    [("range".to_owned(), Need { used: cpu(used), waiting: cpu(waiting) })].into()
+}
+
+fn settled(ledger: &Ledger, zone: &str, used: u64, waiting: u64) -> Ledger {
+    ledger.settled(zone, &needs(used, waiting), &QuotaConfig::default())
+}
+
+fn share(ledger: &Ledger, zone: &str) -> u64 {
+    ledger.shares(zone).teams["range"].cpu_millis
+}
+
+#[test]
+fn one_zone_borrows_the_whole_quota_and_gives_it_back() {
+    let mut ledger = Ledger::default().with_totals(&[team(TOTAL)]);
+    ledger = settled(&ledger, ZONES[0], 0, 50_000);
+    assert_eq!(share(&ledger, ZONES[0]), TOTAL);
+    ledger = settled(&ledger, ZONES[1], 0, 4_000);
+    assert_eq!(share(&ledger, ZONES[1]), 0, "nothing is free");
+    ledger = settled(&ledger, ZONES[0], 2_000, 0);
+    ledger = settled(&ledger, ZONES[1], 0, 4_000);
+    assert_eq!(share(&ledger, ZONES[1]), 4_000);
+    assert!(share(&ledger, ZONES[0]) >= 2_000);
+}
+
+#[test]
+fn two_busy_zones_come_to_even_parts() {
+    let mut ledger = Ledger::default().with_totals(&[team(TOTAL)]);
+    let mut used = [TOTAL, 0];
+    ledger = settled(&ledger, ZONES[0], 0, TOTAL);
+    for _ in 0..40 {
+        used[0] = (used[0] - used[0].min(500)).max(0);
+        for (zone, used) in ZONES.iter().zip(&mut used) {
+            ledger = settled(&ledger, zone, *used, 50_000);
+            *used = (*used).max(share(&ledger, zone).min(*used + 500));
+        }
+    }
+    let parts = [share(&ledger, ZONES[0]), share(&ledger, ZONES[1])];
+    assert!(parts.iter().all(|part| *part >= TOTAL * 45 / 100), "{parts:?}");
+}
+
+#[test]
+fn a_lowered_quota_is_reached_as_tasks_end() {
+    let mut ledger = Ledger::default().with_totals(&[team(TOTAL)]);
+    ledger = settled(&ledger, ZONES[0], 0, 6_000);
+    ledger = settled(&ledger, ZONES[1], 0, 4_000);
+    ledger = ledger.with_totals(&[team(5_000)]);
+    ledger = settled(&ledger, ZONES[0], 6_000, 0);
+    assert_eq!(share(&ledger, ZONES[0]), 6_000, "what runs keeps its share");
+    ledger = settled(&ledger, ZONES[0], 1_000, 0);
+    ledger = settled(&ledger, ZONES[1], 0, 0);
+    assert!(ledger.teams["range"].granted().cpu_millis <= 5_000);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Start(usize, u64),
+    End(usize, u64),
+    Wait(usize, u64),
+    Settle(usize),
+    /// A zone works from a copy of the record that is out of date.
+    Stale(usize),
+    Cut(usize, bool),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let zone = || 0..ZONES.len();
+    prop_oneof![
+        (zone(), 1..3_000_u64).prop_map(|(zone, size)| Step::Start(zone, size)),
+        (zone(), 1..3_000_u64).prop_map(|(zone, size)| Step::End(zone, size)),
+        (zone(), 0..9_000_u64).prop_map(|(zone, size)| Step::Wait(zone, size)),
+        zone().prop_map(Step::Settle),
+        zone().prop_map(Step::Stale),
+        (zone(), any::<bool>()).prop_map(|(zone, cut)| Step::Cut(zone, cut)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn use_never_exceeds_the_quota(steps in prop::collection::vec(step(), 1..200)) {
+        let mut ledger = Ledger::default().with_totals(&[team(TOTAL)]);
+        let mut version = 0_u64;
+        let mut copies = vec![(0_u64, ledger.clone()); ZONES.len()];
+        let (mut used, mut waiting, mut held) = ([0_u64; 3], [0_u64; 3], [0_u64; 3]);
+        let mut is_cut = [false; 3];
+        for step in steps {
+            match step {
+                Step::Start(zone, size) if used[zone] + size <= held[zone] => used[zone] += size,
+                Step::Start(..) => {}
+                Step::End(zone, size) => used[zone] = used[zone].saturating_sub(size),
+                Step::Wait(zone, size) => waiting[zone] = size,
+                Step::Cut(zone, cut) => is_cut[zone] = cut,
+                Step::Settle(zone) | Step::Stale(zone) if is_cut[zone] => {}
+                Step::Settle(zone) | Step::Stale(zone) => {
+                    if matches!(step, Step::Settle(_)) {
+                        copies[zone] = (version, ledger.clone());
+                    }
+                    let (seen, copy) = copies[zone].clone();
+                    let next = settled(&copy, ZONES[zone], used[zone], waiting[zone]);
+                    // A lower share is in force before it is written.
+                    held[zone] = held[zone].min(share(&next, ZONES[zone])).max(used[zone]);
+                    if seen == version {
+                        ledger = next;
+                        version += 1;
+                        held[zone] = share(&ledger, ZONES[zone]);
+                    }
+                }
+            }
+            prop_assert!(ledger.teams["range"].granted().cpu_millis <= TOTAL);
+            prop_assert!(used.iter().sum::<u64>() <= TOTAL, "{used:?}");
+        }
+    }
+}
