feat(placer): quota shares of the zone from one store record

A share is lowered before it is written and raised only once it is written; the record lies outside the prefix that every daemon follows, since 720 teams make it large.

--- a/src/configs/placer.rs
+++ b/src/configs/placer.rs
@@ -7,6 +7,7 @@
 use crate::configs::log::LogConfig;
 use crate::configs::membership::MembershipConfig;
 use crate::configs::place::PlaceConfig;
+use crate::configs::quota::QuotaConfig;
 use crate::configs::store::StoreConfig;
 use crate::settings::{Report, Validate};
 
@@ -37,6 +38,8 @@
     pub membership: MembershipConfig,
     /// HTTP server and client.
     pub http: HttpConfig,
+    /// Quotas.
+    pub quota: QuotaConfig,
     /// Placement.
     pub place: PlaceConfig,
     /// Graceful shutdown.
@@ -59,6 +62,7 @@
             store: StoreConfig { watch_wait_ms: 2_000, ..StoreConfig::default() },
             membership: MembershipConfig::default(),
             http: HttpConfig::default(),
+            quota: QuotaConfig { settle_every_ms: 10_000, ..QuotaConfig::default() },
             place: PlaceConfig {
                 task_lease_ms: 15_000,
                 renew_every_ms: 4_000,
@@ -84,6 +88,7 @@
         report.nested("store", &self.store);
         report.nested("membership", &self.membership);
         report.nested("http", &self.http);
+        report.nested("quota", &self.quota);
         report.nested("place", &self.place);
         report.nested("drain", &self.drain);
         report.nested("log", &self.log);
--- a/src/placer.rs
+++ b/src/placer.rs
@@ -6,6 +6,7 @@
 mod links;
 pub mod message;
 mod metrics;
+mod shares;
 pub mod wire;
 pub mod zone;
 
--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -5,7 +5,7 @@
 use crate::clock;
 use crate::collections::HashMap;
 use crate::configs::placer::PlacerConfig;
-use crate::declarations::Declarations;
+use crate::declarations::{Declarations, TeamDeclaration};
 use crate::inventory::WorkerKey;
 use crate::jobs::api::{
     JobExplanation, JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView,
@@ -17,7 +17,10 @@
 use crate::placer::links::{Caller, Links};
 use crate::placer::message::{Ask, AskError, CallFailure, Called, Reply, WriteResult};
 use crate::placer::metrics::Metrics;
+use crate::placer::shares::{Needs, ShareKeeper, ShareStep};
 use crate::placer::wire::{Start, Stop, WorkerCall};
+use crate::quota::Need;
+use crate::store::{Entry, PutOutcome, StoreError};
 
 /// A holder of the zone.
 #[derive(Debug)]
@@ -31,6 +34,9 @@
     links: Links,
     caller: Caller,
     metrics: Metrics,
+    teams: Vec<TeamDeclaration>,
+    shares: ShareKeeper,
+    share_step: Option<ShareStep>,
     submits: HashMap<JobId, Vec<Waiter<SubmitAnswer>>>,
     cancels: HashMap<JobId, Vec<Waiter<JobView>>>,
     is_fenced: bool,
@@ -83,6 +89,9 @@
             links: Links::default(),
             caller,
             metrics,
+            teams: Vec::new(),
+            shares: ShareKeeper::new(config.zone.as_str(), config.quota.clone()),
+            share_step: None,
             submits: HashMap::default(),
             cancels: HashMap::default(),
             is_fenced: false,
@@ -90,7 +99,7 @@
             is_store_away: false,
             actions: Vec::new(),
         };
-        active.step(Event::Declared(declarations));
+        active.declare(declarations);
         active.step(Event::Holding { epoch, confirmed_until_ms });
         for record in active.journal.records().into_iter().filter(|record| !record.is_ended()) {
             let JobRecord { id, spec, progress, .. } = record;
@@ -131,6 +140,57 @@
         self.actions = actions;
     }
 
+    /// Declarations were accepted. Teams hold nothing until their shares were read.
+    pub(crate) fn declare(&mut self, declarations: Arc<Declarations>) {
+        self.teams.clone_from(&declarations.teams);
+        if !self.teams.is_empty() {
+            self.put_shares_in_force();
+        }
+        self.step(Event::Declared(declarations));
+    }
+
+    fn put_shares_in_force(&mut self) {
+        let shares = Arc::new(self.shares.in_force().clone());
+        self.step(Event::Quota(shares));
+    }
+
+    /// The read of quotas ended.
+    pub(crate) fn quota_read(&mut self, result: Result<Option<Entry>, StoreError>) {
+        let needs = self.needs();
+        self.share_step = self.shares.read(result, &self.teams, &needs);
+        self.put_shares_in_force();
+    }
+
+    /// The write of quotas ended.
+    pub(crate) fn quota_written(&mut self, result: &Result<PutOutcome, StoreError>) {
+        self.shares.written(result);
+        self.put_shares_in_force();
+    }
+
+    /// What is to be done at the store for quotas.
+    pub(crate) fn take_share_step(&mut self) -> Option<ShareStep> {
+        let now_ms = clock::now_ms();
+        if !self.teams.is_empty() && self.share_step.is_none() && self.shares.is_due(now_ms) {
+            let needs = self.needs();
+            self.share_step = self.shares.look(&needs, now_ms);
+        }
+        self.share_step.take()
+    }
+
+    /// What each team uses and waits for here.
+    fn needs(&self) -> Needs {
+        let mut needs = Needs::new();
+        for team in self.placer.queue.teams() {
+            needs.insert(team.name.clone(), Need { used: team.used, ..Need::default() });
+        }
+        for (key, job) in self.placer.jobs.iter().filter(|(_, job)| job.waiting_count > 0) {
+            let size = self.placer.size_of(key).times(job.waiting_count);
+            let need = needs.entry(job.spec.team.clone()).or_default();
+            need.waiting = need.waiting.plus(size);
+        }
+        needs
+    }
+
     /// Time passed.
     pub(crate) fn tick(&mut self) {
         self.step(Event::Tick);
--- a/src/placer/control.rs
+++ b/src/placer/control.rs
@@ -15,6 +15,7 @@
 use crate::placer::links::Caller;
 use crate::placer::message::{AskError, Message, WriteResult};
 use crate::placer::metrics::Metrics;
+use crate::placer::shares::{self, ShareStep};
 use crate::placer::zone::ZoneNews;
 use crate::store::{self, Priority, Put, PutOutcome, Store, StoreError};
 
@@ -108,7 +109,11 @@
             }
             self.has_work = active.go_on();
             let write = active.flush();
+            let share_step = active.take_share_step();
             let (epoch, is_fenced) = (active.epoch(), active.is_fenced());
+            if let Some(step) = share_step {
+                self.spawn_share_step(epoch, step);
+            }
             if let Some(write) = write {
                 self.spawn_write(epoch, write);
             }
@@ -125,6 +130,16 @@
             Message::Zone(news) => self.zone_news(news),
             Message::Listed { epoch, result } => self.listed(epoch, result),
             Message::Written { epoch, result } => self.written(epoch, result),
+            Message::QuotaRead { epoch, result } => {
+                if let Some(active) = self.active_of(epoch) {
+                    active.quota_read(result);
+                }
+            }
+            Message::QuotaWritten { epoch, result } => {
+                if let Some(active) = self.active_of(epoch) {
+                    active.quota_written(&result);
+                }
+            }
             Message::Called(called) => {
                 if let Some(active) = self.active_of(called.epoch) {
                     active.called(*called);
@@ -150,7 +165,7 @@
 
     fn declare(&mut self, accepted: Arc<Accepted>) {
         if let Some(active) = &mut self.active {
-            active.step(Event::Declared(Arc::new(accepted.declarations.clone())));
+            active.declare(Arc::new(accepted.declarations.clone()));
         }
         self.declared = accepted;
     }
@@ -308,6 +323,23 @@
         });
     }
 
+    fn spawn_share_step(&self, epoch: u64, step: ShareStep) {
+        let (store, messages) = (Arc::clone(&self.store), self.messages.clone());
+        task::spawn(async move {
+            let message = match step {
+                ShareStep::Read => {
+                    let result = store::get(store.as_ref(), shares::KEY, Priority::Record).await;
+                    Message::QuotaRead { epoch, result }
+                }
+                ShareStep::Write(put) => {
+                    let result = store::put(store.as_ref(), put, Priority::Record).await;
+                    Message::QuotaWritten { epoch, result }
+                }
+            };
+            let _ = messages.send(message);
+        });
+    }
+
     fn spawn_write(&self, epoch: u64, write: Write) {
         let (store, messages) = (Arc::clone(&self.store), self.messages.clone());
         task::spawn(async move {
--- a/src/placer/message.rs
+++ b/src/placer/message.rs
@@ -7,7 +7,7 @@
 use crate::jobs::api::{JobExplanation, JobView, Submission, SubmitAnswer, WorkerView};
 use crate::placer::wire::{WorkerAnswer, WorkerCall};
 use crate::placer::zone::ZoneNews;
-use crate::store::{Entry, Revision, StoreError};
+use crate::store::{Entry, PutOutcome, Revision, StoreError};
 
 /// A message to the control thread.
 #[derive(Debug)]
@@ -30,6 +30,20 @@
         /// How it ended.
         result: WriteResult,
     },
+    /// The record of quotas was read.
+    QuotaRead {
+        /// Epoch for which it was read.
+        epoch: u64,
+        /// What the store holds.
+        result: Result<Option<Entry>, StoreError>,
+    },
+    /// A write of the record of quotas ended.
+    QuotaWritten {
+        /// Epoch of the writer.
+        epoch: u64,
+        /// How it ended.
+        result: Result<PutOutcome, StoreError>,
+    },
     /// A call to a worker ended.
     Called(Box<Called>),
     /// A caller asks.
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -6,8 +6,10 @@
 
 use std::time::Instant;
 
+use hemlockrock::declarations::TeamDeclaration;
 use hemlockrock::jobs::api::SubmitOutcome;
 use hemlockrock::place::message::JobState;
+use hemlockrock::standin::worker::agent::Run;
 use hemlockrock::standin::worker::Mode;
 use jobs_cell::{sleeping, Cell, PATIENCE, SESSION_TTL, TASK_LEASE};
 use support::eventually;
@@ -65,3 +67,42 @@
     eventually("they run again", PATIENCE, || cell.running_of("a") == 4);
     cell.check();
 }
+
+#[async_std::test]
+async fn a_team_runs_no_more_than_its_quota_and_another_is_not_held_back() {
+    let mut cell = Cell::start(4).await;
+    cell.declare(|declared| {
+        for (name, cpu_millis) in [("range", 2_000), ("other", 8_000)] {
+            let memory_bytes = 64 << 30;
+            let name = name.to_owned();
+            let team = TeamDeclaration { name, cpu_millis, memory_bytes, ..Default::default() };
+            declared.teams.push(team);
+        }
+    })
+    .await;
+    let placer = cell.add_placer("p1");
+    cell.submit_until_accepted(placer, &sleeping("range", 8, 300)).await;
+    let mut other = sleeping("other", 8, 300);
+    other.spec.team = "other".to_owned();
+    cell.submit_until_accepted(placer, &other).await;
+    let mut unknown = sleeping("unknown", 1, 10);
+    unknown.spec.team = "nobody".to_owned();
+    assert_eq!(cell.submit(placer, &unknown).await.0, 422);
+    cell.wait_for_state(placer, "other", &JobState::Finished).await;
+    cell.wait_for_state(placer, "range", &JobState::Finished).await;
+    assert_eq!(most_at_once(&cell.runs_of("range")), 2);
+    assert!(most_at_once(&cell.runs_of("other")) > 2);
+    cell.check_each_finished_once();
+}
+
+/// Most runs that overlapped.
+fn most_at_once(runs: &[Run]) -> usize {
+    let overlaps = |at_ms: u64| {
+        let runs = runs.iter().filter(|run| {
+            let ended_at_ms = run.ended.map_or(u64::MAX, |(at_ms, _)| at_ms);
+            run.started_at_ms <= at_ms && at_ms < ended_at_ms
+        });
+        runs.count()
+    };
+    runs.iter().map(|run| overlaps(run.started_at_ms)).max().unwrap_or(0)
+}
--- a/tests/jobs_cell/mod.rs
+++ b/tests/jobs_cell/mod.rs
@@ -107,7 +107,6 @@
             placers: Vec::new(),
             pool,
             scratch,
-            store_address,
             names,
         };
         cell.declare(|_| {}).await;
