--- a/tests/route/driver.rs
+++ b/tests/route/driver.rs
@@ -1,4 +1,4 @@
-//! Drives a dispatcher with seeded arrivals and run times, in virtual time.
+//! Drives dispatchers with seeded arrivals and run times, in virtual time.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -6,8 +6,8 @@
 use hemlockrock::configs::route::RouteConfig;
 use hemlockrock::outcome::{Outcome, Reason};
 use hemlockrock::route::{
-    Action, CallerKey, Dispatcher, EndpointKey, Event, KindKey, RequestKey, SendResult, ServiceKey,
-    Sign, Submission,
+    Action, CallerKey, Dispatcher, EndpointKey, Event, KindKey, PeerKey, PeerLoad, RequestKey,
+    SendResult, ServiceKey, Sign, Submission,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -17,12 +17,18 @@
 
 const US_PER_MS: u64 = 1_000;
 const TICK_US: u64 = 5 * US_PER_MS;
+const HEARTBEAT_US: u64 = 250 * US_PER_MS;
+
+/// Time of one way between two dispatchers.
+const TRIP_US: u64 = 200;
 
 /// Requests of one kind from one caller, arriving at random.
 #[derive(Clone, Debug)]
 pub(crate) struct Stream {
     pub(crate) kind: u32,
     pub(crate) caller: u32,
+    /// Where its requests enter; in turn at all dispatchers if nothing is set.
+    pub(crate) host: Option<usize>,
     /// Mean run time, in milliseconds; run times are exponential.
     pub(crate) run_ms: f64,
     /// Arrivals a second, from each of these times in milliseconds on.
@@ -32,13 +38,17 @@
 
 impl Stream {
     pub(crate) fn new(kind: u32, run_ms: f64, per_s: f64) -> Self {
-        Self { kind, caller: 0, run_ms, rates: vec![(0, per_s)], deadline_ms: 60_000 }
+        Self { kind, caller: 0, host: None, run_ms, rates: vec![(0, per_s)], deadline_ms: 60_000 }
     }
 
     pub(crate) fn with_caller(self, caller: u32) -> Self {
         Self { caller, ..self }
     }
 
+    pub(crate) fn with_host(self, host: usize) -> Self {
+        Self { host: Some(host), ..self }
+    }
+
     pub(crate) fn with_deadline_ms(self, deadline_ms: u64) -> Self {
         Self { deadline_ms, ..self }
     }
@@ -82,6 +92,7 @@
 pub(crate) struct Report {
     pub(crate) records: Vec<Record>,
     pub(crate) sends: Vec<(u64, EndpointKey)>,
+    pub(crate) forwards: usize,
 }
 
 impl Report {
@@ -90,12 +101,20 @@
         let span_us = from_ms * US_PER_MS..to_ms * US_PER_MS;
         let records = self.records.iter().filter(|one| span_us.contains(&one.arrived_us));
         let sends = self.sends.iter().filter(|(at_us, _)| span_us.contains(at_us));
-        Report { records: records.copied().collect(), sends: sends.copied().collect() }
+        Report {
+            records: records.copied().collect(),
+            sends: sends.copied().collect(),
+            forwards: self.forwards,
+        }
     }
 
     pub(crate) fn of(&self, streams: impl Fn(usize) -> bool) -> Report {
         let records = self.records.iter().filter(|one| streams(one.stream));
-        Report { records: records.copied().collect(), sends: self.sends.clone() }
+        Report {
+            records: records.copied().collect(),
+            sends: self.sends.clone(),
+            forwards: self.forwards,
+        }
     }
 
     /// The wait that `quantile` of the sent requests stay under, in milliseconds.
@@ -131,14 +150,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Happening {
     Arrival(usize),
+    Forwarded(RequestKey, usize),
     End(RequestKey, EndpointKey, u8),
     ProbeAnswer(EndpointKey),
     Behave(EndpointKey, usize),
     Tick,
+    Heartbeat,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Open {
+    host: usize,
     stream: usize,
     arrived_us: u64,
     deadline_us: u64,
@@ -146,10 +168,10 @@
     sent: Option<(u64, EndpointKey)>,
 }
 
-/// Drives one dispatcher.
+/// Drives one dispatcher, or several that share the endpoints.
 #[derive(Debug)]
 pub(crate) struct Driver {
-    pub(crate) dispatcher: Dispatcher,
+    dispatchers: Vec<Dispatcher>,
     streams: Vec<Stream>,
     behaviours: BTreeMap<EndpointKey, Behaviour>,
     changes: Vec<Behaviour>,
@@ -164,10 +186,22 @@
 }
 
 impl Driver {
-    /// A dispatcher that owns `endpoints` with `slots` each.
+    /// One dispatcher that owns `endpoints` with `slots` each.
     pub(crate) fn new(config: RouteConfig, endpoints: u32, slots: u32, seed: u64) -> Self {
+        Self::with_hosts(1, config, endpoints, slots, seed)
+    }
+
+    /// Dispatchers that own the endpoints in turn and hear of each other's load.
+    pub(crate) fn with_hosts(
+        hosts: u32,
+        config: RouteConfig,
+        endpoints: u32,
+        slots: u32,
+        seed: u64,
+    ) -> Self {
+        let dispatcher = |host| Dispatcher::new(config.clone(), seed + u64::from(host));
         let mut driver = Self {
-            dispatcher: Dispatcher::new(config, seed),
+            dispatchers: (0..hosts).map(dispatcher).collect(),
             streams: Vec::new(),
             behaviours: BTreeMap::new(),
             changes: Vec::new(),
@@ -183,13 +217,19 @@
         for endpoint in (0..endpoints).map(EndpointKey) {
             driver.behaviours.insert(endpoint, Behaviour::Runs);
             let own = Event::Own { endpoint, service: SERVICE, slots, guard: None };
-            driver.step(own, 0);
-            driver.step(Event::Learned { endpoint, busy: 0 }, 0);
+            let host = driver.owner(endpoint);
+            driver.step(host, own, 0);
+            driver.step(host, Event::Learned { endpoint, busy: 0 }, 0);
         }
         driver.plan(TICK_US, Happening::Tick);
+        driver.plan(0, Happening::Heartbeat);
         driver
     }
 
+    fn owner(&self, endpoint: EndpointKey) -> usize {
+        endpoint.0 as usize % self.dispatchers.len()
+    }
+
     /// Adds a stream of requests.
     pub(crate) fn with_stream(mut self, stream: Stream) -> Self {
         self.streams.push(stream);
@@ -227,41 +267,76 @@
             Happening::ProbeAnswer(endpoint) => {
                 let answers = self.behaviours[&endpoint] != Behaviour::Refuses;
                 let sign = if answers { Sign::Answering } else { Sign::Silent };
-                self.step(Event::Sign { endpoint, sign }, at_us);
+                self.step(self.owner(endpoint), Event::Sign { endpoint, sign }, at_us);
             }
             Happening::Behave(endpoint, change) => {
                 self.behaviours.insert(endpoint, self.changes[change]);
             }
             Happening::Tick => {
-                self.step(Event::Tick, at_us);
+                for host in 0..self.dispatchers.len() {
+                    self.step(host, Event::Tick, at_us);
+                }
                 self.plan(at_us + TICK_US, Happening::Tick);
             }
+            Happening::Heartbeat => self.tell_peers(at_us),
+            Happening::Forwarded(request, host) => {
+                if let Some(open) = self.open.get_mut(&request) {
+                    open.host = host;
+                }
+                self.submit(request, true, at_us);
+            }
         }
     }
 
     fn arrive(&mut self, stream: usize, at_us: u64) {
-        let Stream { kind, caller, run_ms, deadline_ms, .. } = self.streams[stream];
+        let Stream { host, run_ms, deadline_ms, .. } = self.streams[stream];
         let request = RequestKey(self.next_request);
+        let host = host.unwrap_or(self.next_request as usize % self.dispatchers.len());
         self.next_request += 1;
         let run_us = (self.exponential(run_ms) * 1_000.0) as u64;
         let deadline_us = at_us + deadline_ms * US_PER_MS;
-        let open = Open { stream, arrived_us: at_us, deadline_us, run_us, sent: None };
+        let open = Open { host, stream, arrived_us: at_us, deadline_us, run_us, sent: None };
         self.open.insert(request, open);
+        self.submit(request, false, at_us);
+    }
+
+    fn submit(&mut self, request: RequestKey, is_forwarded: bool, at_us: u64) {
+        let open = self.open[&request];
+        let Stream { kind, caller, .. } = self.streams[open.stream];
         let submission = Submission {
             request,
             service: SERVICE,
             kind: KindKey(kind),
             caller: CallerKey(caller),
             is_idempotent: false,
-            is_forwarded: false,
-            deadline_ms: deadline_us / US_PER_MS,
+            is_forwarded,
+            deadline_ms: open.deadline_us / US_PER_MS,
         };
-        self.step(Event::Submit(submission), at_us);
+        self.step(open.host, Event::Submit(submission), at_us);
+    }
+
+    /// Tells every dispatcher the load of the others.
+    fn tell_peers(&mut self, at_us: u64) {
+        self.plan(at_us + HEARTBEAT_US, Happening::Heartbeat);
+        let hosts = self.dispatchers.len();
+        let loads: Vec<_> = self.dispatchers.iter().map(|one| one.load().services).collect();
+        for host in (0..hosts).filter(|_| hosts > 1) {
+            let others = (0..hosts).filter(|other| *other != host);
+            let peers = others.map(|other| PeerLoad {
+                peer: PeerKey(other as u32),
+                trip_ms: TRIP_US as f64 / 1_000.0,
+                is_same_zone: true,
+                services: loads[other].clone(),
+            });
+            let peers = Event::Peers(peers.collect());
+            self.step(host, peers, at_us);
+        }
     }
 
     fn end(&mut self, request: RequestKey, endpoint: EndpointKey, code: u8, at_us: u64) {
         *self.in_flight.entry(endpoint).or_default() -= 1;
         let open = self.open[&request];
+        let host = open.host;
         let ran_ms = at_us / US_PER_MS - open.sent.expect("it was sent").0 / US_PER_MS;
         let result = match code {
             0 => SendResult::Done { ran_ms },
@@ -273,12 +348,12 @@
             let is_in_time = code == 0 && at_us <= open.deadline_us;
             self.close(request, Outcome::Done, None, is_in_time, at_us);
         }
-        self.step(Event::Ended { request, endpoint, result }, at_us);
+        self.step(host, Event::Ended { request, endpoint, result }, at_us);
     }
 
-    fn step(&mut self, event: Event, at_us: u64) {
+    fn step(&mut self, host: usize, event: Event, at_us: u64) {
         let mut out = Vec::new();
-        self.dispatcher.step(event, at_us / US_PER_MS, &mut out);
+        self.dispatchers[host].step(event, at_us / US_PER_MS, &mut out);
         for action in out {
             self.act(action, at_us);
         }
@@ -293,7 +368,12 @@
             Action::Probe { endpoint } => {
                 self.plan(at_us + US_PER_MS, Happening::ProbeAnswer(endpoint));
             }
-            Action::Forward { .. } | Action::Abort { .. } => unreachable!("no peers, no cancels"),
+            Action::Forward { request, peer } => {
+                self.report.forwards += 1;
+                let forwarded = Happening::Forwarded(request, peer.0 as usize);
+                self.plan(at_us + TRIP_US, forwarded);
+            }
+            Action::Abort { .. } => unreachable!("nothing is cancelled"),
         }
     }
 
--- a/tests/route/main.rs
+++ b/tests/route/main.rs
@@ -175,3 +175,38 @@
     let after = report.between(50_000, 60_000);
     assert_eq!(after.good(), after.records.len(), "all is served again");
 }
+
+#[test]
+fn dispatchers_that_share_the_endpoints_forward_to_free_slots() {
+    let all_per_s = 12.0 * 8.0 / SHORT_RUN_MS * 1_000.0;
+    for hosts in [2, 4] {
+        for utilisation in [0.6, 0.85] {
+            let run = |hosts: u32, at_one: bool| {
+                let mut stream = Stream::new(1, SHORT_RUN_MS, all_per_s * utilisation);
+                if at_one {
+                    stream = stream.with_host(0);
+                }
+                Driver::with_hosts(hosts, config(Policy::Full), 12, 8, SEED)
+                    .with_stream(stream.with_deadline_ms(2_000))
+                    .run(20_000)
+                    .between(5_000, 19_000)
+            };
+            let (together, spread, at_one) = (run(1, false), run(hosts, false), run(hosts, true));
+            println!(
+                "{hosts} dispatchers, utilisation {utilisation}: p99 wait {:.1} ms in turn, \
+                 {:.1} ms all at one, {:.1} ms with one dispatcher; {} and {} of {} forwarded",
+                spread.wait_ms(0.99),
+                at_one.wait_ms(0.99),
+                together.wait_ms(0.99),
+                spread.forwards,
+                at_one.forwards,
+                spread.records.len(),
+            );
+            assert!(spread.wait_ms(0.99) <= SHORT_RUN_MS, "no longer than one run");
+            assert!(at_one.wait_ms(0.99) <= 5.0 * SHORT_RUN_MS, "no longer than a few runs");
+            for report in [&spread, &at_one] {
+                assert_eq!(report.good(), report.records.len());
+            }
+        }
+    }
+}
