--- a/src/entry/message.rs
+++ b/src/entry/message.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 
+use crate::collections::HashSet;
+
 use crate::http::client::Reply;
+use crate::ledger;
 use crate::outcome::{Outcome, Reason};
 use crate::route::{EndpointKey, RequestKey, SendResult, Sign};
 use crate::store::LeaseId;
@@ -139,6 +142,42 @@
         /// Takes the answer.
         answer: async_channel::Sender<ReleaseAnswer>,
     },
+    /// A request wants to run under its idempotency key.
+    BeginKey {
+        /// Zone whose ledger keeps the key.
+        zone: String,
+        /// The request.
+        begin: ledger::Begin,
+        /// Takes the verdict.
+        verdict: async_channel::Sender<ledger::KeyVerdict>,
+    },
+    /// A request no longer waits for its key.
+    AbandonKey {
+        /// Zone whose ledger keeps the key.
+        zone: String,
+        /// The request.
+        ticket: ledger::Ticket,
+    },
+    /// A granted request ended.
+    EndKey {
+        /// Zone whose ledger keeps the key.
+        zone: String,
+        /// How it ended.
+        end: ledger::End,
+        /// Takes whether this host holds the ledger.
+        is_held: async_channel::Sender<bool>,
+    },
+    /// A call of a ledger to the store ended.
+    StoreEvent {
+        /// Zone of the ledger.
+        zone: String,
+        /// Which time this host holds it.
+        term: u64,
+        /// What became of the call.
+        event: ledger::Event,
+    },
+    /// Names of the hosts that the platform lists as leaving or gone.
+    Hosts(HashSet<String>),
     /// A peer was heard.
     Heard(Box<Heartbeat>),
     /// A peer did not take a forwarded request.
@@ -177,6 +216,8 @@
     Foreign,
     /// Requests have been without an answer for long.
     Progress,
+    /// It said that it leaves.
+    Word,
 }
 
 /// An endpoint's word about itself.
@@ -184,8 +225,8 @@
 pub struct Said {
     /// Slots in use; nothing if it does not tell.
     pub busy: Option<u32>,
-    /// Whether it is leaving.
-    pub is_leaving: bool,
+    /// Whether it is leaving; nothing if it does not tell.
+    pub is_leaving: Option<bool>,
 }
 
 /// What a draining host still holds.
