--- a/src/bin/hemlock-demo.rs
+++ b/src/bin/hemlock-demo.rs
@@ -15,10 +15,23 @@
 /// Exit code when the settings have findings.
 const FINDINGS: u8 = 2;
 
+/// Exit code when the cell did not come up.
+const FAILED: u8 = 3;
+
 /// Shortest storm, in seconds.
 const MIN_STORM_S: u64 = 15;
 
-fn main() -> eyre::Result<ExitCode> {
+fn main() -> ExitCode {
+    match run() {
+        Ok(code) => code,
+        Err(error) => {
+            let _ = writeln!(std::io::stderr(), "{error:#}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn run() -> eyre::Result<ExitCode> {
     let matches = command().get_matches();
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let mut config: DemoConfig = match settings::load(&path) {
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -23,6 +23,9 @@
 /// Longest wait for jobs after the load, in milliseconds.
 const JOBS_LIMIT_MS: u64 = 5_000;
 
+/// Longest time for which a job is submitted again, in milliseconds.
+const ACCEPT_LIMIT_MS: u64 = 5_000;
+
 /// Time in which the rate rises to the crest, and falls again, in milliseconds.
 const SLOPE_MS: u64 = 500;
 
@@ -38,16 +41,12 @@
     let cell = Cell::start(config).await?;
     let counted_from = (clock::now_ms(), cell.store.counters());
     progress(&format!("submitting {} jobs", config.jobs.len()));
-    let client = JobClient::new(cell.job_address());
-    let mut submitted: Vec<Submitted> = Vec::new();
-    for job in &config.jobs {
-        submitted.push(client.submit(job).await?);
-    }
+    let mut submitted = submit_all(&cell, config).await?;
     let plan = load_plan(config);
     progress(&format!("sending requests for {} ms", plan.duration_ms()));
     let told = driver::run(&plan, &cell.caller_addresses()).await;
     progress("waiting for jobs");
-    client.wait(&mut submitted, JOBS_LIMIT_MS).await;
+    JobClient::new(cell.job_address()).wait(&mut submitted, JOBS_LIMIT_MS).await;
     let store = store_report(&cell, counted_from);
     progress("shutting down");
     cell.drain().await;
@@ -71,6 +70,16 @@
     })
 }
 
+/// Submits the jobs of the settings.
+pub(crate) async fn submit_all(cell: &Cell, config: &DemoConfig) -> eyre::Result<Vec<Submitted>> {
+    let client = JobClient::new(cell.job_address());
+    let mut submitted = Vec::new();
+    for job in &config.jobs {
+        submitted.push(client.submit_within(job, ACCEPT_LIMIT_MS).await?);
+    }
+    Ok(submitted)
+}
+
 /// The load of a demo: calm, a crest, calm again.
 pub(crate) fn load_plan(config: &DemoConfig) -> Plan {
     let load = &config.load;
--- a/src/demo/jobs.rs
+++ b/src/demo/jobs.rs
@@ -60,7 +60,26 @@
         Self { pool: Pool::new(HttpConfig::default()), address: address.into() }
     }
 
-    /// Submits a job.
+    /// Submits a job, again and again while it is not accepted, at most for `limit_ms`.
+    ///
+    /// # Errors
+    /// The door is away, or the job is not accepted in time.
+    pub async fn submit_within(
+        &self,
+        config: &DemoJobConfig,
+        limit_ms: u64,
+    ) -> eyre::Result<Submitted> {
+        let ends_at_ms = clock::now_ms() + limit_ms;
+        loop {
+            let submitted = self.submit(config).await;
+            if submitted.is_ok() || clock::now_ms() >= ends_at_ms {
+                return submitted;
+            }
+            task::sleep(Duration::from_millis(LOOK_EVERY_MS)).await;
+        }
+    }
+
+    /// Submits a job once.
     ///
     /// # Errors
     /// The door is away, or the job is not accepted.
--- a/src/demo/oracle.rs
+++ b/src/demo/oracle.rs
@@ -148,7 +148,9 @@
     let RunnerTruth { name, slots, connections, records } = runner;
     if records.max_busy > *slots || records.over_slots > 0 {
         let over = records.over_slots;
-        let example = format!("{name}: {} of {slots} busy, {over} sent over", records.max_busy);
+        let at_ms = &records.over_slots_at_ms;
+        let busy = records.max_busy;
+        let example = format!("{name}: {busy} of {slots} busy, {over} sent over at {at_ms:?}");
         violations.push(Promise::RunnerSlots, example);
     }
     if records.max_connections > *connections as usize {
--- a/src/demo/storm.rs
+++ b/src/demo/storm.rs
@@ -18,7 +18,7 @@
 use crate::demo::jobs::JobClient;
 use crate::demo::oracle::{self, GangTruth, Violations};
 use crate::demo::report::{self, DemoReport};
-use crate::demo::{jobs, load_plan, progress, settle};
+use crate::demo::{jobs, load_plan, progress, settle, submit_all};
 use crate::http::client::{self, Pool};
 use crate::jobs::api::JOBS_PATH;
 use crate::load::driver;
@@ -34,6 +34,9 @@
 /// Longest wait for jobs that end, after the cell has settled, in milliseconds.
 const JOBS_LIMIT_MS: u64 = 30_000;
 
+/// Longest time for which a job is submitted again, in milliseconds.
+const ACCEPT_LIMIT_MS: u64 = 3_000;
+
 /// Tasks of the job that is cancelled as a whole.
 const WAVE_TASKS: u32 = 2_000;
 
@@ -53,6 +56,8 @@
 pub struct StormReport {
     /// Requests, jobs and promises, as in a demo.
     pub cell: DemoReport,
+    /// Wall time at which the load began, in milliseconds since the Unix epoch.
+    pub began_at_ms: u64,
     /// What was done when.
     pub timeline: Vec<Moment>,
     /// Time that the cell took to settle after the last fault, in milliseconds; nothing if it did not.
@@ -79,7 +84,8 @@
             }
         }
         if !self.is_kept() {
-            let _ = write!(text, "\n\ntimeline of seed {}:", self.cell.seed);
+            let (seed, began_at_ms) = (self.cell.seed, self.began_at_ms);
+            let _ = write!(text, "\n\ntimeline of seed {seed} from {began_at_ms}:");
             for Moment { at_ms, what } in &self.timeline {
                 let _ = write!(text, "\n{at_ms:>8} ms  {what}");
             }
@@ -96,16 +102,13 @@
     let started_at_ms = clock::now_ms();
     progress("starting the cell");
     let cell = Cell::start(config).await?;
-    let mut submitted = Vec::new();
-    let client = JobClient::new(cell.job_address());
-    for job in &config.jobs {
-        submitted.push(client.submit(job).await?);
-    }
+    let mut submitted = submit_all(&cell, config).await?;
     let plan = storm_plan(config, duration_ms);
     let load = {
         let (plan, targets) = (plan.clone(), cell.caller_addresses());
         task::spawn(async move { driver::run(&plan, &targets).await })
     };
+    let began_at_ms = clock::unix_ms();
     let mut storm = Storm::new(cell, config.seed, duration_ms);
     storm.blow().await;
     let told = load.await;
@@ -133,7 +136,7 @@
         violations: violations.into_sorted(),
         ..DemoReport::default()
     };
-    Ok(StormReport { cell, timeline: storm.timeline, settled_ms, unsettled })
+    Ok(StormReport { cell, began_at_ms, timeline: storm.timeline, settled_ms, unsettled })
 }
 
 /// The load of a storm: at the crest for most of the time.
@@ -315,7 +318,8 @@
             ..DemoJobConfig::default()
         };
         let address = self.cell.job_address();
-        let accepted = JobClient::new(address.as_str()).submit(&job).await;
+        let client = JobClient::new(address.as_str());
+        let accepted = client.submit_within(&job, ACCEPT_LIMIT_MS).await;
         let path = format!("{JOBS_PATH}/{}", job.name);
         let is_cancelled = delete(&address, &path).await;
         self.note(format!(
--- a/src/standin/runner/records.rs
+++ b/src/standin/runner/records.rs
@@ -2,6 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Times that are kept of requests beyond the slots.
+const TIMES_LIMIT: usize = 10;
+
 /// One request that began to run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -36,6 +39,8 @@
     pub max_busy: u32,
     /// Requests declined because every slot was taken.
     pub over_slots: u64,
+    /// Wall times of the first of them, in milliseconds since the Unix epoch.
+    pub over_slots_at_ms: Vec<u64>,
     /// Most connections that were open when a request came in.
     pub max_connections: usize,
     /// Requests taken in silent mode.
@@ -61,6 +66,9 @@
         self.max_connections = self.max_connections.max(connections);
         if self.busy >= slots {
             self.over_slots += 1;
+            if self.over_slots_at_ms.len() < TIMES_LIMIT {
+                self.over_slots_at_ms.push(super::now_ms());
+            }
             return None;
         }
         self.busy += 1;
