fix(entry): one request for each connection to an endpoint, so that a doubled answer reaches nobody

late_copies_of_answers_reach_nobody (new) failed: a copy that came after the next request was sent on the same connection was passed as its answer. HTTP/1.1 cannot tell the two apart. endpoints.reuse_connections brings reuse back for endpoints that never answer twice.

--- a/src/configs/entry.rs
+++ b/src/configs/entry.rs
@@ -108,6 +108,9 @@
 #[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EndpointsConfig {
+    /// Whether a connection to an endpoint serves more than one request. An answer that an endpoint
+    /// sends twice can then be taken for that of the next request.
+    pub reuse_connections: bool,
     /// Age of the last answer up to which an open connection is used again, in milliseconds.
     pub fresh_ms: u64,
     /// Idle connections kept to one endpoint.
@@ -131,6 +134,7 @@
 impl Default for EndpointsConfig {
     fn default() -> Self {
         Self {
+            reuse_connections: false,
             fresh_ms: 1_000,
             max_idle: 8,
             settle_ms: 300,
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -280,9 +280,10 @@
 }
 
 fn endpoint_http(config: &EntryConfig) -> HttpConfig {
+    let endpoints = &config.endpoints;
     HttpConfig {
-        idle_timeout_ms: config.endpoints.fresh_ms,
-        max_idle_per_address: config.endpoints.max_idle,
+        idle_timeout_ms: endpoints.fresh_ms,
+        max_idle_per_address: if endpoints.reuse_connections { endpoints.max_idle } else { 0 },
         ..config.http.clone()
     }
 }
--- a/src/entry/control/flights.rs
+++ b/src/entry/control/flights.rs
@@ -62,6 +62,7 @@
             address,
             held,
             pool: self.parts.endpoints.clone(),
+            may_reuse: self.parts.config.endpoints.reuse_connections,
             authority: self.parts.authority.clone(),
             abort,
         };
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -38,6 +38,8 @@
     pub held: LeaseId,
     /// Connections to endpoints.
     pub pool: Pool,
+    /// Whether the connection may serve another request afterwards.
+    pub may_reuse: bool,
     /// Whether this host may send.
     pub authority: Authority,
     /// Ends the send early when something arrives.
@@ -66,10 +68,12 @@
     if !wait_for_authority(&job).await {
         return Sent::without_reply(SendResult::NotSent, None);
     }
-    let request = match endpoint_request(&job.submitted, &job.address) {
-        Ok(request) => request,
-        Err(_) => return Sent::without_reply(SendResult::NotSent, None),
+    let Ok(mut request) = endpoint_request(&job.submitted, &job.address) else {
+        return Sent::without_reply(SendResult::NotSent, None);
     };
+    if !job.may_reuse {
+        request.insert_header("Connection", "close");
+    }
     let begun_ms = clock::now_ms();
     let timeout_ms = job.submitted.deadline_ms.saturating_sub(begun_ms) + ANSWER_GRACE_MS;
     let may_send = || job.authority.may_send(job.held);
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_std::net::TcpStream;
+use async_std::task;
 use bytes::Bytes;
 use futures_lite::future;
 use http_types::{Request, Response};
@@ -185,8 +186,10 @@
                 return Err(unanswered(format!("no answer within {timeout_ms} ms")));
             }
         };
-        if reply.reusable {
+        if reply.reusable && self.config.max_idle_per_address > 0 {
             self.keep(address, stream);
+        } else {
+            task::spawn(part(stream));
         }
         Ok(reply)
     }
@@ -249,6 +252,15 @@
     Ok(Request::new(method, url))
 }
 
+/// Lets the other side close first, so that the port here is free again at once.
+async fn part(mut stream: TcpStream) {
+    use futures_lite::AsyncReadExt as _;
+
+    const PART_LIMIT: Duration = Duration::from_secs(1);
+    let mut byte = [0_u8; 1];
+    let _ = async_std::future::timeout(PART_LIMIT, stream.read(&mut byte)).await;
+}
+
 fn unanswered(message: impl Into<String>) -> ExchangeError {
     ExchangeError::Unanswered(message.into())
 }
--- a/tests/requests/ask.rs
+++ b/tests/requests/ask.rs
@@ -107,6 +107,11 @@
         self.reply.as_ref().and_then(|reply| reply.header("Hemlock-Outcome")).unwrap_or("")
     }
 
+    /// The id under which the request went.
+    pub fn request_id(&self) -> &str {
+        self.reply.as_ref().and_then(|reply| reply.header("Hemlock-Request-Id")).unwrap_or("")
+    }
+
     /// The reason header.
     pub fn reason(&self) -> &str {
         self.reply.as_ref().and_then(|reply| reply.header("Hemlock-Reason")).unwrap_or("")
--- a/tests/requests/cell.rs
+++ b/tests/requests/cell.rs
@@ -20,7 +20,7 @@
 use hemlockrock::http::client::{self, Pool, Reply};
 use hemlockrock::ledger::seat::Holder;
 use hemlockrock::standin::proxy::ProxyStandin;
-use hemlockrock::standin::runner::{RunnerConfig, RunnerStandin};
+use hemlockrock::standin::runner::{Records, RunnerConfig, RunnerStandin};
 use hemlockrock::standin::store::{faults::Faults, StoreStandin};
 use hemlockrock::store::client::HttpStore;
 use hemlockrock::store::{self, Operation};
@@ -233,6 +233,15 @@
         self.runners.iter().map(|runner| runner.records().runs_of(key)).sum()
     }
 
+    /// How often a request with this id ran, on all endpoints.
+    pub fn runs_under(&self, request_id: &str) -> usize {
+        let records = self.runners.iter().map(RunnerStandin::records);
+        let count = |records: Records| {
+            records.runs.iter().filter(|run| run.request_id == request_id).count()
+        };
+        records.map(count).sum()
+    }
+
     /// How many requests ran.
     pub fn total_runs(&self) -> usize {
         self.runners.iter().map(|runner| runner.records().runs.len()).sum()
