--- a/tests/requests_faults.rs
+++ b/tests/requests_faults.rs
@@ -69,12 +69,22 @@
 
 #[test]
 fn a_third_of_the_connections_going_silent_is_over_within_three_seconds() {
-    let plan = CellPlan { runners: 4, is_proxied: true, ..CellPlan::default() };
+    check_silent_connections(false);
+}
+
+#[test]
+fn a_third_of_the_reused_connections_going_silent_is_over_within_three_seconds() {
+    check_silent_connections(true);
+}
+
+fn check_silent_connections(reuse: bool) {
+    let settings = format!("endpoints:\n  reuse_connections: {reuse}\n");
+    let plan = CellPlan { runners: 4, is_proxied: true, settings, ..CellPlan::default() };
     let cell = Cell::start(plan);
     let calm = load_of(&cell, "calm", Duration::from_secs(1), Duration::from_millis(4), 60);
     let struck_at = Instant::now();
-    for proxy in &cell.endpoint_proxies {
-        proxy.set_fault(Fault::new(Kind::Silent).with_fraction(0.34, 7));
+    for (proxy, seed) in cell.endpoint_proxies.iter().zip(7..) {
+        proxy.set_fault(Fault::new(Kind::Silent).with_fraction(0.34, seed));
     }
     let after = load_of(&cell, "after", Duration::from_secs(5), Duration::from_millis(4), 60);
     let mut unknown = 0;
@@ -171,13 +181,15 @@
     cell.set_store_faults(Faults { seed: 5, lose_answers: 0.3, ..Faults::default() });
     let begun = load(&cell, "lost", Duration::from_secs(3), Duration::from_millis(10));
     let (mut done, total) = (0, begun.len());
+    let mut reasons = std::collections::BTreeMap::new();
     for begun in begun {
         let (answer, _) = block_on(begun.task);
         check_truth(&cell, &begun.key, &answer);
         assert!(answer.outcome() != "not_run" || cell.runs_of(&begun.key) == 0, "{answer:?}");
         done += usize::from(answer.outcome() == "done");
+        *reasons.entry(answer.reason().to_owned()).or_insert(0) += 1;
     }
-    println!("{done} of {total} done");
+    println!("{done} of {total} done, by reason {reasons:?}");
     assert!(done > 0);
 }
 
