--- a/src/entry.rs
+++ b/src/entry.rs
@@ -102,14 +102,15 @@
             .wrap_err_with(|| format!("{} cannot be bound", config.listen))?;
         let address = listener.local_addr().wrap_err("listening address")?;
         let config = Arc::new(config);
+        let metrics = Arc::new(Metrics::new().wrap_err("metrics")?);
+        let store = HttpStore::new(config.store.clone(), Pool::new(store_http(&config)));
         let store: Arc<dyn Store> =
-            Arc::new(HttpStore::new(config.store.clone(), Pool::new(store_http(&config))));
+            Arc::new(store.with_metrics(metrics.registry()).wrap_err("metrics of the store")?);
         let mirror = Mirror::start(Arc::clone(&store), config.store.watch_wait_ms);
         let feed = Feed::start(mirror.clone(), Arc::clone(&store));
         let member = own_member(&config, address);
         let session = Session::start(Arc::clone(&store), config.membership.clone(), member);
         let authority = Authority::new(session.clone());
-        let metrics = Arc::new(Metrics::new().wrap_err("metrics")?);
         let peers = Pool::new(peer_http(&config));
         let parts = control::Parts {
             config: Arc::clone(&config),
--- a/tests/requests_cost.rs
+++ b/tests/requests_cost.rs
@@ -1,5 +1,6 @@
 //! What a request costs through real entry processes; prints the figures for docs/measurements.
 #![allow(clippy::disallowed_methods, reason = "tests block their own thread")]
+#![allow(clippy::print_stdout, reason = "figures for the page of measurements")]
 
 #[path = "requests/cell.rs"]
 mod cell;
