--- a/tests/route_load.rs
+++ b/tests/route_load.rs
@@ -34,7 +34,8 @@
 
 #[test]
 fn wrong_settings_are_reported_together() {
-    let text = "targets: [here]\nplan:\n  service: orders\n  seed: 1\n  phases: []\n  kinds: []\n  \
+    let text =
+        "targets: [here]\nplan:\n  service: orders\n  seed: 1\n  phases: []\n  kinds: []\n  \
                 callers: 1\n  caller_trip_ms: 0\n  body_bytes: 1\n";
     let findings = settings::parse::<RequestLoadConfig>("load.yaml", text).unwrap_err();
     let paths: Vec<&str> = findings.items.iter().map(|finding| finding.path.as_str()).collect();
