--- a/src/jobs/journal.rs
+++ b/src/jobs/journal.rs
@@ -5,6 +5,8 @@
 //! follows the last one; a writer that finds a higher epoch in its way has lost the zone. The
 //! state of a journal is the union of its slots; of two records of a job the newer holds.
 
+mod open;
+
 use std::collections::BTreeSet;
 
 use bytes::Bytes;
@@ -116,35 +118,6 @@
 }
 
 impl Journal {
-    /// Opens the journal from what the store holds under [`Journal::prefix`].
-    ///
-    /// # Errors
-    /// [`JournalError`].
-    pub fn open(
-        config: RecordsConfig,
-        zone: &str,
-        epoch: u64,
-        entries: &[Entry],
-    ) -> Result<Self, JournalError> {
-        let mut journal = Self {
-            config,
-            prefix: Self::prefix(zone),
-            epoch,
-            sequence: 0,
-            slots: (0..SLOTS).map(|_| Slot::default()).collect(),
-            jobs: HashMap::default(),
-            waiting: Vec::new(),
-            flight: None,
-            next_write_ms: 0,
-            ended: BTreeSet::new(),
-        };
-        for entry in entries {
-            journal.load(entry)?;
-        }
-        journal.note_ended();
-        Ok(journal)
-    }
-
     /// Prefix of the keys of the zone's journal.
     pub fn prefix(zone: &str) -> String {
         format!("{PREFIX}{zone}/")
@@ -275,48 +248,6 @@
         }
     }
 
-    fn load(&mut self, entry: &Entry) -> Result<(), JournalError> {
-        let unreadable =
-            |problem: String| JournalError::Unreadable { key: entry.key.clone(), problem };
-        let number = entry.key.strip_prefix(&self.prefix).and_then(|number| number.parse().ok());
-        let index = number.filter(|index| *index < self.slots.len());
-        let index: usize = index.ok_or_else(|| unreadable("not a slot".to_owned()))?;
-        let value =
-            SlotValue::decode(&entry.value).map_err(|error| unreadable(error.to_string()))?;
-        if value.epoch > self.epoch {
-            return Err(JournalError::Superseded(value.epoch));
-        }
-        self.sequence = self.sequence.max(value.sequence);
-        let mut records = Vec::new();
-        for record in value.records {
-            records.push(Stored { id: JobId::clone(&record.id), version: record.progress.version });
-            self.load_record(record);
-        }
-        self.slots[index] = Slot { modified: Some(entry.modified), records };
-        Ok(())
-    }
-
-    fn load_record(&mut self, record: JobRecord) {
-        let version = record.progress.version;
-        let kept = self.jobs.entry(JobId::clone(&record.id)).or_insert_with(|| Kept {
-            record: record.clone(),
-            stored: Some(version),
-            copies: 0,
-            is_waiting: false,
-        });
-        kept.copies += 1;
-        if kept.stored < Some(version) {
-            kept.stored = Some(version);
-            kept.record = record;
-        }
-    }
-
-    fn note_ended(&mut self) {
-        let ended = self.jobs.values().filter(|kept| kept.record.is_ended());
-        self.ended =
-            ended.map(|kept| (kept.record.ended_at_ms, JobId::clone(&kept.record.id))).collect();
-    }
-
     fn begin_write(&mut self, now_ms: u64) -> Option<Write> {
         if self.flight.is_some() {
             return None;
@@ -354,13 +285,13 @@
     fn fill(&self, ids: &mut Vec<JobId>) {
         let mut taken: HashSet<JobId> = ids.iter().cloned().collect();
         let sizes = ids.iter().filter_map(|id| self.jobs.get(id));
-        let mut bytes: usize = sizes.map(|kept| size_bytes(&kept.record)).sum();
+        let mut bytes: usize = sizes.map(|kept| kept.record.size_bytes()).sum();
         for id in &self.waiting {
             let Some(kept) = self.jobs.get(id) else { continue };
             if taken.contains(id) {
                 continue;
             }
-            bytes += size_bytes(&kept.record);
+            bytes += kept.record.size_bytes();
             if bytes > self.config.max_value_bytes && !ids.is_empty() {
                 return;
             }
@@ -410,13 +341,3 @@
         }
     }
 }
-
-fn size_bytes(record: &JobRecord) -> usize {
-    const FIXED_BYTES: usize = 400;
-    const RANGE_BYTES: usize = 12;
-    let command: usize = record.command.iter().map(|word| word.len() + 5).sum();
-    let labels = record.spec.constraints.iter().chain(&record.spec.labels);
-    let labels: usize = labels.map(|(name, value)| name.len() + value.len() + 10).sum();
-    let names = record.id.len() + record.spec.name.len() + record.spec.team.len();
-    FIXED_BYTES + names + command + labels + record.progress.finished.len() * RANGE_BYTES
-}
--- /dev/null
+++ b/src/jobs/journal/open.rs
@@ -0,0 +1,83 @@
+//! Opens a journal from what the store holds.
+
+use std::collections::BTreeSet;
+
+use super::{Journal, JournalError, Kept, Slot, Stored, SLOTS};
+use crate::collections::HashMap;
+use crate::configs::placer::RecordsConfig;
+use crate::jobs::record::{JobRecord, SlotValue};
+use crate::place::message::JobId;
+use crate::store::Entry;
+
+impl Journal {
+    /// Opens the journal from what the store holds under [`Journal::prefix`].
+    ///
+    /// # Errors
+    /// [`JournalError`].
+    pub fn open(
+        config: RecordsConfig,
+        zone: &str,
+        epoch: u64,
+        entries: &[Entry],
+    ) -> Result<Self, JournalError> {
+        let mut journal = Self {
+            config,
+            prefix: Self::prefix(zone),
+            epoch,
+            sequence: 0,
+            slots: (0..SLOTS).map(|_| Slot::default()).collect(),
+            jobs: HashMap::default(),
+            waiting: Vec::new(),
+            flight: None,
+            next_write_ms: 0,
+            ended: BTreeSet::new(),
+        };
+        for entry in entries {
+            journal.load(entry)?;
+        }
+        journal.note_ended();
+        Ok(journal)
+    }
+
+    fn load(&mut self, entry: &Entry) -> Result<(), JournalError> {
+        let unreadable =
+            |problem: String| JournalError::Unreadable { key: entry.key.clone(), problem };
+        let number = entry.key.strip_prefix(&self.prefix).and_then(|number| number.parse().ok());
+        let index = number.filter(|index| *index < self.slots.len());
+        let index: usize = index.ok_or_else(|| unreadable("not a slot".to_owned()))?;
+        let value =
+            SlotValue::decode(&entry.value).map_err(|error| unreadable(error.to_string()))?;
+        if value.epoch > self.epoch {
+            return Err(JournalError::Superseded(value.epoch));
+        }
+        self.sequence = self.sequence.max(value.sequence);
+        let mut records = Vec::new();
+        for record in value.records {
+            records.push(Stored { id: JobId::clone(&record.id), version: record.progress.version });
+            self.load_record(record);
+        }
+        self.slots[index] = Slot { modified: Some(entry.modified), records };
+        Ok(())
+    }
+
+    fn load_record(&mut self, record: JobRecord) {
+        let version = record.progress.version;
+        let kept = self.jobs.entry(JobId::clone(&record.id)).or_insert_with(|| Kept {
+            record: record.clone(),
+            stored: Some(version),
+            copies: 0,
+            is_waiting: false,
+        });
+        kept.copies += 1;
+        if kept.stored < Some(version) {
+            kept.stored = Some(version);
+            kept.record = record;
+        }
+    }
+
+    fn note_ended(&mut self) {
+        let ended = self.jobs.values().filter(|kept| kept.record.is_ended());
+        self.ended =
+            ended.map(|kept| (kept.record.ended_at_ms, JobId::clone(&kept.record.id))).collect();
+    }
+}
--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -28,6 +28,17 @@
 }
 
 impl JobRecord {
+    /// Estimated size in a stored value, in bytes.
+    pub fn size_bytes(&self) -> usize {
+        const FIXED_BYTES: usize = 400;
+        const RANGE_BYTES: usize = 12;
+        let command: usize = self.command.iter().map(|word| word.len() + 5).sum();
+        let labels = self.spec.constraints.iter().chain(&self.spec.labels);
+        let labels: usize = labels.map(|(name, value)| name.len() + value.len() + 10).sum();
+        let names = self.id.len() + self.spec.name.len() + self.spec.team.len();
+        FIXED_BYTES + names + command + labels + self.progress.finished.len() * RANGE_BYTES
+    }
+
     /// Whether nothing more happens to the job.
     pub fn is_ended(&self) -> bool {
         self.progress.ended.is_some()
--- /dev/null
+++ b/src/placer/active/answers.rs
@@ -0,0 +1,221 @@
+//! What callers ask of a holder and are answered.
+
+use std::sync::Arc;
+
+use super::{Active, Waiter};
+use crate::clock;
+use crate::inventory::WorkerKey;
+use crate::jobs::api::{
+    JobExplanation, JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView,
+};
+use crate::jobs::record::JobRecord;
+use crate::place::message::{JobId, JobProgress, JobState, Rejection};
+use crate::place::Event;
+use crate::placer::message::{Ask, AskError, Reply};
+
+impl Active {
+    /// Does what a caller asks.
+    pub(crate) fn ask(&mut self, ask: Ask) {
+        match ask {
+            Ask::Submit { submission, reply } => self.submit(*submission, reply),
+            Ask::Get { id, reply } => {
+                drop(reply.try_send(self.view(&id).ok_or(AskError::NoSuchJob)));
+            }
+            Ask::List { reply } => drop(reply.try_send(Ok(self.views()))),
+            Ask::Cancel { id, reply } => self.cancel(&id, reply),
+            Ask::Explain { id, reply } => drop(reply.try_send(self.explain(&id))),
+            Ask::Workers { reply } => drop(reply.try_send(Ok(self.workers()))),
+        }
+    }
+
+    fn submit(&mut self, submission: Submission, reply: Reply<SubmitAnswer>) {
+        let id = JobId::from(submission.id.as_str());
+        let waiter = Waiter { reply, until_ms: clock::now_ms() + self.submit_timeout_ms };
+        if let Some(known) = self.journal.get(&id) {
+            let is_same =
+                *known.spec == submission.spec && *known.command == submission.command[..];
+            if !is_same {
+                let reason = "another job has this id".to_owned();
+                let answer = self.submit_answer(&id, SubmitOutcome::NotRun, Some(reason));
+                drop(waiter.reply.try_send(Ok(answer)));
+                return;
+            }
+            self.submits.entry(JobId::clone(&id)).or_default().push(waiter);
+            if self.journal.is_stored(&id) {
+                self.answer_submit(&id, SubmitOutcome::Accepted, None);
+            }
+            return;
+        }
+        if self.is_closing {
+            drop(waiter.reply.try_send(Err(AskError::NotActive)));
+            return;
+        }
+        self.submits.entry(JobId::clone(&id)).or_default().push(waiter);
+        self.journal.put(JobRecord {
+            id,
+            spec: Arc::new(submission.spec),
+            command: submission.command.into(),
+            progress: JobProgress::default(),
+            accepted_at_ms: clock::unix_ms(),
+            ended_at_ms: 0,
+        });
+    }
+
+    pub(super) fn answer_submit(
+        &mut self,
+        id: &JobId,
+        outcome: SubmitOutcome,
+        reason: Option<String>,
+    ) {
+        let waiters = self.submits.remove(id).unwrap_or_default();
+        let answer = self.submit_answer(id, outcome, reason);
+        for waiter in waiters {
+            self.metrics.submissions.with_label_values(&[answer.outcome.as_str()]).inc();
+            drop(waiter.reply.try_send(Ok(answer.clone())));
+        }
+    }
+
+    /// The answer; a job that can never run is told so with the reason.
+    fn submit_answer(
+        &self,
+        id: &JobId,
+        outcome: SubmitOutcome,
+        reason: Option<String>,
+    ) -> SubmitAnswer {
+        let zone = self.zone.clone();
+        let state = self.state(id).filter(|_| outcome == SubmitOutcome::Accepted);
+        let (outcome, reason) = match &state {
+            Some(JobState::Rejected(rejection)) => {
+                (SubmitOutcome::NotRun, Some(rejection_text(rejection)))
+            }
+            _ => (outcome, reason),
+        };
+        SubmitAnswer { id: JobId::clone(id), zone, outcome, state, reason }
+    }
+
+    fn cancel(&mut self, id: &str, reply: Reply<JobView>) {
+        let Some(record) = self.journal.get(id) else {
+            drop(reply.try_send(Err(AskError::NoSuchJob)));
+            return;
+        };
+        let is_recorded =
+            record.is_ended() || (record.progress.is_cancelled && self.journal.is_settled());
+        if is_recorded {
+            drop(reply.try_send(self.view(id).ok_or(AskError::NoSuchJob)));
+            return;
+        }
+        let id = JobId::clone(&record.id);
+        let until_ms = clock::now_ms() + self.submit_timeout_ms;
+        self.cancels.entry(JobId::clone(&id)).or_default().push(Waiter { reply, until_ms });
+        self.step(Event::Cancel { job_id: id });
+        self.step(Event::Tick);
+    }
+
+    pub(super) fn time_out_waiters(&mut self) {
+        let now_ms = clock::now_ms();
+        let is_over = |until_ms: u64| until_ms <= now_ms;
+        let late = self
+            .submits
+            .iter()
+            .filter(|(_, waiters)| waiters.iter().any(|waiter| is_over(waiter.until_ms)));
+        let late: Vec<JobId> = late.map(|(id, _)| JobId::clone(id)).collect();
+        for id in late {
+            let reason = Some("the job could not be recorded in time".to_owned());
+            let is_withdrawn = self.journal.withdraw(&id);
+            let outcome = if is_withdrawn { SubmitOutcome::NotRun } else { SubmitOutcome::Unknown };
+            self.answer_submit(&id, outcome, reason);
+        }
+        self.cancels.retain(|_, waiters| {
+            waiters.retain(|waiter| {
+                let is_late = is_over(waiter.until_ms);
+                if is_late {
+                    drop(waiter.reply.try_send(Err(AskError::NotRecorded)));
+                }
+                !is_late
+            });
+            !waiters.is_empty()
+        });
+    }
+
+    /// Ends the holding: callers that wait are told what is certain.
+    pub(crate) fn end(mut self) {
+        let ids: Vec<JobId> = self.submits.keys().cloned().collect();
+        for id in ids {
+            let reason = Some("the placer lost the zone; ask again".to_owned());
+            let outcome = match self.journal.withdraw(&id) {
+                true => SubmitOutcome::NotRun,
+                false => SubmitOutcome::Unknown,
+            };
+            self.answer_submit(&id, outcome, reason);
+        }
+        for waiter in self.cancels.into_values().flatten() {
+            drop(waiter.reply.try_send(Err(AskError::NotRecorded)));
+        }
+    }
+
+    pub(super) fn state(&self, id: &str) -> Option<JobState> {
+        let record = self.journal.get(id)?;
+        let ended = record.progress.ended.clone();
+        let state = ended.or_else(|| self.placer.job_state(id).cloned());
+        Some(state.unwrap_or(JobState::Waiting))
+    }
+
+    pub(super) fn view(&self, id: &str) -> Option<JobView> {
+        let record = self.journal.get(id)?;
+        Some(JobView::new(record, &self.zone, self.state(id)?))
+    }
+
+    fn views(&self) -> Vec<JobView> {
+        let records = self.journal.records();
+        records.iter().filter_map(|record| self.view(&record.id)).collect()
+    }
+
+    fn explain(&self, id: &str) -> Result<JobExplanation, AskError> {
+        let state = self.state(id).ok_or(AskError::NoSuchJob)?;
+        let explanation = self.placer.explain(id, clock::now_ms());
+        let reason = match &state {
+            JobState::Rejected(rejection) => Some(rejection_text(rejection)),
+            _ => None,
+        };
+        Ok(JobExplanation {
+            id: JobId::from(id),
+            zone: self.zone.clone(),
+            state,
+            reason,
+            explanation,
+        })
+    }
+
+    fn worker_state(&self, worker: WorkerKey) -> String {
+        let view = self.placer.workers.get(worker);
+        view.map(|view| view.state.as_str().to_owned()).unwrap_or_default()
+    }
+
+    fn workers(&self) -> Vec<WorkerView> {
+        let inventory = self.placer.inventory();
+        let views = inventory.workers().map(|(key, worker)| WorkerView {
+            name: worker.name.clone(),
+            zone: self.zone.clone(),
+            rack: inventory.rack(worker.rack).map(|rack| rack.name.clone()).unwrap_or_default(),
+            address: worker.address.clone(),
+            state: self.worker_state(key),
+            capacity: worker.capacity,
+            reserved: self.placer.reserved(key),
+            is_draining: worker.is_draining,
+        });
+        views.collect()
+    }
+}
+
+/// The reason for a rejection as callers read it.
+fn rejection_text(rejection: &Rejection) -> String {
+    match rejection {
+        Rejection::Unsound(fault) => format!("the job is not sound: {fault}"),
+        Rejection::TooLarge => "no worker is large enough for one task".to_owned(),
+        Rejection::NoSuchLabels => "no worker has the labels that it asks for".to_owned(),
+        Rejection::GangTooLarge => "the zone cannot hold all its tasks at once".to_owned(),
+        Rejection::UnknownTeam => "the team is not declared".to_owned(),
+        Rejection::OverQuota => "the quota of the team is below its needs".to_owned(),
+        Rejection::Poison => "its tasks failed on too many workers".to_owned(),
+    }
+}
