fix(placer): a lost call is sent again and a zone is not renewed in one burst

Cause: all workers of a zone were called in the same turn; with 500 on one host name the burst of connections failed (938 of 4584 calls), and since the failed renewal came back only after a read and a whole interval, tasks lapsed (2911 in 24 s, trial). Now at most 32 calls begin in a turn, and what a failed call carried, but for starts, goes again after 1 s.

--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -163,9 +163,14 @@
         self.placer.has_work(clock::now_ms())
     }
 
+    /// Whether more calls to workers can go in the next turn.
+    pub(crate) fn has_calls(&self) -> bool {
+        self.links.has_more(clock::now_ms())
+    }
+
     /// Sends the calls that can go; returns the journal's write that is due.
     pub(crate) fn flush(&mut self) -> Option<Write> {
-        for (worker, call) in self.links.take_due() {
+        for (worker, call) in self.links.take_due(clock::now_ms()) {
             let Some(known) = self.placer.inventory().worker(worker) else { continue };
             let (worker_name, address) = (known.name.clone(), known.address.clone());
             let call = WorkerCall {
--- a/src/placer/active/results.rs
+++ b/src/placer/active/results.rs
@@ -56,6 +56,7 @@
                 false => self.step(Event::LostReply { attempt }),
             }
         }
+        self.links.retry(worker, call, clock::now_ms());
         self.step(Event::Silent { worker });
     }
 
--- a/src/placer/control.rs
+++ b/src/placer/control.rs
@@ -22,6 +22,9 @@
 /// Pause after the journal could not be read or claimed, in milliseconds.
 const RETRY_MS: u64 = 200;
 
+/// Pause between turns while calls to workers wait, in milliseconds.
+const CALLS_PAUSE_MS: u64 = 5;
+
 /// Messages that are taken before decisions are sent.
 const BATCH: usize = 256;
 
@@ -39,6 +42,8 @@
     next_tick_ms: u64,
     /// Whether placing was cut short and goes on without waiting.
     has_work: bool,
+    /// Whether calls to workers wait for the next turn.
+    has_calls: bool,
 }
 
 /// A takeover that has not finished: the journal is read and claimed under the new epoch.
@@ -68,6 +73,7 @@
             drain: None,
             next_tick_ms: 0,
             has_work: false,
+            has_calls: false,
         }
     }
 
@@ -77,6 +83,7 @@
         loop {
             let wait_ms = match self.has_work {
                 true => 0,
+                false if self.has_calls => CALLS_PAUSE_MS,
                 false => self.next_tick_ms.saturating_sub(clock::now_ms()),
             };
             match inbox.recv_timeout(Duration::from_millis(wait_ms)) {
@@ -103,12 +110,14 @@
         }
         let is_opening = self.opening.is_some();
         self.has_work = false;
+        self.has_calls = false;
         if let Some(active) = &mut self.active {
             if is_due {
                 active.tick();
             }
             self.has_work = active.go_on();
             let write = active.flush();
+            self.has_calls = active.has_calls();
             let share_step = active.take_share_step();
             let (epoch, is_fenced) = (active.epoch(), active.is_fenced());
             if let Some(step) = share_step {
--- a/src/placer/links.rs
+++ b/src/placer/links.rs
@@ -12,6 +12,13 @@
 use crate::placer::message::{CallFailure, Called, Message};
 use crate::placer::wire::{self, ReportUpdate, WorkerCall};
 
+/// Most calls that begin in one turn; the others follow in the next, so that the renewals of a whole
+/// zone do not open their connections at once.
+const CALLS_PER_TURN: usize = 32;
+
+/// Pause before what a failed call carried is sent again, in milliseconds.
+const RETRY_MS: u64 = 1_000;
+
 /// Where and how workers are called.
 #[derive(Clone, Debug)]
 pub(crate) struct Caller {
@@ -36,6 +43,8 @@
     report: Option<(u64, WorkerReport)>,
     is_busy: bool,
     is_due: bool,
+    /// Time before which nothing is sent after a failed call, in milliseconds.
+    not_before_ms: u64,
 }
 
 impl Links {
@@ -59,11 +68,30 @@
         }
     }
 
+    /// Sends again, after a pause, what a failed call carried, but for its starts. All of it is
+    /// idempotent, and a renewal lengthens no lease beyond its token.
+    pub(crate) fn retry(&mut self, worker: WorkerKey, call: &WorkerCall, now_ms: u64) {
+        let outbox = self.outbox(worker);
+        outbox.barrier = outbox.barrier.max(call.barrier);
+        outbox.renew_token_ms = outbox.renew_token_ms.max(call.renew_token_ms);
+        outbox.wants_report |= call.wants_report;
+        outbox.forget.extend(&call.forget);
+        outbox.stops.extend(&call.stops);
+        if let Some(link) = self.links.get_mut(&worker) {
+            link.not_before_ms = now_ms + RETRY_MS;
+        }
+    }
+
     /// Takes the calls that can go now.
-    pub(crate) fn take_due(&mut self) -> Vec<(WorkerKey, WorkerCall)> {
+    pub(crate) fn take_due(&mut self, now_ms: u64) -> Vec<(WorkerKey, WorkerCall)> {
         let mut calls = Vec::new();
+        let mut later = Vec::new();
         for worker in std::mem::take(&mut self.due) {
             let Some(link) = self.links.get_mut(&worker) else { continue };
+            if calls.len() >= CALLS_PER_TURN || now_ms < link.not_before_ms {
+                later.push(worker);
+                continue;
+            }
             link.is_due = false;
             if link.is_busy || link.outbox.is_empty() {
                 continue;
@@ -72,9 +100,18 @@
             let known_report = link.report.as_ref().map_or(0, |(number, _)| *number);
             calls.push((worker, WorkerCall { known_report, ..std::mem::take(&mut link.outbox) }));
         }
+        self.due = later;
         calls
     }
 
+    /// Whether more calls could go at once.
+    pub(crate) fn has_more(&self, now_ms: u64) -> bool {
+        self.due.iter().any(|worker| {
+            let link = self.links.get(worker);
+            link.is_some_and(|link| !link.is_busy && now_ms >= link.not_before_ms)
+        })
+    }
+
     /// The whole report after an update; none when the update is of a report that is not here, and
     /// then the next call asks for all.
     pub(crate) fn updated(
--- a/tests/jobs_faults.rs
+++ b/tests/jobs_faults.rs
@@ -272,3 +272,19 @@
     assert_eq!((cell.running_of("busy"), cell.cut_short()), (6, 0));
     cell.check_each_finished_once();
 }
+
+#[async_std::test]
+async fn short_silences_of_all_workers_cut_no_task() {
+    let mut cell = Cell::start(4).await;
+    let placer = cell.add_placer("p1");
+    cell.submit_until_accepted(placer, &sleeping("busy", 12, 600_000)).await;
+    eventually("all run", PATIENCE, || cell.running_of("busy") == 12);
+    for _ in 0..4 {
+        (0..4).for_each(|worker| cell.set_mode(worker, Mode::Silent));
+        task::sleep(TASK_LEASE / 4).await;
+        (0..4).for_each(|worker| cell.set_mode(worker, Mode::Normal));
+        task::sleep(TASK_LEASE).await;
+    }
+    assert_eq!((cell.running_of("busy"), cell.cut_short()), (12, 0));
+    cell.check_each_finished_once();
+}
