--- a/src/place/explain.rs
+++ b/src/place/explain.rs
@@ -11,6 +11,7 @@
 use super::spec::Resources;
 use super::state::{JobKey, WorkerView};
 use crate::inventory::{Worker, WorkerKey};
+use crate::quota::Need;
 
 /// Why a worker does not take a task now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -185,6 +186,26 @@
         (!is_free).then_some(RuledOut::Claimed)
     }
 
+    /// What each team uses and waits for here, once it is certain what runs.
+    pub fn needs(&self) -> Option<BTreeMap<String, Need>> {
+        if self.epoch.is_none() || self.is_locating {
+            return None;
+        }
+        let mut needs: BTreeMap<String, Need> = BTreeMap::new();
+        for team in self.queue.teams().filter(|team| !team.used.is_zero()) {
+            needs.entry(team.name.clone()).or_default().used = team.used;
+        }
+        for (key, job) in self.jobs.iter().filter(|(_, job)| job.waiting_count > 0) {
+            if job.is_cancelled || job.is_given_up {
+                continue;
+            }
+            let need = needs.entry(job.spec.team.clone()).or_default();
+            let waiting = self.size_of(key).times(job.waiting_count);
+            need.waiting = need.waiting.plus(waiting);
+        }
+        Some(needs)
+    }
+
     /// Totals of the zone.
     pub fn stats(&self) -> Stats {
         let mut stats = Stats { capacity: self.open_capacity, ..Stats::default() };
@@ -201,7 +222,8 @@
             stats.placed += job.placed_count;
             stats.running += job.running_count;
         }
-        stats.claimed = self.claim.as_ref().map(super::gang::Claim::total).unwrap_or_default();
+        let free = |worker| self.workers.get(worker).map_or(Resources::default(), WorkerView::free);
+        stats.claimed = self.claim.as_ref().map(|claim| claim.held(free)).unwrap_or_default();
         stats
     }
 }
--- a/src/place/gang.rs
+++ b/src/place/gang.rs
@@ -13,6 +13,7 @@
 use super::spec::Resources;
 use super::state::{Job, JobKey, TaskKey};
 use crate::collections::HashMap;
+use crate::configs::place::Policy;
 use crate::inventory::WorkerKey;
 
 /// Part of a worker that is claimed.
@@ -121,7 +122,8 @@
             self.stop_members(key, now_ms, out);
             return Outcome::Blocked;
         }
-        if is_allowed && !self.preempt_whole(key, &waiting, size, now_ms, out) {
+        let claims = is_allowed && self.config.policy == Policy::Full;
+        if claims && !self.preempt_whole(key, &waiting, size, now_ms, out) {
             self.claim_for(key, size, count, now_ms);
         }
         Outcome::Blocked
@@ -291,9 +293,10 @@
 }
 
 impl Claim {
-    /// What is claimed on all workers together.
-    pub(crate) fn total(&self) -> Resources {
-        self.parts.values().fold(Resources::default(), |sum, part| sum.plus(part.claimed))
+    /// Room that is free on the claimed workers and kept for the gang.
+    pub(crate) fn held(&self, free: impl Fn(WorkerKey) -> Resources) -> Resources {
+        let held = self.parts.iter().map(|(worker, part)| part.claimed.smaller(free(*worker)));
+        held.fold(Resources::default(), Resources::plus)
     }
 
     /// Job that the claim is for and the time at which it is expected to start.
--- a/src/place/jobs.rs
+++ b/src/place/jobs.rs
@@ -282,6 +282,21 @@
             }
             kept.version > version
         });
+        if is_ended(&job.state) && job.version <= version && job.unforgotten.is_empty() {
+            self.remove_job(job_id);
+        }
+    }
+
+    /// Forgets a job that has ended and whose end is stored.
+    fn remove_job(&mut self, job_id: &JobId) {
+        let Some(key) = self.job_ids.remove(job_id) else { return };
+        self.dequeue(key);
+        self.drop_claim(key);
+        let Some(job) = self.jobs.remove(key) else { return };
+        for task in job.tasks {
+            self.drop_nomination(task);
+            self.tasks.remove(task);
+        }
     }
 
     /// Whether waiting tasks of a job may run on workers that were not yet read.
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -231,10 +231,10 @@
         (held, self.lacking(held))
     }
 
-    /// The quota was lowered: each zone keeps its part of it, but no less than it uses.
+    /// The quota was lowered: what the zone does not use goes first.
     fn shrunk(self) -> u64 {
-        let part = u128::from(self.held) * u128::from(self.total) / u128::from(self.granted);
-        u64::try_from(part).unwrap_or(u64::MAX).max(self.used).min(self.held)
+        let excess = self.granted - self.total;
+        self.held - excess.min(self.held.saturating_sub(self.used))
     }
 
     /// Others lack more than is free: what this zone does not need, or holds beyond an even
