--- a/benches/place/gangs.rs
+++ b/benches/place/gangs.rs
@@ -20,11 +20,13 @@
 /// Arrivals end here; gangs that wait then count with the time until the end.
 const ARRIVALS_MS: u64 = 480_000;
 /// Offered load: the usual, and a crest at which small work alone would fill every gap.
-const LOADS: [f64; 2] = [0.9, 1.1];
+const LOADS: [f64; 2] = [0.9, 1.3];
 const GANG_LOAD: f64 = 0.2;
 /// Mean run time and processor time of the batch tasks.
 const BATCH_SECONDS: f64 = 10.0;
 const GANG_SECONDS: f64 = 20.0;
+/// Processor time of each task of a gang, in thousandths of a core.
+const GANG_MILLIS: u64 = 8_000;
 
 #[derive(Default)]
 struct Waits {
@@ -79,7 +81,7 @@
         let off = 3.0_f64.powf(self.draws.unit() * 2.0 - 1.0);
         let tasks = if is_gang { 64.0_f64.powf(self.draws.unit()).round() as u32 } else { 1 };
         let cpu_millis =
-            if is_gang { 2_000 } else { self.draws.pareto(250.0, 8_000.0, 1.1) as u64 };
+            if is_gang { GANG_MILLIS } else { self.draws.pareto(250.0, 8_000.0, 1.1) as u64 };
         let size = Resources::new(cpu_millis, cpu_millis * 3 / 2 * GIB / 1_000, 0);
         let mut spec = JobSpec::new("range", tasks).with_resources(size);
         spec.kind = if is_gang { JobKind::Gang } else { JobKind::Batch };
@@ -136,7 +138,8 @@
         let batch_cores = 0.79;
         let gang_tasks = 15.2;
         let batch_rate = (load - GANG_LOAD) * capacity_cores / (batch_cores * BATCH_SECONDS);
-        let gang_rate = GANG_LOAD * capacity_cores / (gang_tasks * 2.0 * GANG_SECONDS);
+        let gang_rate =
+            GANG_LOAD * capacity_cores / (gang_tasks * GANG_MILLIS as f64 / 1_000.0 * GANG_SECONDS);
         let (mut batch_due, mut gang_due) = (0.0, 0.0);
         let mut steps = 0.0;
         while self.zone.now_ms < RUN_MS {
