--- a/src/bin/hemlock-load.rs
+++ b/src/bin/hemlock-load.rs
@@ -8,7 +8,7 @@
 use hemlockrock::configs::load::{JobLoadConfig, RequestLoadConfig};
 use hemlockrock::load::results::{Results, Run, Window};
 use hemlockrock::load::suite::{self, Case};
-use hemlockrock::load::{driver, jobs, usage};
+use hemlockrock::load::{connections, driver, jobs, usage};
 use hemlockrock::{clock, settings};
 
 fn main() -> eyre::Result<()> {
@@ -39,6 +39,7 @@
         .arg(json)
         .arg(compare)
         .subcommand(Command::new("requests").about("Sends requests").arg(settings_arg()).arg(pid()))
+        .subcommand(connections_command())
         .subcommand(Command::new("jobs").about("Submits jobs").arg(settings_arg()))
         .subcommand(suite_command())
 }
@@ -59,6 +60,26 @@
         .help("Process whose processor time and memory are reported as well")
 }
 
+fn connections_command() -> Command {
+    Command::new("connections")
+        .about("Opens connections to an entry host and reports the memory that they take there")
+        .arg(
+            Arg::new("target")
+                .long("target")
+                .required(true)
+                .value_parser(clap::value_parser!(std::net::SocketAddr))
+                .help("Address of the entry host, IP:port"),
+        )
+        .arg(
+            Arg::new("count")
+                .long("count")
+                .default_value("10000")
+                .value_parser(clap::value_parser!(u32))
+                .help("Connections"),
+        )
+        .arg(pid().required(true))
+}
+
 fn suite_command() -> Command {
     let names = Case::ALL.map(Case::name);
     Command::new("suite")
@@ -90,6 +111,7 @@
     let started_at_ms = clock::unix_ms();
     let (seed, runs) = match matches.subcommand() {
         Some(("requests", matches)) => run_requests(matches).await?,
+        Some(("connections", matches)) => run_connections(matches).await?,
         Some(("jobs", matches)) => run_jobs(matches).await?,
         Some(("suite", matches)) => run_suite(matches).await?,
         _ => eyre::bail!("no subcommand; see --help"),
@@ -119,6 +141,13 @@
     Ok((config.plan.seed, vec![run]))
 }
 
+async fn run_connections(matches: &ArgMatches) -> eyre::Result<(u64, Vec<Run>)> {
+    let target = matches.get_one::<std::net::SocketAddr>("target").map(ToString::to_string);
+    let count = matches.get_one::<u32>("count").copied().unwrap_or_default() as usize;
+    let pid = matches.get_one::<u32>("pid").copied().unwrap_or_default();
+    Ok((0, vec![connections::run(&target.unwrap_or_default(), count, pid).await?]))
+}
+
 async fn run_jobs(matches: &ArgMatches) -> eyre::Result<(u64, Vec<Run>)> {
     let config: JobLoadConfig = read_settings(matches)?;
     let name = format!("load-{}", clock::unix_ms());
--- a/src/load.rs
+++ b/src/load.rs
@@ -7,6 +7,7 @@
 mod cell;
 mod measure;
 
+pub mod connections;
 pub mod driver;
 pub mod jobs;
 pub mod plan;
--- a/src/load/results.rs
+++ b/src/load/results.rs
@@ -178,6 +178,7 @@
         for window in &self.windows {
             for kind in &window.kinds {
                 let of = |figure: &str| format!("{}/{}/{figure}", window.name, kind.kind);
+                figures.insert(of("sent"), kind.sent as f64);
                 figures.insert(of("done_in_time"), kind.done_in_time as f64);
                 figures.insert(of("latency_p50_ms"), kind.latency.p50_ms);
                 figures.insert(of("latency_p99_ms"), kind.latency.p99_ms);
--- a/src/load/suite.rs
+++ b/src/load/suite.rs
@@ -222,7 +222,7 @@
     }
 
     async fn fast_failer(&self) -> Result<Vec<Run>> {
-        const RUN_MS: u64 = 20;
+        const RUN_MS: u64 = 50;
         const UTILISATION: f64 = 0.6;
         const DEADLINE_MS: u64 = 5_000;
         const SETTLE_MS: u64 = 2_000;
@@ -258,12 +258,14 @@
         const RUN_MS: u64 = 5;
         const PER_S: f64 = 400.0;
         const DEADLINE_MS: u64 = 5_000;
-        let cell = self.start(Policy::Full, 1).await?;
+        let bare = self.start(Policy::Full, 1).await?;
         let (warm_ms, end_ms) = (self.ms(3_000), self.ms(23_000));
         let mut kinds = vec![kind("short", 1.0, RUN_MS, DEADLINE_MS)];
         kinds[0].idempotent_share = 1.0;
         let plan = self.plan(vec![steady(end_ms, PER_S)], kinds);
-        let direct = measure::direct(&cell, &plan).await;
+        let direct = measure::direct(&bare, &plan).await;
+        bare.stop().await;
+        let cell = self.start(Policy::Full, 1).await?;
         let Measured { told, mut run } = measure::measure(&cell, &plan, "hop/entry").await;
         cell.stop().await;
         let plain = Window::new("steady", &plan, &direct, warm_ms..end_ms);
--- a/src/load/usage.rs
+++ b/src/load/usage.rs
@@ -13,16 +13,20 @@
 }
 
 impl Usage {
+    /// Memory that is resident, in kibibytes.
+    pub fn resident_kb(&self) -> f64 {
+        self.resident_bytes as f64 / 1_024.0
+    }
+
     /// Adds what was used since `before` to the figures of a run.
     pub fn add_figures(&self, before: &Self, run: &mut Run) {
         let cpu_ms = self.cpu_ms - before.cpu_ms;
         let kinds = run.windows.iter().flat_map(|window| &window.kinds);
         let sent: u64 = kinds.map(|kind| kind.sent).sum();
-        let resident_kb = self.resident_bytes as f64 / 1_024.0;
         run.figures.insert("process_cpu_ms".to_owned(), cpu_ms);
         run.figures.insert("process_cpu_us_a_request".to_owned(), cpu_ms * 1e3 / sent as f64);
         run.figures.insert("requests_a_core_second".to_owned(), sent as f64 / cpu_ms * 1e3);
-        run.figures.insert("process_resident_kb".to_owned(), resident_kb);
+        run.figures.insert("process_resident_kb".to_owned(), self.resident_kb());
     }
 }
 
--- a/tests/route/driver.rs
+++ b/tests/route/driver.rs
@@ -187,14 +187,14 @@
 
 impl Driver {
     /// One dispatcher that owns `endpoints` with `slots` each.
-    pub(crate) fn new(config: RouteConfig, endpoints: u32, slots: u32, seed: u64) -> Self {
+    pub(crate) fn new(config: &RouteConfig, endpoints: u32, slots: u32, seed: u64) -> Self {
         Self::with_hosts(1, config, endpoints, slots, seed)
     }
 
     /// Dispatchers that own the endpoints in turn and hear of each other's load.
     pub(crate) fn with_hosts(
         hosts: u32,
-        config: RouteConfig,
+        config: &RouteConfig,
         endpoints: u32,
         slots: u32,
         seed: u64,
--- a/tests/route/main.rs
+++ b/tests/route/main.rs
@@ -18,7 +18,7 @@
 }
 
 /// Short work, and 2 % long work 200 times as long, at 80 % utilisation of all slots.
-fn mixed(config: RouteConfig, endpoints: u32, has_long: bool) -> Report {
+fn mixed(config: &RouteConfig, endpoints: u32, has_long: bool) -> Report {
     const LONG_PART: f64 = 0.02;
     let slots = f64::from(endpoints * 8);
     let mean_ms = (1.0 - LONG_PART) * SHORT_RUN_MS + LONG_PART * LONG_RUN_MS;
@@ -37,9 +37,9 @@
 #[test]
 fn short_work_does_not_wait_behind_long() {
     for endpoints in [50, 12, 6, 4] {
-        let alone = mixed(config(Policy::Full), endpoints, false).wait_ms(0.99);
-        let baseline = mixed(config(Policy::Baseline), endpoints, true);
-        let full = mixed(config(Policy::Full), endpoints, true);
+        let alone = mixed(&config(Policy::Full), endpoints, false).wait_ms(0.99);
+        let baseline = mixed(&config(Policy::Baseline), endpoints, true);
+        let full = mixed(&config(Policy::Full), endpoints, true);
         let (short, long) = (full.of(|at| at == SHORT), full.of(|at| at == LONG));
         let fair = baseline.of(|at| at == LONG).good();
         println!(
@@ -60,7 +60,7 @@
 fn a_wrong_prior_does_not_matter() {
     for prior_run_ms in [1, 100] {
         let config = RouteConfig { prior_run_ms, ..RouteConfig::default() };
-        let short = mixed(config, 6, true).of(|at| at == SHORT);
+        let short = mixed(&config, 6, true).of(|at| at == SHORT);
         println!("prior {prior_run_ms} ms: short p99 wait {:.2} ms", short.wait_ms(0.99));
         assert!(short.wait_ms(0.99) <= SHORT_WAIT_BOUND_MS);
     }
@@ -75,7 +75,7 @@
     let (calm, high) = (0.3 * capacity_per_s, 3.0 * capacity_per_s);
     let rates =
         [(0, calm), (10_000, (calm + high) / 2.0), (CREST_FROM_MS, high), (CREST_TO_MS, calm)];
-    let mut driver = Driver::new(config(policy), 12, 8, SEED);
+    let mut driver = Driver::new(&config(policy), 12, 8, SEED);
     for caller in 0..callers {
         let stream = Stream::new(1, SHORT_RUN_MS, 0.0).with_rates(&rates);
         driver = driver.with_stream(stream.with_caller(caller).with_deadline_ms(deadline_ms));
@@ -115,7 +115,7 @@
         let is_fair = fair_quantum_ms < 1_000_000_000;
         let config = RouteConfig { fair_quantum_ms, ..RouteConfig::default() };
         let capacity_per_s = 6.0 * 8.0 / SHORT_RUN_MS * 1_000.0;
-        let mut driver = Driver::new(config, 6, 8, SEED);
+        let mut driver = Driver::new(&config, 6, 8, SEED);
         let greedy = Stream::new(1, SHORT_RUN_MS, 3.0 * capacity_per_s).with_deadline_ms(500);
         driver = driver.with_stream(greedy);
         for caller in 1..=9 {
@@ -145,7 +145,7 @@
         [(12, Behaviour::FailsAtOnce), (4, Behaviour::FailsAtOnce), (12, Behaviour::Declines)]
     {
         let per_s = f64::from(endpoints * 8) * 0.6 / SHORT_RUN_MS * 1_000.0;
-        let report = Driver::new(config(Policy::Full), endpoints, 8, SEED)
+        let report = Driver::new(&config(Policy::Full), endpoints, 8, SEED)
             .with_stream(Stream::new(1, SHORT_RUN_MS, per_s))
             .with_change(0, 10_000, behaviour)
             .with_change(0, 20_000, Behaviour::Runs)
@@ -162,7 +162,7 @@
 
 #[test]
 fn a_pool_that_refuses_all_is_left_alone() {
-    let mut driver = Driver::new(config(Policy::Full), 6, 8, SEED);
+    let mut driver = Driver::new(&config(Policy::Full), 6, 8, SEED);
     driver = driver.with_stream(Stream::new(1, SHORT_RUN_MS, 1_000.0).with_deadline_ms(500));
     for endpoint in 0..6 {
         driver = driver.with_change(endpoint, 5_000, Behaviour::Refuses);
@@ -186,7 +186,7 @@
                 if at_one {
                     stream = stream.with_host(0);
                 }
-                Driver::with_hosts(hosts, config(Policy::Full), 12, 8, SEED)
+                Driver::with_hosts(hosts, &config(Policy::Full), 12, 8, SEED)
                     .with_stream(stream.with_deadline_ms(2_000))
                     .run(20_000)
                     .between(5_000, 19_000)
--- a/tests/route_load.rs
+++ b/tests/route_load.rs
@@ -16,7 +16,7 @@
 fn run(case: Case) -> Vec<Run> {
     const SEED: u64 = 3;
     const SCALE: f64 = 0.2;
-    async_std::task::block_on(suite::run(case, SEED, SCALE)).unwrap()
+    async_std::task::block_on(suite::run(case, SEED, SCALE)).expect("the cell starts")
 }
 
 #[test]
@@ -34,7 +34,8 @@
 
 #[test]
 fn wrong_settings_are_reported_together() {
-    let text = "targets: [here]\nplan:\n  service: orders\n  seed: 1\n  phases: []\n  kinds: []\n  \
+    let text =
+        "targets: [here]\nplan:\n  service: orders\n  seed: 1\n  phases: []\n  kinds: []\n  \
                 callers: 1\n  caller_trip_ms: 0\n  body_bytes: 1\n";
     let findings = settings::parse::<RequestLoadConfig>("load.yaml", text).unwrap_err();
     let paths: Vec<&str> = findings.items.iter().map(|finding| finding.path.as_str()).collect();
@@ -69,8 +70,8 @@
 fn tool(arguments: &[&str]) -> String {
     const LIMIT: Duration = Duration::from_secs(60);
     let started = std::time::Instant::now();
-    let output = Command::new(LOAD).args(arguments).output().unwrap();
+    let output = Command::new(LOAD).args(arguments).output().expect("the tool starts");
     assert!(output.status.success(), "{output:?}");
     assert!(started.elapsed() < LIMIT);
-    String::from_utf8(output.stdout).unwrap()
+    String::from_utf8(output.stdout).expect("text")
 }
