--- a/src/bin/hemlock-load.rs
+++ b/src/bin/hemlock-load.rs
@@ -6,16 +6,18 @@
 use clap::{Arg, ArgMatches, Command};
 use eyre::WrapErr as _;
 use hemlockrock::configs::load::{JobLoadConfig, RequestLoadConfig};
+use hemlockrock::configs::log::LogConfig;
 use hemlockrock::load::results::{Results, Run, Window};
 use hemlockrock::load::suite::{self, Case};
 use hemlockrock::load::{connections, driver, jobs, usage};
-use hemlockrock::{clock, settings};
+use hemlockrock::{clock, settings, telemetry};
 
 fn main() -> eyre::Result<()> {
     let matches = command().get_matches();
     if let Some(paths) = matches.get_many::<PathBuf>("compare") {
         return compare(paths.collect());
     }
+    telemetry::start_log(&LogConfig { level: "warn".to_owned(), ..LogConfig::default() })?;
     #[allow(clippy::disallowed_methods, reason = "the top of a binary")]
     async_std::task::block_on(run(&matches))
 }
--- a/tests/route/main.rs
+++ b/tests/route/main.rs
@@ -56,6 +56,25 @@
     }
 }
 
+#[test]
+fn long_work_keeps_its_share_in_an_overload() {
+    const HALF: f64 = 0.5;
+    let slots = 12.0 * 8.0;
+    let short = Stream::new(1, SHORT_RUN_MS, slots / SHORT_RUN_MS * 1_000.0);
+    let long = Stream::new(2, LONG_RUN_MS, slots / LONG_RUN_MS * 1_000.0);
+    let report = Driver::new(&config(Policy::Full), 12, 8, SEED)
+        .with_stream(short.with_deadline_ms(1_000))
+        .with_stream(long.with_deadline_ms(30_000))
+        .run(120_000);
+    let share = |stream: usize| {
+        let good_ms = report.of(|at| at == stream).good_work_ended_ms(30_000, 120_000);
+        good_ms / (slots * 90_000.0)
+    };
+    println!("each asks for all slots: short gets {:.3}, long {:.3}", share(SHORT), share(LONG));
+    assert!(share(LONG) >= 0.8 * HALF);
+    assert!(share(SHORT) + share(LONG) >= 0.95);
+}
+
 #[test]
 fn a_wrong_prior_does_not_matter() {
     for prior_run_ms in [1, 100] {
