--- a/src/configs/entry.rs
+++ b/src/configs/entry.rs
@@ -132,7 +132,7 @@
     fn default() -> Self {
         Self {
             fresh_ms: 1_000,
-            max_idle: 32,
+            max_idle: 8,
             settle_ms: 300,
             guard_slots: 1,
             guard_ms: 10_000,
@@ -153,7 +153,8 @@
 }
 
 /// Settings of the platform's list of live and leaving hosts.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct HostsConfig {
     /// Address of the list, `IP:port`; empty for none.
