--- a/tests/route_load.rs
+++ b/tests/route_load.rs
@@ -16,7 +16,7 @@
 fn run(case: Case) -> Vec<Run> {
     const SEED: u64 = 3;
     const SCALE: f64 = 0.2;
-    async_std::task::block_on(suite::run(case, SEED, SCALE)).unwrap()
+    async_std::task::block_on(suite::run(case, SEED, SCALE)).expect("the cell starts")
 }
 
 #[test]
@@ -70,8 +70,8 @@
 fn tool(arguments: &[&str]) -> String {
     const LIMIT: Duration = Duration::from_secs(60);
     let started = std::time::Instant::now();
-    let output = Command::new(LOAD).args(arguments).output().unwrap();
+    let output = Command::new(LOAD).args(arguments).output().expect("the tool starts");
     assert!(output.status.success(), "{output:?}");
     assert!(started.elapsed() < LIMIT);
-    String::from_utf8(output.stdout).unwrap()
+    String::from_utf8(output.stdout).expect("text")
 }
