--- a/src/bin/hemlock-standin.rs
+++ b/src/bin/hemlock-standin.rs
@@ -5,7 +5,8 @@
 use clap::{Arg, ArgMatches, Command};
 use eyre::WrapErr as _;
 use futures_lite::future;
-use hemlockrock::standin::{proxy, runner, store};
+use hemlockrock::place::spec::Resources;
+use hemlockrock::standin::{hosts, proxy, runner, store, worker};
 
 fn main() -> eyre::Result<()> {
     let matches = command().get_matches();
@@ -32,6 +33,19 @@
                         .help("Requests that it runs at once"),
                 ),
         )
+        .subcommand(
+            Command::new("hosts")
+                .about("The platform's list of live and leaving hosts, which lags behind")
+                .arg(listen())
+                .arg(
+                    Arg::new("lag-ms")
+                        .long("lag-ms")
+                        .default_value("1000")
+                        .value_parser(clap::value_parser!(u64))
+                        .help("Time by which the list lags behind, in milliseconds"),
+                ),
+        )
+        .subcommand(worker_command())
         .subcommand(
             Command::new("proxy")
                 .about("Passes connections on and injects faults")
@@ -53,6 +67,26 @@
         )
 }
 
+fn worker_command() -> Command {
+    let amount = |name: &'static str, default: &'static str, help: &'static str| {
+        let parser = clap::value_parser!(u64);
+        Arg::new(name).long(name).default_value(default).value_parser(parser).help(help)
+    };
+    Command::new("worker")
+        .about("The platform's agent on workers, all on one address")
+        .arg(listen())
+        .arg(
+            Arg::new("name")
+                .long("name")
+                .action(clap::ArgAction::Append)
+                .default_value("worker-1")
+                .help("Name of a worker; may be given many times"),
+        )
+        .arg(amount("cpu-millis", "16000", "Processor time of each, in thousandths of a core"))
+        .arg(amount("memory-bytes", "32000000000", "Memory of each, in bytes"))
+        .arg(amount("accelerators", "0", "Accelerators of each"))
+}
+
 fn listen() -> Arg {
     Arg::new("listen")
         .long("listen")
@@ -65,6 +99,8 @@
     match matches.subcommand() {
         Some(("store", matches)) => run_store(matches).await,
         Some(("runner", matches)) => run_runner(matches).await,
+        Some(("hosts", matches)) => run_hosts(matches).await,
+        Some(("worker", matches)) => run_worker(matches).await,
         Some(("proxy", matches)) => run_proxy(matches).await,
         _ => eyre::bail!("no such stand-in"),
     }
@@ -89,6 +125,29 @@
     future::pending().await
 }
 
+async fn run_hosts(matches: &ArgMatches) -> eyre::Result<()> {
+    let lag_ms = matches.get_one::<u64>("lag-ms").copied().unwrap_or_default();
+    let standin = hosts::HostsStandin::start(&address(matches, "listen")?).await?;
+    standin.change(hosts::HostsChange { lag_ms: Some(lag_ms), hosts: Vec::new() });
+    announce(&standin.address())?;
+    future::pending().await
+}
+
+async fn run_worker(matches: &ArgMatches) -> eyre::Result<()> {
+    let amount = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let accelerators = u32::try_from(amount("accelerators"))?;
+    let means = Resources::new(amount("cpu-millis"), amount("memory-bytes"), accelerators);
+    let names = matches.get_many::<String>("name").unwrap_or_default();
+    let config = worker::WorkerConfig {
+        address: address(matches, "listen")?,
+        workers: names.map(|name| worker::HostedWorker::new(name, means)).collect(),
+        ..worker::WorkerConfig::default()
+    };
+    let standin = worker::WorkerStandin::start(config).await?;
+    announce(&standin.address())?;
+    future::pending().await
+}
+
 async fn run_proxy(matches: &ArgMatches) -> eyre::Result<()> {
     let address_listened = address(matches, "listen")?;
     let target = address(matches, "target")?;
