--- a/src/configs/store.rs
+++ b/src/configs/store.rs
@@ -40,7 +40,7 @@
             budget_wait_ms: 1_000,
             breaker_failures: 3,
             backoff_min_ms: 100,
-            backoff_max_ms: 2_000,
+            backoff_max_ms: 1_500,
         }
     }
 }
--- a/src/membership/session.rs
+++ b/src/membership/session.rs
@@ -265,7 +265,13 @@
     let expect = match (held.written, held.has_joined) {
         (Some(revision), _) => Expect::Modified(revision),
         (None, true) => Expect::Absent,
-        (None, false) => Expect::Any,
+        (None, false) => match read_earlier(shared, &member).await? {
+            Some(entry) if incarnation(&entry) > member.incarnation => {
+                return give_way(shared, lease).await;
+            }
+            Some(entry) => Expect::Modified(entry.modified),
+            None => Expect::Absent,
+        },
     };
     let value = Bytes::from(serde_json::to_vec(&member).unwrap_or_default());
     let put = Put { key: member.key(), value, expect, lease: Some(lease) };
@@ -285,6 +291,16 @@
     }
 }
 
+/// The record that another process of the name has left.
+async fn read_earlier(shared: &Shared, member: &Member) -> Result<Option<Entry>, StoreError> {
+    store::get(shared.store.as_ref(), member.key(), Priority::Control).await
+}
+
+/// Incarnation in a record; 0 if it cannot be read.
+fn incarnation(entry: &Entry) -> u64 {
+    serde_json::from_slice(&entry.value).map_or(0, |member: Member| member.incarnation)
+}
+
 /// Takes up an own record whose write was not confirmed, or gives way to another process.
 async fn adopt(shared: &Shared, lease: LeaseId, current: Option<Entry>) -> Result<(), StoreError> {
     match current {
@@ -292,6 +308,9 @@
             shared.held().written = Some(entry.modified);
             Err(StoreError::Lost("an earlier write of the record took effect".to_owned()))
         }
+        Some(entry) if is_earlier(shared, &entry) => {
+            Err(StoreError::Lost("an earlier process changed its record".to_owned()))
+        }
         Some(_) => give_way(shared, lease).await,
         None => {
             shared.held().written = None;
@@ -299,3 +318,9 @@
         }
     }
 }
+
+/// Whether a record is of an earlier process, from which this one has yet to take the name over.
+fn is_earlier(shared: &Shared, entry: &Entry) -> bool {
+    let own = shared.member().incarnation;
+    !shared.held().has_joined && incarnation(entry) <= own
+}
--- a/src/store/mirror.rs
+++ b/src/store/mirror.rs
@@ -21,7 +21,7 @@
 const RETRY_MIN_MS: u64 = 200;
 
 /// Longest pause before a failed watch is begun again, in milliseconds.
-const RETRY_MAX_MS: u64 = 2_000;
+const RETRY_MAX_MS: u64 = 500;
 
 /// Watches a second when changes come fast; more changes are read by one watch.
 const WATCHES_PER_S: u64 = 5;
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -246,6 +246,7 @@
     eventually("new", SOON_MS, || new.lease().is_some()).await;
     eventually("old gives way", SOON_MS, || old.is_replaced() && old.lease().is_none()).await;
     old.update(|member| member.is_leaving = true);
+    assert!(!new.is_replaced());
     task::sleep(Duration::from_millis(1_500)).await;
     let key = new.member().key();
     let entry = store::get(store.as_ref(), key.as_str(), Priority::Control).await.unwrap().unwrap();
@@ -255,6 +256,27 @@
     eventually("old is back", SOON_MS, || old.lease().is_some()).await;
 }
 
+#[async_std::test]
+async fn a_process_that_joins_late_does_not_take_the_name_of_a_later_one() {
+    let standin = standin().await;
+    let store: Arc<dyn Store> = client(&standin.address());
+    let mut later = member("same", "127.0.0.1:2");
+    later.incarnation = 2;
+    let new = Session::start(Arc::clone(&store), MembershipConfig::default(), later);
+    let key = new.member().key();
+    let read = || store::get(store.as_ref(), key.as_str(), Priority::Control);
+    while read().await.unwrap().is_none() {
+        task::sleep(Duration::from_millis(20)).await;
+    }
+    let old = member("same", "127.0.0.1:1");
+    let old = Session::start(Arc::clone(&store), MembershipConfig::default(), old);
+    eventually("old gives way", SOON_MS, || old.is_replaced()).await;
+    let record: membership::Member =
+        serde_json::from_slice(&read().await.unwrap().unwrap().value).unwrap();
+    assert_eq!(record.address, "127.0.0.1:2");
+    assert!(!new.is_replaced() && new.lease().is_some());
+}
+
 #[async_std::test]
 async fn a_stopped_session_leaves_no_record() {
     let standin = standin().await;
@@ -351,3 +373,18 @@
     let asked = peer::fetch(&peers, &address, &feed::Document::default()).await;
     assert!(asked.unwrap().is_none());
 }
+
+#[async_std::test]
+async fn a_store_at_its_limit_is_not_rushed_and_takes_the_change_in_the_end() {
+    const WRITES_PER_S: u64 = 20;
+    let standin = standin().await;
+    standin.set_faults(Faults { writes_per_s: WRITES_PER_S, ..Faults::default() });
+    let store = client(&standin.address());
+    let mut change = Change::new("anna", "a store at its limit");
+    change.limit_ms = 60_000;
+    let declarations = workers(2_300);
+    let receipt = publish::publish_change(store.as_ref(), &declarations, &change).await;
+    assert_eq!(receipt.unwrap().revision, 1);
+    let counters = standin.counters();
+    assert!(counters.refused <= counters.writes / 2, "{counters:?}");
+}
--- a/tests/control_model.rs
+++ b/tests/control_model/world.rs
@@ -1,36 +1,26 @@
-//! Stateful tests of the control of the cell: operators, watchers and holders over a faulty store.
-//!
-//! The operators and holders are the library's own code, whose store calls
-//! interleave as the steps say. The oracle is the sequence of root records
-//! that the store itself went through.
-
-#![allow(clippy::unwrap_used, reason = "a test stops at what is missing")]
-
-mod control_support;
+//! Operators, watchers and holders over one store, and the oracle that watches them.
 
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
 
-use control_support::{variant, ModelStore};
 use hemlockrock::audit::{self, trail, AuditEntry, Filter};
 use hemlockrock::collections::HashMap;
 use hemlockrock::declarations::feed::{Document, Head, InForce};
 use hemlockrock::declarations::publish::{self, Change, PublishError, Receipt, Root, ROOT};
-use hemlockrock::declarations::{parts, read};
+use hemlockrock::declarations::read;
 use hemlockrock::standin::store::faults::Faults;
 use hemlockrock::store::mirror::Snapshot;
-use hemlockrock::store::settle::{self, Settled};
-use hemlockrock::store::{self, Answer, Expect, LeaseId, Operation, Priority, Put, Revision};
-use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
+use hemlockrock::store::{self, Answer, LeaseId, Operation, Priority, Revision};
+
+use super::control_support::{variant, ModelStore};
+use super::holder;
 
-const OPERATORS: usize = 3;
-const WATCHERS: usize = 2;
-const HOLDERS: usize = 3;
-const LEASE_MS: u64 = 100;
-const HOLDER_KEY: &str = "cell/placers/mid-1";
+pub(super) const OPERATORS: usize = 3;
+pub(super) const WATCHERS: usize = 2;
+pub(super) const HOLDERS: usize = 3;
+pub(super) const LEASE_MS: u64 = 100;
 
 type Task<T> = Pin<Box<dyn Future<Output = T>>>;
 
@@ -55,7 +45,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-enum Step {
+pub(super) enum Step {
     /// An operator begins a change, or goes on with it by some turns.
     Operate {
         operator: usize,
@@ -100,39 +90,6 @@
     },
 }
 
-fn step() -> impl Strategy<Value = Step> {
-    let operate = (0..OPERATORS, 0..4_u64, any::<bool>(), prop::bool::weighted(0.8), 1..30_usize);
-    let operate = operate.prop_map(|(operator, variant, expects, patient, turns)| Step::Operate {
-        operator,
-        variant,
-        expects,
-        patient,
-        turns,
-    });
-    let faults = (any::<u64>(), 0.0..0.6, 0.0..0.3, 0.0..0.5, prop::bool::weighted(0.1), 0..4_u64);
-    let faults = faults.prop_map(|(seed, lose, overload, stale, down, late_every)| Step::Faults {
-        seed,
-        lose,
-        overload,
-        stale,
-        down,
-        late_every,
-    });
-    prop_oneof![
-        12 => operate,
-        2 => (0..WATCHERS).prop_map(|watcher| Step::List { watcher }),
-        3 => (0..WATCHERS).prop_map(|watcher| Step::Watch { watcher }),
-        3 => (0..WATCHERS).prop_map(|watcher| Step::Take { watcher }),
-        1 => (0..WATCHERS).prop_map(|watcher| Step::Restart { watcher }),
-        6 => (0..HOLDERS, 1..4_usize).prop_map(|(holder, turns)| Step::Acquire { holder, turns }),
-        2 => faults,
-        2 => Just(Step::Heal),
-        2 => Just(Step::ApplyLate),
-        1 => Just(Step::Compact),
-        1 => (1..2 * LEASE_MS).prop_map(|elapsed_ms| Step::Advance { elapsed_ms }),
-    ]
-}
-
 #[derive(Default)]
 struct Operator {
     task: Option<Task<Result<Receipt, PublishError>>>,
@@ -153,13 +110,13 @@
 }
 
 /// Everything in one run, and what the store went through.
-struct World {
-    store: Arc<ModelStore>,
+pub(super) struct World {
+    pub(super) store: Arc<ModelStore>,
     operators: Vec<Operator>,
     watchers: Vec<Watcher>,
     holders: Vec<Holder>,
     next_change: u64,
-    roots: Vec<AuditEntry>,
+    pub(super) roots: Vec<AuditEntry>,
     /// Variant of each change, and for those that ended what its operator was told.
     variants: HashMap<String, u64>,
     accepted: HashMap<String, u64>,
@@ -168,7 +125,7 @@
 }
 
 impl World {
-    fn new(earlier_changes: u64) -> Self {
+    pub(super) fn new(earlier_changes: u64) -> Self {
         let mut world = Self {
             store: ModelStore::new(),
             operators: (0..OPERATORS).map(|_| Operator::default()).collect(),
@@ -244,7 +201,7 @@
     }
 
     /// Notes the root that the store has and checks that it follows on the one before.
-    fn observe(&mut self) {
+    pub(super) fn observe(&mut self) {
         let root = self.root();
         let known = self.roots.len() as u64;
         assert!(root.revision >= known, "the accepted revision went back");
@@ -328,7 +285,7 @@
     fn acquire(&mut self, holder: usize) {
         let slot = &mut self.holders[holder];
         let store = Arc::clone(&self.store);
-        let task = slot.task.get_or_insert_with(|| Box::pin(acquire(store, holder)));
+        let task = slot.task.get_or_insert_with(|| Box::pin(holder::acquire(store, holder)));
         let Some(acquired) = turn(task) else { return };
         slot.task = None;
         let Some((_, epoch)) = acquired else { return };
@@ -340,7 +297,7 @@
         }
     }
 
-    fn run(&mut self, step: Step) {
+    pub(super) fn run(&mut self, step: Step) {
         match step {
             Step::Operate { operator, variant, expects, patient, turns } => {
                 if self.operators[operator].task.is_none() {
@@ -373,7 +330,7 @@
     }
 
     /// Lets everything end without faults, then compares with what the store went through.
-    fn settle(&mut self) {
+    pub(super) fn settle(&mut self) {
         self.store.set_faults(Faults::default(), 0);
         for operator in 0..OPERATORS {
             while self.operators[operator].task.is_some() {
@@ -423,68 +380,3 @@
         }
     }
 }
-
-/// Takes the key of a holder, or finds that an earlier write with a lost answer took it.
-async fn acquire(store: Arc<ModelStore>, holder: usize) -> Option<(LeaseId, Revision)> {
-    let lease = store::grant(store.as_ref(), LEASE_MS).await.ok()?;
-    let value = format!("holder-{holder}-{}", lease.0).into_bytes();
-    let put = Put {
-        key: HOLDER_KEY.to_owned(),
-        value: value.into(),
-        expect: Expect::Absent,
-        lease: Some(lease),
-    };
-    let settled = settle::put(store.as_ref(), put.clone(), Priority::Control, 0).await.ok()?;
-    match settled {
-        Settled::Written(revision) => Some((lease, revision)),
-        Settled::InDoubt(_) => {
-            let entry = store::get(store.as_ref(), HOLDER_KEY, Priority::Control).await.ok()??;
-            match settle::judge(&put, Some(entry), true) {
-                Settled::Written(revision) => Some((lease, revision)),
-                _ => None,
-            }
-        }
-        Settled::Conflict(_) | Settled::Superseded(_) => None,
-    }
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 250,
-        rng_seed: RngSeed::Fixed(601),
-        max_shrink_iters: 4_000,
-        ..ProptestConfig::default()
-    })]
-
-    #[test]
-    fn accepted_changes_hold_and_the_trail_is_whole(
-        earlier_changes in prop_oneof![Just(0_u64), Just(30), Just(46)],
-        steps in prop::collection::vec(step(), 1..150),
-    ) {
-        let mut world = World::new(earlier_changes);
-        for step in steps {
-            world.run(step);
-        }
-        world.settle();
-    }
-}
-
-#[test]
-fn segments_stay_bounded_over_many_changes() {
-    const CHANGES: u64 = 1_200;
-    let mut world = World::new(CHANGES);
-    world.settle();
-    assert_eq!(world.roots.len() as u64, CHANGES);
-    let prefix = trail::SEGMENTS.to_owned();
-    let Answer::Entries { entries, .. } = world.store.direct(Operation::List { prefix }) else {
-        panic!("a list");
-    };
-    assert_eq!(entries.len(), 3, "outgrown segments were not collected");
-    assert!(entries.iter().all(|entry| entry.value.len() < store::api::VALUE_LIMIT_BYTES));
-    let prefix = parts::PARTS.to_owned();
-    let Answer::Entries { entries, .. } = world.store.direct(Operation::List { prefix }) else {
-        panic!("a list");
-    };
-    let kept = audit::RECENT_LIMIT * 2 + 2;
-    assert!(entries.len() <= kept, "{} parts are left", entries.len());
-}
