--- a/src/membership.rs
+++ b/src/membership.rs
@@ -34,7 +34,8 @@
     pub zone: String,
     /// Address for calls between daemons, `IP:port`.
     pub address: String,
-    /// Chosen at each start, so that a restarted process differs from the one before.
+    /// Wall time of the start in milliseconds, so that a restarted process differs from the one
+    /// before and goes before it.
     pub incarnation: u64,
     /// Revision of the configuration in force there.
     pub config_revision: u64,
--- a/src/membership/session.rs
+++ b/src/membership/session.rs
@@ -130,7 +130,9 @@
             held.written = None;
         }
         self.valid_until_ms.store(0, Ordering::Release);
-        self.member().incarnation += 1;
+        let mut member = self.member();
+        member.incarnation = member.incarnation.wrapping_add(1);
+        drop(member);
         self.is_dirty.store(true, Ordering::Release);
     }
 }
