--- a/src/place/jobs.rs
+++ b/src/place/jobs.rs
@@ -282,6 +282,21 @@
             }
             kept.version > version
         });
+        if is_ended(&job.state) && job.version <= version && job.unforgotten.is_empty() {
+            self.remove_job(job_id);
+        }
+    }
+
+    /// Forgets a job that has ended and whose end is stored.
+    fn remove_job(&mut self, job_id: &JobId) {
+        let Some(key) = self.job_ids.remove(job_id) else { return };
+        self.dequeue(key);
+        self.drop_claim(key);
+        let Some(job) = self.jobs.remove(key) else { return };
+        for task in job.tasks {
+            self.drop_nomination(task);
+            self.tasks.remove(task);
+        }
     }
 
     /// Whether waiting tasks of a job may run on workers that were not yet read.
@@ -343,7 +358,9 @@
         };
         if is_ended(&state) {
             // Another attempt of a task that ended may still run unseen.
-            if !self.may_run_unseen(key) {
+            let id = &self.jobs[key].id;
+            let has_orphan = self.orphans.values().any(|orphan| orphan.task.job_id == *id);
+            if !has_orphan && !self.may_run_unseen(key) {
                 self.end_job(key, state, out);
             }
         } else if job.state != state {
--- a/src/placer/control.rs
+++ b/src/placer/control.rs
@@ -15,12 +15,16 @@
 use crate::placer::links::Caller;
 use crate::placer::message::{AskError, Message, WriteResult};
 use crate::placer::metrics::Metrics;
+use crate::placer::shares::{self, ShareStep};
 use crate::placer::zone::ZoneNews;
 use crate::store::{self, Priority, Put, PutOutcome, Store, StoreError};
 
 /// Pause after the journal could not be read or claimed, in milliseconds.
 const RETRY_MS: u64 = 200;
 
+/// Pause between turns while calls to workers wait, in milliseconds.
+const CALLS_PAUSE_MS: u64 = 5;
+
 /// Messages that are taken before decisions are sent.
 const BATCH: usize = 256;
 
@@ -38,6 +42,8 @@
     next_tick_ms: u64,
     /// Whether placing was cut short and goes on without waiting.
     has_work: bool,
+    /// Whether calls to workers wait for the next turn.
+    has_calls: bool,
 }
 
 /// A takeover that has not finished: the journal is read and claimed under the new epoch.
@@ -67,6 +73,7 @@
             drain: None,
             next_tick_ms: 0,
             has_work: false,
+            has_calls: false,
         }
     }
 
@@ -76,6 +83,7 @@
         loop {
             let wait_ms = match self.has_work {
                 true => 0,
+                false if self.has_calls => CALLS_PAUSE_MS,
                 false => self.next_tick_ms.saturating_sub(clock::now_ms()),
             };
             match inbox.recv_timeout(Duration::from_millis(wait_ms)) {
@@ -102,13 +110,19 @@
         }
         let is_opening = self.opening.is_some();
         self.has_work = false;
+        self.has_calls = false;
         if let Some(active) = &mut self.active {
             if is_due {
                 active.tick();
             }
             self.has_work = active.go_on();
             let write = active.flush();
+            self.has_calls = active.has_calls();
+            let share_step = active.take_share_step();
             let (epoch, is_fenced) = (active.epoch(), active.is_fenced());
+            if let Some(step) = share_step {
+                self.spawn_share_step(epoch, step);
+            }
             if let Some(write) = write {
                 self.spawn_write(epoch, write);
             }
@@ -125,9 +139,19 @@
             Message::Zone(news) => self.zone_news(news),
             Message::Listed { epoch, result } => self.listed(epoch, result),
             Message::Written { epoch, result } => self.written(epoch, result),
+            Message::QuotaRead { epoch, result } => {
+                if let Some(active) = self.active_of(epoch) {
+                    active.quota_read(result);
+                }
+            }
+            Message::QuotaWritten { epoch, result } => {
+                if let Some(active) = self.active_of(epoch) {
+                    active.quota_written(&result);
+                }
+            }
             Message::Called(called) => {
                 if let Some(active) = self.active_of(called.epoch) {
-                    active.called(called);
+                    active.called(*called);
                 }
             }
             Message::Ask(ask) => match &mut self.active {
@@ -150,7 +174,7 @@
 
     fn declare(&mut self, accepted: Arc<Accepted>) {
         if let Some(active) = &mut self.active {
-            active.step(Event::Declared(Arc::new(accepted.declarations.clone())));
+            active.declare(Arc::new(accepted.declarations.clone()));
         }
         self.declared = accepted;
     }
@@ -308,6 +332,23 @@
         });
     }
 
+    fn spawn_share_step(&self, epoch: u64, step: ShareStep) {
+        let (store, messages) = (Arc::clone(&self.store), self.messages.clone());
+        task::spawn(async move {
+            let message = match step {
+                ShareStep::Read => {
+                    let result = store::get(store.as_ref(), shares::KEY, Priority::Record).await;
+                    Message::QuotaRead { epoch, result }
+                }
+                ShareStep::Write(put) => {
+                    let result = store::put(store.as_ref(), put, Priority::Record).await;
+                    Message::QuotaWritten { epoch, result }
+                }
+            };
+            let _ = messages.send(message);
+        });
+    }
+
     fn spawn_write(&self, epoch: u64, write: Write) {
         let (store, messages) = (Arc::clone(&self.store), self.messages.clone());
         task::spawn(async move {
