--- a/src/placer/active.rs
+++ b/src/placer/active.rs
@@ -151,6 +151,7 @@
     /// Time passed.
     pub(crate) fn tick(&mut self) {
         self.step(Event::Tick);
+        self.links.poll(clock::now_ms());
         self.time_out_waiters();
         self.metrics.jobs.set(i64::try_from(self.journal.len()).unwrap_or(i64::MAX));
     }
--- a/src/placer/active/results.rs
+++ b/src/placer/active/results.rs
@@ -7,7 +7,7 @@
 use crate::inventory::WorkerKey;
 use crate::jobs::api::SubmitOutcome;
 use crate::jobs::journal::Met;
-use crate::place::message::{JobId, Refusal};
+use crate::place::message::{AttemptReport, AttemptState, JobId, Refusal};
 use crate::place::Event;
 use crate::placer::message::{AskError, CallFailure, Called, WriteResult};
 use crate::placer::wire::WorkerCall;
@@ -34,6 +34,12 @@
             self.is_fenced = true;
             return;
         }
+        let has_ended = |item: &AttemptReport| matches!(item.state, AttemptState::Ended(_));
+        let has_news =
+            answer.report.as_ref().is_some_and(|update| update.changed.iter().any(has_ended));
+        if has_news || !answer.begun.is_empty() {
+            self.links.note_activity(worker, clock::now_ms());
+        }
         for attempt in answer.begun {
             self.step(Event::Confirmed { attempt });
         }
--- a/src/placer/links.rs
+++ b/src/placer/links.rs
@@ -19,6 +19,13 @@
 /// Pause before what a failed call carried is sent again, in milliseconds.
 const RETRY_MS: u64 = 1_000;
 
+/// First pause after a start or an end until the worker is asked again, in milliseconds; it doubles
+/// until [`LAST_POLL_MS`], then the renewals are enough.
+const FIRST_POLL_MS: u64 = 500;
+
+/// Longest pause between two polls, in milliseconds.
+const LAST_POLL_MS: u64 = 2_000;
+
 /// Where and how workers are called.
 #[derive(Clone, Debug)]
 pub(crate) struct Caller {
@@ -45,6 +52,8 @@
     is_due: bool,
     /// Time before which nothing is sent after a failed call, in milliseconds.
     not_before_ms: u64,
+    /// When the worker is asked for a report again, and the pause before that.
+    poll: Option<(u64, u64)>,
 }
 
 impl Links {
@@ -68,6 +77,29 @@
         }
     }
 
+    /// Something began or ended on the worker: more is likely to end soon.
+    pub(crate) fn note_activity(&mut self, worker: WorkerKey, now_ms: u64) {
+        if let Some(link) = self.links.get_mut(&worker) {
+            link.poll = Some((now_ms + FIRST_POLL_MS, FIRST_POLL_MS));
+        }
+    }
+
+    /// Asks the workers for reports on which something began or ended lately.
+    pub(crate) fn poll(&mut self, now_ms: u64) {
+        for (worker, link) in &mut self.links {
+            let Some((at_ms, pause_ms)) = link.poll.filter(|(at_ms, _)| *at_ms <= now_ms) else {
+                continue;
+            };
+            let next_ms = pause_ms * 2;
+            link.poll = (next_ms <= LAST_POLL_MS).then_some((at_ms + next_ms, next_ms));
+            link.outbox.wants_report = true;
+            if !link.is_due {
+                link.is_due = true;
+                self.due.push(*worker);
+            }
+        }
+    }
+
     /// Sends again, after a pause, what a failed call carried, but for its starts. All of it is
     /// idempotent, and a renewal lengthens no lease beyond its token.
     pub(crate) fn retry(&mut self, worker: WorkerKey, call: &WorkerCall, now_ms: u64) {
