--- a/benches/place.rs
+++ b/benches/place.rs
@@ -1,6 +1,6 @@
 //! Cost of placement decisions, packing, and waits of gangs.
 //!
-//! `cargo bench --bench place -- cost|packing|gangs|memory [seeds]`
+//! `cargo bench --bench place -- cost|steps|packing|gangs|memory [seeds]`
 
 mod place {
     pub(crate) mod cell;
@@ -8,6 +8,7 @@
     pub(crate) mod gangs;
     pub(crate) mod memory;
     pub(crate) mod packing;
+    pub(crate) mod steps;
 }
 
 use std::io::Write as _;
@@ -20,6 +21,9 @@
     if matches!(which, "cost" | "all") {
         place::cost::run(&mut out)?;
     }
+    if matches!(which, "steps" | "all") {
+        place::steps::run(&mut out)?;
+    }
     if matches!(which, "packing" | "all") {
         place::packing::run(&mut out, seeds)?;
     }
--- a/benches/place/cost.rs
+++ b/benches/place/cost.rs
@@ -22,7 +22,7 @@
     Resources::new(size.cpu_millis.min(4_000), size.memory_bytes.min(8 * GIB), size.accelerators)
 }
 
-fn measure(workers: usize, policy: Policy) -> (Histogram<u64>, f64, usize) {
+fn measure(workers: usize, policy: Policy, waiting: usize) -> (Histogram<u64>, f64, usize) {
     let mut zone = Zone::new(workers, policy, 1);
     let mut sizes = Sizes::new(7);
     let wanted = TASKS_AT_FULL_SIZE * workers / 2_300;
@@ -35,6 +35,12 @@
         }
         running.extend(started);
     }
+    for _ in 0..waiting {
+        // Work that fits nowhere yet, of many sizes.
+        let size = sizes.next();
+        let size = Resources::new(24_000 + size.cpu_millis / 4, size.memory_bytes, 0);
+        zone.submit(JobSpec::new("range", 1).with_resources(size));
+    }
     let mut histogram = Histogram::new(3).expect("a histogram of three digits");
     let (mut placed, mut spent_ns) = (0_u64, 0_u64);
     for _ in 0..DECISIONS {
@@ -42,12 +48,15 @@
         let index = (sizes.unit() * 1e9) as usize % running.len();
         let ended = running.swap_remove(index);
         zone.out.clear();
+        let began = Instant::now();
         zone.step(Event::Ended { attempt: ended, end: End::Finished });
+        let ended_ns = u64::try_from(began.elapsed().as_nanos()).unwrap_or(u64::MAX);
         running.extend(zone.started());
         let spec = JobSpec::new("range", 1).with_resources(modest(&mut sizes));
         let began = Instant::now();
         let started = zone.submit(spec);
         let took_ns = u64::try_from(began.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        let took_ns = if waiting > 0 { took_ns + ended_ns } else { took_ns };
         histogram.record(took_ns).expect("within bounds");
         spent_ns += took_ns;
         placed += started.len() as u64;
@@ -61,9 +70,11 @@
 pub(crate) fn run(out: &mut impl Write) -> io::Result<()> {
     writeln!(out, "cost: {DECISIONS} decisions, one thread; a task ends before each")?;
     writeln!(out, "policy     workers  running  p50_us  p99_us  max_us  placements_per_s")?;
-    for policy in [Policy::FirstFit, Policy::BestFit, Policy::Full] {
+    let policies = [Policy::FirstFit, Policy::BestFit, Policy::Full].map(|policy| (policy, 0));
+    // The last row has ten thousand waiting jobs; the step of the end counts there as well.
+    for (policy, waiting) in policies.into_iter().chain([(Policy::Full, 10_000)]) {
         for workers in [50, 500, 2_300] {
-            let (histogram, rate, running) = measure(workers, policy);
+            let (histogram, rate, running) = measure(workers, policy, waiting);
             #[allow(clippy::cast_precision_loss, reason = "a time needs no more")]
             let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1e3;
             let name = format!("{policy:?}");
--- a/benches/place/gangs.rs
+++ b/benches/place/gangs.rs
@@ -162,7 +162,10 @@
                     part.cpu_millis as f64 / stats.capacity.cpu_millis.max(1) as f64
                 };
                 self.waits.used_share += share(stats.reserved);
-                self.waits.idle_share += share(stats.claimed);
+                // Room is held from others only while some other work waits.
+                if self.pending.values().any(|job| !job.is_gang) {
+                    self.waits.idle_share += share(stats.claimed);
+                }
                 steps += 1.0;
             }
         }
--- a/src/configs/place.rs
+++ b/src/configs/place.rs
@@ -35,6 +35,8 @@
     pub silent_after_ms: u64,
     /// Time for which answers of the workers stand in for the store's word, in milliseconds.
     pub holding_window_ms: u64,
+    /// Waiting jobs looked at in one step before the step is cut short.
+    pub looks_per_step: usize,
     /// Searches for a worker in one step that may fail before the step is cut short.
     pub searches_per_step: usize,
     /// Tasks placed in one step before the step is cut short.
@@ -68,7 +70,8 @@
             renew_every_ms: 2_000,
             silent_after_ms: 5_000,
             holding_window_ms: 5_000,
-            searches_per_step: 512,
+            looks_per_step: 2_048,
+            searches_per_step: 64,
             placements_per_step: 256,
             preemptions_per_step: 64,
             nomination_timeout_ms: 3_000,
@@ -91,7 +94,12 @@
         report.require(silent, "silent_after_ms", "expected more than renew_every_ms");
         let margin = self.clock_margin_ms < self.task_lease_ms;
         report.require(margin, "clock_margin_ms", "expected less than task_lease_ms");
-        let counts = [self.searches_per_step, self.placements_per_step, self.preemptions_per_step];
+        let counts = [
+            self.looks_per_step,
+            self.searches_per_step,
+            self.placements_per_step,
+            self.preemptions_per_step,
+        ];
         report.require(!counts.contains(&0), "placements_per_step", "expected at least 1");
         report.require(self.claim_every_ms > 0, "claim_every_ms", "expected at least 1");
         let poison = self.poison_after_workers > 1 && self.poison_after_failures > 1;
--- a/src/place.rs
+++ b/src/place.rs
@@ -18,6 +18,7 @@
 pub mod spec;
 pub mod state;
 mod upkeep;
+mod wake;
 mod workers;
 
 pub use message::{Action, Event};
--- a/src/place/assign.rs
+++ b/src/place/assign.rs
@@ -6,31 +6,50 @@
 use super::jobs::has_labels;
 use super::life::{TaskEvent, TaskState};
 use super::message::{Action, Attempt, TaskId};
-use super::placer::{Placer, Wake};
+use super::placer::Placer;
 use super::policy::{Scoring, Shape, Surroundings};
-use super::queue::{TeamKey, TeamPlace, LEVELS};
-use super::spec::{JobKind, Resources};
-use super::state::{JobKey, TaskKey};
-use crate::collections::HashMap;
+use super::queue::{TeamKey, LEVELS};
+use super::spec::{JobKind, Priority, Resources};
+use super::state::{JobKey, TaskKey, WorkerView};
+use super::wake::Sweep;
+use crate::collections::{HashMap, HashSet};
 use crate::configs::place::Policy;
 use crate::inventory::{RackKey, WorkerKey};
 
+/// Failed searches that one try of a gang counts for.
+const GANG_SEARCHES: usize = 8;
+
 /// Sizes that found no room in this pass; a larger one need not be tried.
 const REMEMBERED_SIZES: usize = 16;
 
-/// What one pass over the waiting jobs has learned.
-#[derive(Debug, Default)]
+/// What one step over the waiting jobs has learned and may still do.
+#[derive(Debug)]
 struct Pass {
-    /// For each team, the last job that could not be placed.
-    after: HashMap<TeamKey, u64>,
     /// Sizes that fit on no worker.
     too_large: Vec<Resources>,
-    /// Searches that are left before the pass is cut short.
+    /// Free room of the workers that got room, if only they changed.
+    freed: Option<Vec<Resources>>,
+    /// Teams of which some job was held back by the quota before.
+    quota_bound: HashSet<TeamKey>,
+    /// Jobs that may still be looked at.
+    looks: usize,
+    /// Searches for a worker that may still fail.
     searches: usize,
-    /// Placements that are left before the pass is cut short.
+    /// Tasks that may still be placed.
     placements: usize,
 }
 
+impl Pass {
+    fn is_over(&self) -> bool {
+        self.looks == 0 || self.searches == 0 || self.placements == 0
+    }
+
+    /// Whether one task of this size fits where room was freed.
+    fn may_fit(&self, size: Resources) -> bool {
+        self.freed.as_ref().is_none_or(|freed| freed.iter().any(|room| size.fits(*room)))
+    }
+}
+
 /// Tasks of the job on the rack, on the worker, then the score of the room.
 type SpreadScore = (u32, u32, f32);
 
@@ -46,68 +65,95 @@
 impl Placer {
     /// Places waiting tasks if something changed that may let them start.
     pub(crate) fn assign(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        if self.wake == Wake::Nothing || !self.is_sure_to_hold(now_ms) {
+        let is_idle = self.wake.is_nothing() && self.sweep.is_none();
+        if is_idle || !self.is_sure_to_hold(now_ms) {
             return;
         }
         let mut pass = Pass {
+            too_large: Vec::new(),
+            freed: None,
+            quota_bound: HashSet::default(),
+            looks: self.config.looks_per_step,
             searches: self.config.searches_per_step,
             placements: self.config.placements_per_step,
-            ..Pass::default()
         };
-        match std::mem::take(&mut self.wake) {
-            Wake::Nothing => return,
-            Wake::Jobs(jobs) => self.assign_jobs(&jobs, &mut pass, now_ms, out),
-            Wake::All => self.assign_all(&mut pass, now_ms, out),
+        let wake = std::mem::take(&mut self.wake);
+        if wake.is_all() {
+            self.sweep = Some(Sweep { level: LEVELS - 1, ..Sweep::default() });
         }
-        if pass.placements == 0 {
-            self.wake = Wake::All;
+        if !wake.workers().is_empty() {
+            let free = |worker: &WorkerKey| self.workers.get(*worker).map(WorkerView::free);
+            pass.freed = Some(wake.workers().iter().filter_map(free).collect());
+            let mut sweep = Sweep { level: LEVELS - 1, ..Sweep::default() };
+            pass.quota_bound = std::mem::take(&mut self.quota_bound);
+            if !self.sweep_on(&mut sweep, &mut pass, now_ms, out) {
+                self.quota_bound.extend(pass.quota_bound.drain());
+            }
+            pass.freed = None;
+            pass.too_large.clear();
+        }
+        for &job in wake.jobs() {
+            self.assign_job(job, &mut pass, now_ms, out);
+        }
+        pass.too_large.clear();
+        if let Some(mut sweep) = self.sweep.take() {
+            if !self.sweep_on(&mut sweep, &mut pass, now_ms, out) {
+                self.sweep = Some(sweep);
+            }
+        } else if pass.placements == 0 {
+            self.wake.all();
         }
     }
 
-    fn assign_jobs(
+    fn assign_job(&mut self, job: JobKey, pass: &mut Pass, now_ms: u64, out: &mut Vec<Action>) {
+        while !pass.is_over() && self.assign_one(job, pass, now_ms, out) == Outcome::Placed {}
+    }
+
+    /// Goes on with a look at all waiting jobs; returns whether it came to the end.
+    fn sweep_on(
         &mut self,
-        jobs: &[JobKey],
+        sweep: &mut Sweep,
         pass: &mut Pass,
         now_ms: u64,
         out: &mut Vec<Action>,
-    ) {
-        for &job in jobs {
-            while pass.placements > 0 && self.assign_one(job, pass, now_ms, out) == Outcome::Placed
-            {
+    ) -> bool {
+        loop {
+            while let Some(next) = self.queue.next_team(sweep.level, sweep.place) {
+                if pass.is_over() {
+                    return false;
+                }
+                self.assign_team(sweep, next.1, pass, now_ms, out);
+                if !pass.is_over() {
+                    sweep.place = Some(next);
+                }
             }
-        }
-    }
-
-    fn assign_all(&mut self, pass: &mut Pass, now_ms: u64, out: &mut Vec<Action>) {
-        for level in (0..LEVELS).rev() {
-            pass.after.clear();
-            let mut place = None;
-            while pass.placements > 0 && pass.searches > 0 {
-                let Some(next) = self.queue.next_team(level, place) else { break };
-                self.assign_team(level, next, pass, now_ms, out);
-                place = Some(next);
+            if sweep.level == 0 {
+                return true;
             }
+            *sweep = Sweep { level: sweep.level - 1, ..Sweep::default() };
         }
     }
 
     /// Places one task, or one whole job, of a team; the team comes up again with its new use.
     fn assign_team(
         &mut self,
-        level: usize,
-        (_, team): TeamPlace,
+        sweep: &mut Sweep,
+        team: TeamKey,
         pass: &mut Pass,
         now_ms: u64,
         out: &mut Vec<Action>,
     ) {
-        let mut after = pass.after.get(&team).copied().unwrap_or(0);
-        while pass.searches > 0 {
-            let Some((sequence, job)) = self.queue.next_job(team, level, after) else { break };
+        let mut after = sweep.after.get(&team).copied().unwrap_or(0);
+        while !pass.is_over() {
+            let Some((sequence, job)) = self.queue.next_job(team, sweep.level, after) else {
+                break;
+            };
             if self.assign_one(job, pass, now_ms, out) == Outcome::Placed {
                 break;
             }
             after = sequence;
         }
-        pass.after.insert(team, after);
+        sweep.after.insert(team, after);
     }
 
     fn assign_one(
@@ -121,21 +167,30 @@
         if job.is_restored && self.is_locating || now_ms < job.not_before_ms {
             return Outcome::Blocked;
         }
+        pass.looks = pass.looks.saturating_sub(1);
         let size = self.size_of(key);
+        let is_urgent = job.spec.priority == Priority::Urgent;
+        let is_quota_bound = pass.quota_bound.contains(&job.team);
         let lacks_members = job.ruling.is_whole && job.placed_count > 0;
-        let is_plain = job.is_plain() && !self.has_claim() && !lacks_members;
+        if !pass.may_fit(size) && !is_urgent && !is_quota_bound && !lacks_members {
+            return Outcome::Blocked;
+        }
+        let has_room_made = !job.nominated.is_empty();
+        let is_plain = job.is_plain() && !self.has_claim() && !lacks_members && !has_room_made;
         if is_plain && pass.too_large.iter().any(|known| known.fits(size)) {
             return Outcome::Blocked;
         }
         if job.ruling.is_whole {
-            pass.searches = pass.searches.saturating_sub(job.spec.tasks as usize);
+            pass.searches = pass.searches.saturating_sub(GANG_SEARCHES);
             return self.assign_gang(key, now_ms, out);
         }
         let Some(mut task) = self.next_waiting(key) else {
             self.dequeue(key);
             return Outcome::Blocked;
         };
-        if !self.quota_allows(self.jobs[key].team, size) {
+        let team = self.jobs[key].team;
+        if !self.quota_allows(team, size) {
+            self.quota_bound.insert(team);
             return Outcome::Blocked;
         }
         if let Some(nominated) = self.ready_nomination(key, size) {
@@ -144,10 +199,10 @@
         if let Some(worker) = self.choose(key, task, size, now_ms) {
             self.start(task, worker, size, now_ms, out);
             self.use_spare(key, worker, size, self.expected_end_ms(&self.jobs[key], now_ms));
-            pass.placements -= 1;
+            pass.placements = pass.placements.saturating_sub(1);
             return Outcome::Placed;
         }
-        pass.searches -= 1;
+        pass.searches = pass.searches.saturating_sub(1);
         if is_plain && pass.too_large.len() < REMEMBERED_SIZES {
             pass.too_large.push(size);
         }
--- a/src/place/gang.rs
+++ b/src/place/gang.rs
@@ -86,7 +86,7 @@
     pub(crate) fn drop_claim(&mut self, key: JobKey) {
         if self.claim.as_ref().is_some_and(|claim| claim.job == key) {
             self.claim = None;
-            self.wake = super::placer::Wake::All;
+            self.wake.all();
         }
     }
 
@@ -209,7 +209,14 @@
                 return;
             }
         }
-        self.claim = self.make_claim(key, size, u64::from(count), now_ms);
+        let claim = self.make_claim(key, size, u64::from(count), now_ms);
+        let is_kept = |worker: &WorkerKey| {
+            claim.as_ref().is_some_and(|claim| claim.parts.contains_key(worker))
+        };
+        let freed = self.claim.iter().flat_map(|claim| claim.parts.keys());
+        let freed: Vec<WorkerKey> = freed.filter(|worker| !is_kept(worker)).copied().collect();
+        freed.into_iter().for_each(|worker| self.wake.worker(worker));
+        self.claim = claim;
     }
 
     fn goes_before(&self, key: JobKey, other: JobKey) -> bool {
--- a/src/place/health.rs
+++ b/src/place/health.rs
@@ -6,7 +6,7 @@
 
 use super::life::{TaskEvent, WorkerEvent, WorkerState};
 use super::message::{Action, StopMode};
-use super::placer::{Placer, Wake};
+use super::placer::Placer;
 use super::state::{JobKey, TaskKey};
 use crate::inventory::WorkerKey;
 
@@ -140,7 +140,7 @@
             }
             self.delayed.pop_first();
             if self.jobs.contains_key(key) {
-                self.wake = Wake::All;
+                self.wake.job(key);
             }
         }
         let due = |view: &super::state::WorkerView| {
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -16,24 +16,13 @@
 use super::rules::Rules;
 use super::spec::Resources;
 use super::state::{Job, JobKey, Orphan, Task, TaskKey, WorkerView};
+use super::wake::{Sweep, Wake};
 use crate::collections::{HashMap, HashSet};
 use crate::configs::place::PlaceConfig;
 use crate::declarations::Declarations;
 use crate::inventory::{Change, Inventory, WorkerKey};
 use crate::quota::Shares;
 
-/// Which waiting jobs may have become placeable.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(crate) enum Wake {
-    /// None.
-    #[default]
-    Nothing,
-    /// These.
-    Jobs(Vec<JobKey>),
-    /// Any.
-    All,
-}
-
 /// Decides for one zone which worker runs which task.
 ///
 /// ```
@@ -90,6 +79,9 @@
     /// Capacity of the workers that take tasks.
     pub(crate) open_capacity: Resources,
     pub(crate) wake: Wake,
+    pub(crate) sweep: Option<Sweep>,
+    /// Teams of which some job was held back by the quota since limits last changed.
+    pub(crate) quota_bound: HashSet<TeamKey>,
     /// Jobs that wait for a time before they are tried again.
     pub(crate) delayed: BTreeSet<(u64, JobKey)>,
     pub(crate) dirty_jobs: Vec<JobKey>,
@@ -131,7 +123,9 @@
             planned_victims: HashSet::default(),
             claim: None,
             open_capacity: Resources::default(),
-            wake: Wake::Nothing,
+            wake: Wake::default(),
+            sweep: None,
+            quota_bound: HashSet::default(),
             delayed: BTreeSet::new(),
             dirty_jobs: Vec::new(),
             renewing: Vec::new(),
@@ -211,7 +205,8 @@
 
     /// Whether work was left over that the next step should go on with.
     pub fn has_work(&self, now_ms: u64) -> bool {
-        self.wake != Wake::Nothing && self.epoch.is_some() && self.is_sure_to_hold(now_ms)
+        let is_idle = self.wake.is_nothing() && self.sweep.is_none();
+        !is_idle && self.epoch.is_some() && self.is_sure_to_hold(now_ms)
     }
 
     fn declare(&mut self, declarations: Arc<Declarations>, now_ms: u64) {
@@ -228,7 +223,7 @@
             }
         }
         self.refresh_limits();
-        self.wake = Wake::All;
+        self.wake.all();
     }
 
     /// Moves a task through its chart and keeps the reservations and counts in step.
@@ -274,6 +269,9 @@
         if waits(after) && !waits(before) {
             job.waiting.push_back(key);
             self.enqueue(job_key);
+        } else if job.ruling.is_whole && job.waiting_count > 0 && !waits(before) {
+            // A gang that lacks members is tried again once the others are settled.
+            self.wake.job(job_key);
         }
     }
 
@@ -281,12 +279,7 @@
     pub(crate) fn enqueue(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(key) else { return };
         self.queue.add(job.team, job.spec.priority, job.sequence, key);
-        match &mut self.wake {
-            Wake::All => {}
-            Wake::Jobs(jobs) if jobs.len() < WOKEN_JOBS => jobs.push(key),
-            Wake::Jobs(_) => self.wake = Wake::All,
-            Wake::Nothing => self.wake = Wake::Jobs(vec![key]),
-        }
+        self.wake.job(key);
     }
 
     /// Takes a job out of the queue; its waiting tasks, if any, are not tried.
@@ -316,9 +309,6 @@
             }
         }
         self.refresh_room(worker);
-        self.wake = Wake::All;
+        self.wake.worker(worker);
     }
 }
-
-/// Jobs that are woken one by one; more wake the whole queue.
-const WOKEN_JOBS: usize = 16;
--- a/src/place/preempt.rs
+++ b/src/place/preempt.rs
@@ -2,7 +2,7 @@
 
 use super::life::TaskState;
 use super::message::{Action, StopMode};
-use super::placer::{Placer, Wake};
+use super::placer::Placer;
 use super::spec::{Priority, Resources};
 use super::state::{JobKey, TaskKey, WorkerView};
 use crate::inventory::WorkerKey;
@@ -251,6 +251,10 @@
             view.nominated = view.nominated.minus(nomination.size);
         }
         self.refresh_room(nomination.worker);
+        self.wake.worker(nomination.worker);
+        if let Some(job) = self.tasks.get(task).map(|task| task.job) {
+            self.wake.job(job);
+        }
     }
 
     /// Drops the nominations for a worker that went silent.
@@ -272,6 +276,5 @@
         }
         dropped.sort_unstable();
         dropped.into_iter().for_each(|task| self.drop_nomination(task));
-        self.wake = Wake::All;
     }
 }
--- a/src/place/report.rs
+++ b/src/place/report.rs
@@ -2,7 +2,7 @@
 
 use super::life::{TaskEvent, TaskState, WorkerEvent};
 use super::message::{Action, Attempt, AttemptReport, AttemptState, End, StopMode, WorkerReport};
-use super::placer::{Placer, Wake};
+use super::placer::Placer;
 use super::state::{Orphan, TaskKey};
 use crate::inventory::WorkerKey;
 
@@ -178,7 +178,7 @@
             view.orphans.retain(|held| *held != attempt);
         }
         self.refresh_room(orphan.worker);
-        self.wake = Wake::All;
+        self.wake.worker(orphan.worker);
     }
 
     /// Tasks held here that the report does not list: gone for certain if the barrier covers them.
--- a/src/place/upkeep.rs
+++ b/src/place/upkeep.rs
@@ -4,7 +4,7 @@
 
 use super::life::{TaskState, WorkerEvent, WorkerState};
 use super::message::{Action, JobId, StopMode};
-use super::placer::{Placer, Wake};
+use super::placer::Placer;
 use super::rules::Rules;
 use super::spec::{JobKind, JobSpec, Resources};
 use super::state::{Job, JobKey, TaskKey};
@@ -177,7 +177,8 @@
     pub(crate) fn set_shares(&mut self, shares: Arc<Shares>) {
         self.shares = Some(shares);
         self.refresh_limits();
-        self.wake = Wake::All;
+        self.quota_bound.clear();
+        self.wake.all();
     }
 
     /// Brings the limits of all teams in step with the shares of the zone.
--- a/src/place/workers.rs
+++ b/src/place/workers.rs
@@ -2,7 +2,7 @@
 
 use super::life::{TaskEvent, WorkerEvent, WorkerState};
 use super::message::{Action, Attempt, StopMode};
-use super::placer::{Placer, Wake};
+use super::placer::Placer;
 use super::state::{JobKey, WorkerView};
 use crate::inventory::WorkerKey;
 
@@ -50,7 +50,9 @@
         self.nominations.clear();
         self.delayed.clear();
         self.claim = None;
-        self.wake = Wake::Nothing;
+        self.wake = super::wake::Wake::default();
+        self.sweep = None;
+        self.quota_bound.clear();
         let marks = self.rules.mark_count();
         for view in self.workers.values_mut() {
             *view = WorkerView::new(view.row, view.capacity, marks, 0);
@@ -92,7 +94,7 @@
         let was_open = self.index.is_open(view.row);
         if is_open && !was_open {
             self.open_capacity = self.open_capacity.plus(view.capacity);
-            self.wake = Wake::All;
+            self.wake.worker(key);
         } else if was_open && !is_open {
             self.open_capacity = self.open_capacity.minus(self.index.entry(view.row).capacity);
         } else if is_open {
@@ -184,7 +186,7 @@
         if self.is_restored && (unread == 0 || lapsed) {
             self.is_locating = false;
             self.unlocated_teams.clear();
-            self.wake = Wake::All;
+            self.wake.all();
             self.settle_restored(now_ms, out);
         }
     }
