--- a/src/route/results.rs
+++ b/src/route/results.rs
@@ -77,13 +77,12 @@
         now_ms: u64,
     ) {
         let service = &mut self.services[at];
-        let tail_ms = service.kinds.estimate(request.submission.kind).tail_ms * HOLD_TAILS;
-        let hold_ms = (tail_ms as u64).min(self.config.lost_hold_ms);
-        let until_ms = sent_at_ms + hold_ms;
-        if until_ms > now_ms {
-            service.pool.update(endpoint, now_ms, |state| state.hold(until_ms, now_ms));
-            self.timers.push(until_ms, Timer::Refresh(endpoint));
-        }
+        let tail_ms = service.kinds.estimate(request.submission.kind).tail_ms;
+        let usual_end_ms = sent_at_ms + (tail_ms * HOLD_TAILS) as u64;
+        let until_ms = usual_end_ms.max(now_ms + tail_ms as u64);
+        let until_ms = until_ms.min(now_ms + self.config.lost_hold_ms);
+        service.pool.update(endpoint, now_ms, |state| state.hold(until_ms, now_ms));
+        self.timers.push(until_ms, Timer::Refresh(endpoint));
     }
 
     /// Whether the end of a send says something about the endpoint.
--- a/tests/route/rules.rs
+++ b/tests/route/rules.rs
@@ -147,6 +147,11 @@
     let prior_ms = RouteConfig::default().prior_run_ms;
     assert!(sends(&bench.wait(prior_ms)).is_empty());
     assert_eq!(sends(&bench.wait(prior_ms)), [FIRST]);
+    bench.submit(3, false);
+    bench.wait(10 * prior_ms);
+    assert!(sends(&bench.end(2, FIRST, LOST)).is_empty(), "it may have begun late");
+    assert!(sends(&bench.wait(prior_ms - 1)).is_empty());
+    assert_eq!(sends(&bench.wait(1)), [FIRST]);
 }
 
 #[test]
