--- a/src/entry.rs
+++ b/src/entry.rs
@@ -29,6 +29,7 @@
 use crate::configs::entry::EntryConfig;
 use crate::configs::http::HttpConfig;
 use crate::declarations::feed::Feed;
+use crate::declarations::peer::Peers;
 use crate::drain::{Drain, Drained};
 use crate::http::client::Pool;
 use crate::http::server::Server;
@@ -103,7 +104,8 @@
         let store: Arc<dyn Store> =
             Arc::new(HttpStore::new(config.store.clone(), Pool::new(store_http(&config))));
         let mirror = Mirror::start(Arc::clone(&store), config.store.watch_wait_ms);
-        let feed = Feed::start(mirror.clone(), Arc::clone(&store));
+        let sources = config_peers(&config);
+        let feed = Feed::start_with_peers(mirror.clone(), Arc::clone(&store), sources);
         let member = own_member(&config, address);
         let session = Session::start(Arc::clone(&store), config.membership.clone(), member);
         let authority = Authority::new(session.clone());
@@ -256,6 +258,13 @@
     HttpConfig { max_body_bytes: STORE_ANSWER_BYTES, ..config.http.clone() }
 }
 
+/// Daemons that are asked for the configuration while the store is away.
+fn config_peers(config: &EntryConfig) -> Peers {
+    let pool = Pool::new(store_http(config));
+    let zone = config.zone.as_str();
+    Peers::new(config.membership.peers.clone(), pool, config.token.as_str(), zone)
+}
+
 fn peer_http(config: &EntryConfig) -> HttpConfig {
     HttpConfig {
         idle_timeout_ms: config.endpoints.fresh_ms,
--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -8,6 +8,7 @@
 
 use crate::clock;
 use crate::collections::HashSet;
+use crate::declarations;
 use crate::http::error::ApiError;
 use crate::http::rpc;
 use crate::http::server::{self, CallerLink};
@@ -28,7 +29,9 @@
 
 /// The application that an entry host serves.
 pub(super) fn app(shared: Arc<Shared>) -> tide::Server<Arc<Shared>> {
+    let (feed, token) = (shared.feed.clone(), shared.config.token.clone());
     let mut app = tide::with_state(shared);
+    declarations::peer::mount(&mut app, feed, token);
     app.at("/v1/services/:service/requests").post(take_request);
     app.at("/v1/services/:service/requests/:key").delete(cancel_request);
     app.at(peer::REQUESTS_PATH).post(take_peer_request);
--- a/src/placer/daemon.rs
+++ b/src/placer/daemon.rs
@@ -11,6 +11,7 @@
 use crate::clock;
 use crate::configs::placer::PlacerConfig;
 use crate::declarations::feed::Feed;
+use crate::declarations::peer::{self, Peers};
 use crate::drain::{Drain, Drained};
 use crate::http::client::Pool;
 use crate::http::server::Server;
@@ -57,7 +58,13 @@
         let pool = Pool::new(config.http.clone());
         let store: Arc<dyn Store> = Arc::new(HttpStore::new(config.store.clone(), pool.clone()));
         let mirror = Mirror::start(Arc::clone(&store), config.store.watch_wait_ms);
-        let feed = Feed::start(mirror.clone(), Arc::clone(&store));
+        let sources = Peers::new(
+            config.membership.peers.clone(),
+            pool.clone(),
+            config.token.as_str(),
+            config.zone.as_str(),
+        );
+        let feed = Feed::start_with_peers(mirror.clone(), Arc::clone(&store), sources);
         let (messages, inbox) = channel();
         let metrics = Metrics::new()?;
         let is_draining = Arc::new(AtomicBool::new(false));
@@ -68,6 +75,7 @@
             is_draining: Arc::clone(&is_draining),
         });
         pages(&mut app);
+        peer::mount(&mut app, feed.clone(), config.token.as_str());
         // The door needs the address, which is known once the listener is bound.
         let address = bind_address(&config).await?;
         let http = config.http.clone();
