fix(entry): ready only once the host has acquired the endpoints that it is to own

Cause: tests/cell.rs calm cell, 1 of 202 requests not_run with waits up to 960 ms in the first second: callers were sent to hosts that had a session and configuration but no endpoint yet.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -86,6 +86,7 @@
     metrics: Arc<Metrics>,
     declared: Mutex<Arc<Declared>>,
     next_request: AtomicU64,
+    is_settled: Arc<AtomicBool>,
     was_ready: AtomicBool,
     is_draining: AtomicBool,
     is_stopped: AtomicBool,
@@ -114,6 +115,7 @@
         let session = Session::start(Arc::clone(&store), config.membership.clone(), member);
         let authority = Authority::new(session.clone());
         let peers = Pool::new(peer_http(&config));
+        let is_settled = Arc::new(AtomicBool::new(false));
         let parts = control::Parts {
             config: Arc::clone(&config),
             store: Arc::clone(&store),
@@ -124,6 +126,7 @@
             peers: peers.clone(),
             authority,
             metrics: Arc::clone(&metrics),
+            is_settled: Arc::clone(&is_settled),
         };
         let control = control::start(parts).wrap_err("control thread")?;
         let shared = Arc::new(Shared {
@@ -136,6 +139,7 @@
             metrics,
             declared: Mutex::default(),
             next_request: AtomicU64::new(1),
+            is_settled,
             was_ready: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
             is_stopped: AtomicBool::new(false),
@@ -224,9 +228,12 @@
         Arc::clone(&declared)
     }
 
-    /// Whether configuration is in force and a session was held, and no shutdown has begun.
+    /// Whether configuration is in force, a session was held, the endpoints of this host were
+    /// acquired, and no shutdown has begun.
     fn is_ready(&self) -> bool {
-        let holds = self.session.lease().is_some() && self.feed.current().revision > 0;
+        let holds = self.session.lease().is_some()
+            && self.feed.current().revision > 0
+            && self.is_settled.load(Ordering::Acquire);
         if holds {
             self.was_ready.store(true, Ordering::Release);
         }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -8,6 +8,7 @@
 mod zone;
 
 use std::collections::BTreeMap;
+use std::sync::atomic::AtomicBool;
 use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
@@ -63,6 +64,8 @@
     pub(super) authority: Authority,
     /// Metrics.
     pub(super) metrics: Arc<Metrics>,
+    /// Set once every endpoint that this host ranks first for was acquired.
+    pub(super) is_settled: Arc<AtomicBool>,
 }
 
 /// Starts the control thread.
--- a/src/entry/control/zone.rs
+++ b/src/entry/control/zone.rs
@@ -1,5 +1,6 @@
 //! Members, declarations, ownership and heartbeats, as the control thread takes them in.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_std::task;
@@ -37,6 +38,7 @@
         self.take_members(now_ms);
         self.judge_outage(now_ms);
         self.acquire_due(now_ms);
+        self.judge_settled();
         let seen = &mut self.seen;
         if now_ms >= seen.foreign_read_ms + self.parts.config.endpoints.read_every_ms {
             seen.foreign_read_ms = now_ms;
@@ -121,6 +123,21 @@
         snapshot.is_current && lease.is_some() && record.is_some_and(|entry| entry.lease == lease)
     }
 
+    /// Notes that this host has what it is to own, so that callers may be sent here.
+    fn judge_settled(&self) {
+        if self.parts.is_settled.load(Ordering::Acquire) || !self.is_enrolled() {
+            return;
+        }
+        let name = self.parts.config.name.as_str();
+        let is_member = self.ownership.members().iter().any(|member| member.name == name);
+        let endpoints = self.book.endpoints_in(&self.parts.config.zone);
+        let mut own =
+            endpoints.iter().filter(|endpoint| self.ownership.owner(&endpoint.name) == Some(name));
+        if is_member && own.all(|endpoint| self.ownership.owned().contains_key(&endpoint.key)) {
+            self.parts.is_settled.store(true, Ordering::Release);
+        }
+    }
+
     fn acquire_due(&mut self, now_ms: u64) {
         if !self.is_enrolled() {
             return;
