fix(jobs): a job goes to a zone that can hold its tasks; only refused connections eject; jobs through the entry daemon

Test a_job_goes_to_a_zone_that_can_hold_its_tasks. Cause 2: connect timeouts counted as refused and ejected an endpoint past the cap. Cause 3: the job door was not mounted in the entry daemon.

--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -13,6 +13,7 @@
 use crate::http::error::ApiError;
 use crate::http::rpc;
 use crate::http::server::{self, CallerLink};
+use crate::jobs::door::Door;
 use crate::membership::{self, Role};
 use crate::outcome::Outcome;
 use crate::telemetry;
@@ -31,8 +32,16 @@
 /// The application that an entry host serves.
 pub(super) fn app(shared: Arc<Shared>) -> tide::Server<Arc<Shared>> {
     let (feed, token) = (shared.feed.clone(), shared.config.token.clone());
+    let jobs = Door::new(
+        shared.mirror.clone(),
+        feed.clone(),
+        shared.peers.clone(),
+        shared.config.http.clone(),
+        token.clone(),
+    );
     let mut app = tide::with_state(shared);
     declarations::peer::mount(&mut app, feed, token);
+    jobs.mount(&mut app);
     app.at("/v1/services/:service/requests").post(take_request);
     app.at("/v1/services/:service/requests/:key").delete(cancel_request);
     app.at(peer::REQUESTS_PATH).post(take_peer_request);
--- a/src/entry/send.rs
+++ b/src/entry/send.rs
@@ -87,9 +87,8 @@
             job.pool.forget(&job.address);
             Sent::without_reply(SendResult::Lost { reason }, None)
         }
-        Err(Err(ExchangeError::NotSent(_))) => {
-            let is_refused = job.authority.may_send(job.held);
-            Sent::without_reply(SendResult::NotSent, is_refused.then_some(Sign::Refused))
+        Err(Err(ExchangeError::Refused(_))) => {
+            Sent::without_reply(SendResult::NotSent, Some(Sign::Refused))
         }
         Err(sent) => judge(sent, clock::now_ms().saturating_sub(begun_ms), timeout_ms),
     }
@@ -110,7 +109,9 @@
 fn judge(sent: Result<Reply, ExchangeError>, ran_ms: u64, timeout_ms: u64) -> Sent {
     match sent {
         Ok(reply) => judge_reply(reply, ran_ms),
-        Err(ExchangeError::NotSent(_)) => Sent::without_reply(SendResult::NotSent, None),
+        Err(ExchangeError::NotSent(_) | ExchangeError::Refused(_)) => {
+            Sent::without_reply(SendResult::NotSent, None)
+        }
         Err(ExchangeError::Unanswered(message)) => {
             let reason = if ran_ms >= timeout_ms {
                 Reason::TimedOut
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -20,6 +20,9 @@
     /// No byte of the request was sent.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// No byte of the request was sent, since nothing listens at the address.
+    #[error("refused: {0}")]
+    Refused(String),
     /// The request was sent in part or whole; the other side may have taken it.
     #[error("no whole answer: {0}")]
     Unanswered(String),
@@ -28,7 +31,7 @@
 impl ExchangeError {
     /// Whether the other side certainly never saw the request.
     pub fn is_not_sent(&self) -> bool {
-        matches!(self, Self::NotSent(_))
+        matches!(self, Self::NotSent(_) | Self::Refused(_))
     }
 }
 
@@ -107,13 +110,14 @@
 /// Opens a connection without delay for small writes.
 ///
 /// # Errors
-/// [`ExchangeError::NotSent`] when the address is refused or does not answer in time.
+/// [`ExchangeError::Refused`] when nothing listens at the address, [`ExchangeError::NotSent`]
+/// when it cannot be reached in time.
 pub async fn open(address: &str, connect_timeout_ms: u64) -> Result<TcpStream, ExchangeError> {
     let limit = Duration::from_millis(connect_timeout_ms);
     let opened = async_std::future::timeout(limit, TcpStream::connect(address)).await;
     let stream = opened
         .map_err(|_| ExchangeError::NotSent(format!("{address} did not accept in time")))?
-        .map_err(|error| ExchangeError::NotSent(format!("{address}: {error}")))?;
+        .map_err(|error| connect_error(address, &error))?;
     let nodelay = stream.set_nodelay(true);
     nodelay.map_err(|error| ExchangeError::NotSent(format!("{address}: {error}")))?;
     Ok(stream)
@@ -261,6 +265,14 @@
     let _ = async_std::future::timeout(PART_LIMIT, stream.read(&mut byte)).await;
 }
 
+fn connect_error(address: &str, error: &std::io::Error) -> ExchangeError {
+    let message = format!("{address}: {error}");
+    if error.kind() == std::io::ErrorKind::ConnectionRefused {
+        return ExchangeError::Refused(message);
+    }
+    ExchangeError::NotSent(message)
+}
+
 fn unanswered(message: impl Into<String>) -> ExchangeError {
     ExchangeError::Unanswered(message.into())
 }
--- a/src/jobs/door.rs
+++ b/src/jobs/door.rs
@@ -15,7 +15,7 @@
 use crate::collections;
 use crate::configs::http::HttpConfig;
 use crate::declarations::feed::Feed;
-use crate::declarations::Declarations;
+use crate::declarations::{Declarations, WorkerDeclaration};
 use crate::http::client::{self, Pool, Reply as HttpReply};
 use crate::http::error::ApiError;
 use crate::http::{rpc, server};
@@ -23,6 +23,7 @@
     JobView, Listing, Submission, SubmitAnswer, SubmitOutcome, WorkerView, JOBS_PATH, WORKERS_PATH,
 };
 use crate::outcome::OUTCOME_HEADER;
+use crate::place::spec::{JobSpec, Resources};
 use crate::placer::message::{Ask, AskError, Message, Reply};
 use crate::placer::zone;
 use crate::store::mirror::Mirror;
@@ -104,7 +105,7 @@
         submission.id = submission.job_id();
         let declared = self.feed.current();
         if submission.zone.is_empty() {
-            let home = home_zone(&declared.declarations, &submission.id);
+            let home = zone_for(&declared.declarations, &submission.id, &submission.spec);
             submission.zone = home.ok_or_else(no_zone)?;
         }
         let zone = submission.zone.clone();
@@ -315,7 +316,29 @@
 /// assert_eq!(door::home_zone(&declared, "range-7").as_deref(), Some("mid-1"));
 /// ```
 pub fn home_zone(declarations: &Declarations, id: &str) -> Option<String> {
-    let weighted = zones(declarations).map(|zone| {
+    best_zone(declarations, id, |_| true)
+}
+
+/// The home zone of a job among the zones with a worker that can hold one of its tasks; of all
+/// zones if there is none, where the job is told why it can't run.
+pub fn zone_for(declarations: &Declarations, id: &str, spec: &JobSpec) -> Option<String> {
+    let suits = |worker: &WorkerDeclaration| {
+        let means = Resources::new(worker.cpu_millis, worker.memory_bytes, worker.accelerators);
+        let has = |(name, value): (&String, &String)| worker.labels.get(name) == Some(value);
+        !worker.drain && spec.resources().fits(means) && spec.constraints.iter().all(has)
+    };
+    let has_room =
+        |zone: &str| declarations.workers.iter().any(|worker| worker.zone == zone && suits(worker));
+    best_zone(declarations, id, has_room).or_else(|| home_zone(declarations, id))
+}
+
+/// The zone that ranks first for `id` among those that are `admitted`.
+fn best_zone(
+    declarations: &Declarations,
+    id: &str,
+    admitted: impl Fn(&str) -> bool,
+) -> Option<String> {
+    let weighted = zones(declarations).filter(|zone| admitted(zone)).map(|zone| {
         let workers = declarations.workers.iter().filter(|worker| worker.zone == *zone);
         let cpu_millis: u64 = workers.map(|worker| worker.cpu_millis).sum();
         (score(id, zone, cpu_millis), zone)
--- a/tests/jobs_records.rs
+++ b/tests/jobs_records.rs
@@ -183,3 +183,30 @@
     assert!(revision > Revision(0));
     assert_eq!(journal.written(revision).len(), 1);
 }
+
+/// The home by id alone may have no worker for the job while another zone has one.
+#[test]
+fn a_job_goes_to_a_zone_that_can_hold_its_tasks() {
+    use hemlockrock::declarations::{Declarations, WorkerDeclaration, ZoneDeclaration};
+    use hemlockrock::jobs::door;
+    use hemlockrock::place::spec::{JobSpec, Resources};
+
+    let zone = |name: &str| ZoneDeclaration { name: name.into(), region: "r".into() };
+    let worker = |zone: &str, accelerators| WorkerDeclaration {
+        name: format!("worker-{zone}"),
+        zone: zone.into(),
+        cpu_millis: 8_000,
+        memory_bytes: 8_000_000_000,
+        accelerators,
+        ..WorkerDeclaration::default()
+    };
+    let declared = Declarations {
+        zones: vec![zone("a"), zone("b"), zone("c")],
+        workers: vec![worker("a", 0), worker("b", 0), worker("c", 1)],
+        ..Declarations::default()
+    };
+    let spec = JobSpec::new("t", 1).with_resources(Resources::new(1_000, 1_000_000, 1));
+    let homes: Vec<Option<String>> =
+        (0..50).map(|id| door::zone_for(&declared, &format!("job-{id}"), &spec)).collect();
+    assert!(homes.iter().all(|home| home.as_deref() == Some("c")), "{homes:?}");
+}
