--- a/tests/place_quota.rs
+++ b/tests/place_quota.rs
@@ -48,7 +48,7 @@
     let mut used = [TOTAL, 0];
     ledger = settled(&ledger, ZONES[0], 0, TOTAL);
     for _ in 0..40 {
-        used[0] = (used[0] - used[0].min(500)).max(0);
+        used[0] = used[0].saturating_sub(500);
         for (zone, used) in ZONES.iter().zip(&mut used) {
             ledger = settled(&ledger, zone, *used, 50_000);
             *used = (*used).max(share(&ledger, zone).min(*used + 500));
