fix(entry): ready only once the host owns its endpoints or knows a dispatcher

Cause: in the first second after the start of a cell hosts were ready with a session and configuration alone; a trace of /metrics showed 0 owned endpoints on all four hosts at 100 to 300 ms, and requests waited up to 960 ms.

--- a/src/entry/control/zone.rs
+++ b/src/entry/control/zone.rs
@@ -26,6 +26,9 @@
 /// Time between two tellings of the peers' load to the dispatcher, in milliseconds.
 const TELL_PEERS_MS: u64 = 100;
 
+/// Time after which a host is ready although no endpoint can be used, in milliseconds.
+const READY_AFTER_MS: u64 = 5_000;
+
 /// Time between looks for requests without progress, in milliseconds.
 const WATCH_PROGRESS_MS: u64 = 100;
 
@@ -38,7 +41,7 @@
         self.take_members(now_ms);
         self.judge_outage(now_ms);
         self.acquire_due(now_ms);
-        self.judge_settled();
+        self.judge_settled(now_ms);
         let seen = &mut self.seen;
         if now_ms >= seen.foreign_read_ms + self.parts.config.endpoints.read_every_ms {
             seen.foreign_read_ms = now_ms;
@@ -123,19 +126,36 @@
         snapshot.is_current && lease.is_some() && record.is_some_and(|entry| entry.lease == lease)
     }
 
-    /// Notes that this host has what it is to own, so that callers may be sent here.
-    fn judge_settled(&self) {
+    /// Notes that this host can send requests somewhere, so that callers may be sent here.
+    fn judge_settled(&self, now_ms: u64) {
         if self.parts.is_settled.load(Ordering::Acquire) || !self.is_enrolled() {
             return;
         }
+        let settle_ms = self.parts.config.endpoints.settle_ms;
+        let is_stable = self.ownership.has_stood(now_ms, settle_ms);
+        let is_late = self.ownership.has_stood(now_ms, READY_AFTER_MS);
+        let knows_endpoints = self.owns_its_own() && self.knows_a_dispatcher();
+        if self.seen.config_revision > 0 && is_stable && (knows_endpoints || is_late) {
+            self.parts.is_settled.store(true, Ordering::Release);
+        }
+    }
+
+    /// Whether this host is a member and owns every endpoint that it ranks first for.
+    fn owns_its_own(&self) -> bool {
         let name = self.parts.config.name.as_str();
         let is_member = self.ownership.members().iter().any(|member| member.name == name);
         let endpoints = self.book.endpoints_in(&self.parts.config.zone);
         let mut own =
             endpoints.iter().filter(|endpoint| self.ownership.owner(&endpoint.name) == Some(name));
-        if is_member && own.all(|endpoint| self.ownership.owned().contains_key(&endpoint.key)) {
-            self.parts.is_settled.store(true, Ordering::Release);
-        }
+        is_member && own.all(|endpoint| self.ownership.owned().contains_key(&endpoint.key))
+    }
+
+    /// Whether this host or one that it heard has usable endpoints, or none are declared here.
+    fn knows_a_dispatcher(&self) -> bool {
+        let age_ms = self.parts.config.peers.heartbeat_age_ms;
+        self.book.endpoints_in(&self.parts.config.zone).is_empty()
+            || !self.dispatcher.load().services.is_empty()
+            || self.heard.recent(age_ms).iter().any(|host| !host.loads.is_empty())
     }
 
     fn acquire_due(&mut self, now_ms: u64) {
--- a/src/entry/ownership.rs
+++ b/src/entry/ownership.rs
@@ -103,6 +103,11 @@
         self.acquiring.clear();
     }
 
+    /// Whether the view has not changed for `for_ms`.
+    pub fn has_stood(&self, now_ms: u64, for_ms: u64) -> bool {
+        now_ms >= self.changed_ms + for_ms
+    }
+
     /// The live entry members of the zone.
     pub fn members(&self) -> &[Member] {
         &self.members
