--- a/tests/jobs_measure.rs
+++ b/benches/jobs.rs
@@ -1,10 +1,13 @@
 //! Measurements of the placer with real processes; run by hand, see `docs/measurements/placer.md`.
 //!
-//! `cargo test --release --test jobs_measure -- --ignored --nocapture --test-threads=1 NAME`
+//! `cargo bench --bench jobs -- takeover|urgent|control`
 #![allow(clippy::unwrap_used, reason = "a measurement stops at what is missing")]
-#![allow(clippy::disallowed_methods, reason = "the test attribute blocks on the test")]
+#![allow(clippy::disallowed_methods, reason = "the top of a binary blocks")]
+#![allow(clippy::print_stdout, missing_docs, reason = "a measurement prints its figures")]
 
+#[path = "../tests/jobs_cell/mod.rs"]
 mod jobs_cell;
+#[path = "../tests/support/mod.rs"]
 mod support;
 
 use std::time::{Duration, Instant};
@@ -19,8 +22,18 @@
 /// A run time that outlasts every measurement, in milliseconds.
 const FOREVER_MS: u64 = 3_600_000;
 
-#[async_std::test]
-#[ignore = "a measurement"]
+fn main() {
+    let name = std::env::args().nth(1).unwrap_or_default();
+    task::block_on(async {
+        match name.as_str() {
+            "takeover" => takeover().await,
+            "urgent" => urgent_starts_at_full_load().await,
+            "control" => cost_of_control().await,
+            _ => println!("expected takeover, urgent or control"),
+        }
+    });
+}
+
 async fn takeover() {
     const RUNS: usize = 8;
     let mut took_ms = Vec::new();
@@ -45,8 +58,6 @@
     println!("takeover: 50 workers, 150 busy tasks, session lease 3000 ms: {took_ms:?} ms");
 }
 
-#[async_std::test]
-#[ignore = "a measurement"]
 async fn urgent_starts_at_full_load() {
     const WORKERS: usize = 100;
     const PER_SECOND: u32 = 110;
@@ -98,8 +109,6 @@
     cell.check();
 }
 
-#[async_std::test]
-#[ignore = "a measurement"]
 async fn cost_of_control() {
     const WINDOW_S: u64 = 20;
     for workers in [50_usize, 500, 2_300] {
