fix(entry): slots of others are counted over both ways of a reading

Cause: an owner that took endpoints over subtracts its own requests in flight from the busy slots that the endpoint tells. A request that had ended there and whose answer was still on its way was subtracted too, so the slots of the earlier owner's requests were given away too soon. Own requests now count only if they are still in flight 50 ms after the reading. The release of such slots takes 50 ms longer.

--- a/src/entry/control/flights.rs
+++ b/src/entry/control/flights.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::cast_precision_loss, reason = "times are far below 2^52")]
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_std::task;
 
@@ -18,6 +19,10 @@
 /// Age from which an endpoint counts a request as its own for certain, in milliseconds.
 const ARRIVED_AFTER_MS: u64 = 50;
 
+/// Time in which the answer to a request that an endpoint no longer counts arrives here for
+/// certain, in milliseconds.
+const ANSWERED_AFTER_MS: u64 = 50;
+
 /// Readings, less those that said otherwise, after which a request that the endpoint seems not to
 /// have is given up.
 const MISSED_LIMIT: u32 = 3;
@@ -142,6 +147,9 @@
         let control = self.control.clone();
         task::spawn(async move {
             let said = send::read_health(&address, timeout_ms).await;
+            if purpose == Purpose::Foreign {
+                task::sleep(Duration::from_millis(ANSWERED_AFTER_MS)).await;
+            }
             control.send(Input::Read(Reading {
                 endpoint,
                 purpose,
