--- a/src/placer/daemon.rs
+++ b/src/placer/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc::{channel, Sender};
 use std::sync::{Arc, Weak};
 
+use async_std::net::TcpListener;
 use async_std::task;
 use eyre::WrapErr as _;
 use tide::{Response, StatusCode};
@@ -80,14 +81,14 @@
         });
         pages(&mut app);
         peer::mount(&mut app, feed.clone(), config.token.as_str());
-        // The door needs the address, which is known once the listener is bound.
-        let address = bind_address(&config).await?;
+        let listener = TcpListener::bind(&config.address).await;
+        let listener = listener.wrap_err_with(|| format!("cannot listen on {}", config.address))?;
+        let address = listener.local_addr()?.to_string();
         let http = config.http.clone();
         let door =
             Door::new(mirror.clone(), feed.clone(), pool.clone(), http, config.token.clone());
         door.with_local(&config.zone, &address, messages.clone()).mount(&mut app);
-        let server = Server::start(&address, app, config.http.clone()).await;
-        let server = server.wrap_err_with(|| format!("cannot listen on {address}"))?;
+        let server = Server::start_on(listener, app, config.http.clone()).wrap_err("server")?;
 
         let caller = Caller {
             pool,
@@ -161,16 +162,6 @@
     }
 }
 
-/// The address to listen on; a port is chosen first if the settings leave it open.
-async fn bind_address(config: &PlacerConfig) -> eyre::Result<String> {
-    if !config.address.ends_with(":0") {
-        return Ok(config.address.clone());
-    }
-    let listener = async_std::net::TcpListener::bind(&config.address).await;
-    let listener = listener.wrap_err_with(|| format!("cannot listen on {}", config.address))?;
-    Ok(listener.local_addr()?.to_string())
-}
-
 async fn follow_declarations(feed: Feed, messages: Sender<Message>) {
     loop {
         feed.changed().await;
