--- a/src/configs/quota.rs
+++ b/src/configs/quota.rs
@@ -5,7 +5,8 @@
 use crate::settings::{Report, Validate};
 
 /// Settings of quotas.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct QuotaConfig {
     /// Share that a zone holds beyond what it uses, in hundredths of its use.
--- a/src/place/explain.rs
+++ b/src/place/explain.rs
@@ -14,7 +14,8 @@
 use crate::quota::Need;
 
 /// Why a worker does not take a task now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RuledOut {
     /// It was not read under this epoch.
@@ -44,7 +45,8 @@
 }
 
 /// What keeps a whole job from being placed, whatever the workers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HeldBack {
     /// The share of its team in this zone is used up.
@@ -58,7 +60,8 @@
 }
 
 /// Why a job waits.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Explanation {
     /// State of the job.
     pub state: JobState,
@@ -83,7 +86,8 @@
 }
 
 /// Totals of the zone.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stats {
     /// Workers.
     pub workers: u32,
--- a/src/placer/message.rs
+++ b/src/placer/message.rs
@@ -79,7 +79,8 @@
 }
 
 /// Why a call to a worker gave no answer.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum CallFailure {
     /// It certainly had no effect.
     #[error("not sent: {0}")]
@@ -90,7 +91,8 @@
 }
 
 /// Why the control thread does not do what it was asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum AskError {
     /// This placer does not hold the zone.
     #[error("this placer does not hold the zone now")]
