fix(settings): kinds and rules are reported together; daemons end with the findings alone

Cause: a hand check of bad settings. A broken rule (log.level: loud) was only reported once all keys of the wrong kind were mended, and daemons printed a stack trace behind the findings. Test kinds_and_rules_are_reported_together.

--- a/src/bin/hemlock-entry.rs
+++ b/src/bin/hemlock-entry.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write as _;
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, Command};
 use eyre::WrapErr as _;
@@ -9,7 +10,11 @@
 use hemlockrock::entry::Entry;
 use hemlockrock::{drain, settings, telemetry};
 
-fn main() -> eyre::Result<()> {
+fn main() -> ExitCode {
+    telemetry::exit_code(start())
+}
+
+fn start() -> eyre::Result<()> {
     let matches = command().get_matches();
     let path = matches.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let config: EntryConfig = settings::load(&path)?;
--- a/src/bin/hemlock-load.rs
+++ b/src/bin/hemlock-load.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write as _;
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command};
 use eyre::WrapErr as _;
@@ -12,7 +13,11 @@
 use hemlockrock::load::{connections, driver, jobs, usage};
 use hemlockrock::{clock, settings, telemetry};
 
-fn main() -> eyre::Result<()> {
+fn main() -> ExitCode {
+    telemetry::exit_code(start())
+}
+
+fn start() -> eyre::Result<()> {
     let matches = command().get_matches();
     if let Some(paths) = matches.get_many::<PathBuf>("compare") {
         return compare(paths.collect());
--- a/src/bin/hemlock-placer.rs
+++ b/src/bin/hemlock-placer.rs
@@ -2,13 +2,18 @@
 
 use std::io::Write as _;
 use std::path::Path;
+use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, ArgMatches, Command};
 use hemlockrock::configs::placer::PlacerConfig;
 use hemlockrock::placer::PlacerDaemon;
 use hemlockrock::{drain, settings, telemetry};
 
-fn main() -> eyre::Result<()> {
+fn main() -> ExitCode {
+    telemetry::exit_code(start())
+}
+
+fn start() -> eyre::Result<()> {
     let arguments = command().get_matches();
     #[allow(clippy::disallowed_methods, reason = "the top of a binary")]
     async_std::task::block_on(run(&arguments))
@@ -20,7 +25,7 @@
         None => PlacerConfig::default(),
     };
     if arguments.get_flag("check") {
-        writeln!(std::io::stdout(), "settings are sound")?;
+        writeln!(std::io::stdout(), "no findings")?;
         return Ok(());
     }
     telemetry::start_log(&config.log)?;
--- a/src/bin/hemlock-standin.rs
+++ b/src/bin/hemlock-standin.rs
@@ -1,14 +1,20 @@
 //! Runs one stand-in of an outside system, for tests and for trying the daemons by hand.
 
 use std::io::Write as _;
+use std::process::ExitCode;
 
 use clap::{Arg, ArgMatches, Command};
 use eyre::WrapErr as _;
 use futures_lite::future;
 use hemlockrock::place::spec::Resources;
 use hemlockrock::standin::{hosts, proxy, runner, store, worker};
+use hemlockrock::telemetry;
 
-fn main() -> eyre::Result<()> {
+fn main() -> ExitCode {
+    telemetry::exit_code(start())
+}
+
+fn start() -> eyre::Result<()> {
     let matches = command().get_matches();
     #[allow(clippy::disallowed_methods, reason = "the top of a binary")]
     async_std::task::block_on(run(&matches))
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -89,20 +89,39 @@
 where
     T: DeserializeOwned + Serialize + Default + Validate,
 {
-    let document = parse_document(file, text)?;
+    let mut document = parse_document(file, text)?;
     let defaults = serde_json::to_value(T::default())
         .map_err(|error| one_finding(file, "", error.to_string()))?;
     let mut findings = Findings::new();
     check_shape(&document, &defaults, file, &mut findings);
-    findings.into_result(())?;
-    let mut findings = Findings::new();
-    let settings: T = typed(&document, &defaults, file)?;
+    for finding in &findings.items {
+        remove(&mut document.value, &finding.path);
+    }
+    let settings: T = match typed(&document, &defaults, file) {
+        Ok(settings) => settings,
+        Err(more) => {
+            findings.items.extend(more.items);
+            return findings.into_result(T::default());
+        }
+    };
     let mut report =
         Report { file, places: &document.places, prefix: String::new(), findings: &mut findings };
     settings.validate(&mut report);
     findings.into_result(settings)
 }
 
+/// Removes the value at `path`, so that the rest can be checked; of a list the whole goes.
+fn remove(value: &mut Value, path: &str) {
+    let Some(map) = value.as_object_mut() else { return };
+    let (name, rest) = path.split_once('.').unwrap_or((path, ""));
+    let (name, is_list) = name.split_once('[').map_or((name, false), |(name, _)| (name, true));
+    if is_list || rest.is_empty() {
+        map.remove(name);
+    } else if let Some(inner) = map.get_mut(name) {
+        remove(inner, rest);
+    }
+}
+
 /// A parsed YAML document with the place of every path.
 #[derive(Debug, Default)]
 pub struct Document {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,5 +1,7 @@
 //! Logs and metrics of a daemon.
 
+use std::io::Write as _;
+use std::process::ExitCode;
 use std::sync::Arc;
 
 use eyre::WrapErr as _;
@@ -46,6 +48,13 @@
     }
 }
 
+/// Ends a program: an error is told in one line on standard error.
+pub fn exit_code(result: eyre::Result<()>) -> ExitCode {
+    let Err(error) = result else { return ExitCode::SUCCESS };
+    let _ = writeln!(std::io::stderr(), "{error:#}");
+    ExitCode::FAILURE
+}
+
 /// The metrics of `registry` in the text format of prometheus.
 pub fn metrics_response(registry: &prometheus::Registry) -> Response {
     let mut text = Vec::new();
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -21,6 +21,14 @@
     assert_eq!(paths, ["lvel", "format"], "{found}");
 }
 
+/// A rule that is broken is reported beside keys of the wrong kind, not after they are mended.
+#[test]
+fn kinds_and_rules_are_reported_together() {
+    let found = log("level: loud\nformat: 3\n").unwrap_err();
+    let paths: Vec<&str> = found.items.iter().map(|item| item.path.as_str()).collect();
+    assert_eq!(paths, ["level", "format"], "{found}");
+}
+
 #[test]
 fn empty_text_gives_the_defaults() {
     assert_eq!(log("").unwrap().level, "info");
