--- a/src/entry/front.rs
+++ b/src/entry/front.rs
@@ -149,10 +149,13 @@
         Err(error) => return Ok(error.to_response()),
     };
     let link = request.ext::<CallerLink>().cloned();
+    let (id, service) = (call.id.clone(), call.service.clone());
     let verdict = journey::with_caller(link, |gone| async move {
         journey::dispatch(&shared, call.into_submitted(), &gone).await
     })
     .await;
+    let outcome = verdict.outcome().unwrap_or(Outcome::Unknown).as_str();
+    spdlog::debug!("peer's request ended", kv: { request_id = id.as_str(), service = service.as_str(), outcome });
     Ok(rpc::answer(&PeerAnswer::new(&verdict)))
 }
 
