--- a/src/demo.rs
+++ b/src/demo.rs
@@ -12,7 +12,7 @@
 
 use crate::clock;
 use crate::configs::demo::{DemoConfig, DemoLoadConfig};
-use crate::load::driver;
+use crate::load::driver::{self, Told};
 use crate::load::plan::{KindPlan, Phase, Plan};
 use crate::load::report::LoadReport;
 use cell::Cell;
@@ -51,23 +51,33 @@
     progress("shutting down");
     cell.drain().await;
 
-    let runners = cell.runner_truths();
+    let report = checked_report(config, &cell, &plan, &told, &submitted);
+    Ok(DemoReport { duration_ms: clock::now_ms() - started_at_ms, store, ..report })
+}
+
+/// What callers were told and what became of the jobs, checked against the stand-ins' records.
+pub(crate) fn checked_report(
+    config: &DemoConfig,
+    cell: &Cell,
+    plan: &Plan,
+    told: &[Told],
+    submitted: &[Submitted],
+) -> DemoReport {
     let workers = cell.worker_truths();
     let gangs: Vec<GangTruth> = submitted.iter().filter_map(Submitted::gang).collect();
     let mut violations = Violations::new();
-    oracle::check_requests(&told, &runners, &mut violations);
+    oracle::check_requests(told, &cell.runner_truths(), &mut violations);
     oracle::check_tasks(&workers, &gangs, &mut violations);
-    Ok(DemoReport {
+    DemoReport {
         schema: report::SCHEMA,
         cell: config.name.clone(),
         seed: config.seed,
-        duration_ms: clock::now_ms() - started_at_ms,
-        requests: LoadReport::new(&plan, &told),
-        jobs: jobs::reports(&submitted, &workers),
-        placement: jobs::placement(&submitted, &workers),
-        store,
+        requests: LoadReport::new(plan, told),
+        jobs: jobs::reports(submitted, &workers),
+        placement: jobs::placement(submitted, &workers),
         violations: violations.into_sorted(),
-    })
+        ..DemoReport::default()
+    }
 }
 
 /// Submits the jobs of the settings.
--- a/src/demo/storm.rs
+++ b/src/demo/storm.rs
@@ -16,14 +16,12 @@
 use crate::demo::cell::Cell;
 use crate::demo::host::Host;
 use crate::demo::jobs::JobClient;
-use crate::demo::oracle::{self, GangTruth, Violations};
-use crate::demo::report::{self, DemoReport};
-use crate::demo::{jobs, load_plan, progress, settle, submit_all};
+use crate::demo::report::DemoReport;
+use crate::demo::{checked_report, load_plan, progress, settle, submit_all};
 use crate::http::client::{self, Pool};
 use crate::jobs::api::JOBS_PATH;
 use crate::load::driver;
 use crate::load::plan::{Phase, Plan};
-use crate::load::report::LoadReport;
 use crate::standin::proxy::{Fault, Kind};
 use crate::standin::store::faults::Faults;
 use crate::standin::worker::Mode;
@@ -120,22 +118,8 @@
     progress("shutting down");
     storm.cell.drain().await;
 
-    let workers = storm.cell.worker_truths();
-    let gangs: Vec<GangTruth> = submitted.iter().filter_map(jobs::Submitted::gang).collect();
-    let mut violations = Violations::new();
-    oracle::check_requests(&told, &storm.cell.runner_truths(), &mut violations);
-    oracle::check_tasks(&workers, &gangs, &mut violations);
-    let cell = DemoReport {
-        schema: report::SCHEMA,
-        cell: config.name.clone(),
-        seed: config.seed,
-        duration_ms: clock::now_ms() - started_at_ms,
-        requests: LoadReport::new(&plan, &told),
-        jobs: jobs::reports(&submitted, &workers),
-        placement: jobs::placement(&submitted, &workers),
-        violations: violations.into_sorted(),
-        ..DemoReport::default()
-    };
+    let report = checked_report(config, &storm.cell, &plan, &told, &submitted);
+    let cell = DemoReport { duration_ms: clock::now_ms() - started_at_ms, ..report };
     Ok(StormReport { cell, began_at_ms, timeline: storm.timeline, settled_ms, unsettled })
 }
 
