feat(queue): jobs run on the users' platform through one process a host

Cause: nothing of the product spoke the platform's store, queues or runners. Change: src/platform translates; src/queue accepts jobs at every host, elects a leader on a store lease and lets a pure scheduler order the runners.

--- a/src/configs/mod.rs
+++ b/src/configs/mod.rs
@@ -11,6 +11,7 @@
 pub mod membership;
 pub mod place;
 pub mod placer;
+pub mod queue;
 pub mod quota;
 pub mod route;
 pub mod secret;
--- /dev/null
+++ b/src/platform/declarations.rs
@@ -0,0 +1,94 @@
+//! What the operator declares in the store.
+
+use serde::Deserialize;
+
+use crate::queue::model::{AdvicePolicy, Directory, Queue};
+
+/// Prefix of all that the operator writes.
+pub const PREFIX: &str = "op/";
+
+/// Key of the newest configuration.
+pub const KEY: &str = "op/config";
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Config {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<Route>,
+    #[serde(default)]
+    limits: Limits,
+}
+
+/// Each route of the platform is one of our queues.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Route {
+    name: String,
+    host: String,
+    prefix: String,
+    service: String,
+    #[serde(default)]
+    priority: u32,
+    #[serde(default)]
+    max_attempts: u32,
+    #[serde(default)]
+    stretch: f64,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    advice: Option<Advice>,
+}
+
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Advice {
+    decide_ms: f64,
+    #[serde(default)]
+    each_ms: f64,
+    valid_ms: f64,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+struct Limits {
+    max_body_bytes: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { max_body_bytes: 262_144 }
+    }
+}
+
+/// Reads a configuration.
+///
+/// # Errors
+/// A message that names the missing or misshapen field.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "figures are small")]
+pub fn decode(text: &[u8]) -> Result<Directory, String> {
+    let config: Config = serde_json::from_slice(text).map_err(|error| error.to_string())?;
+    let queues = config.routes.into_iter().map(|route| Queue {
+        name: route.name,
+        host: route.host,
+        prefix: route.prefix,
+        service: route.service,
+        priority: route.priority,
+        max_attempts: route.max_attempts.max(1),
+        stretch: route.stretch,
+        target_latency_ms: route.target_latency_ms.max(0.0) as u64,
+        advice: route.advice.map(|advice| AdvicePolicy {
+            decide_ms: advice.decide_ms,
+            each_ms: advice.each_ms,
+            valid_ms: advice.valid_ms.max(0.0) as u64,
+        }),
+    });
+    Ok(Directory {
+        version: config.version,
+        queues: queues.collect(),
+        max_body_bytes: config.limits.max_body_bytes,
+    })
+}
--- /dev/null
+++ b/src/platform/settings.rs
@@ -0,0 +1,122 @@
+//! The settings file that the platform gives to each process.
+
+use serde::Deserialize;
+
+use crate::queue::site::Site;
+
+/// Variable that holds the path of the settings file.
+pub const PATH_VARIABLE: &str = "HEMLOCKROCK_CONFIG";
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Settings {
+    node_name: String,
+    ip: String,
+    zone: String,
+    listen_addrs: ListenAddrs,
+    internal_ports: Vec<u16>,
+    #[serde(default)]
+    bounds: Bounds,
+    #[serde(default)]
+    limits: Limits,
+    /// Address of the service that names the runners which a policy admits.
+    #[serde(default)]
+    advice: Option<String>,
+    platform: Platform,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct ListenAddrs {
+    front: String,
+    ready: String,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Platform {
+    address: String,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+struct Limits {
+    max_fds: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self { max_fds: 1_024 }
+    }
+}
+
+// The bounds mix two spellings on the wire: most names use hyphens, a few underscores.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+struct Bounds {
+    grace_s: f64,
+    hold_max_ms: f64,
+    stop_grace_ms: f64,
+    gang_timeout_ms: f64,
+    harm_ms: f64,
+    #[serde(rename = "status_s")]
+    status_s: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            grace_s: 6.0,
+            hold_max_ms: 10_000.0,
+            stop_grace_ms: 1_000.0,
+            gang_timeout_ms: 3_000.0,
+            harm_ms: 4_000.0,
+            status_s: 120.0,
+        }
+    }
+}
+
+/// Reads the settings file.
+///
+/// # Errors
+/// A message that names the missing or misshapen field.
+///
+/// ```
+/// let error = hemlockrock::platform::settings::decode(b"{\"ip\":\"10.0.0.1\"}").unwrap_err();
+/// assert!(error.contains("node-name"), "{error}");
+/// ```
+pub fn decode(text: &[u8]) -> Result<Site, String> {
+    const MS_PER_S: f64 = 1_000.0;
+    let settings: Settings = serde_json::from_slice(text).map_err(|error| error.to_string())?;
+    let peer_port = *settings.internal_ports.first().ok_or("internal-ports is empty")?;
+    Ok(Site {
+        host: settings.node_name,
+        zone: settings.zone,
+        front_address: settings.listen_addrs.front,
+        ready_address: settings.listen_addrs.ready,
+        peer_address: format!("{}:{peer_port}", settings.ip),
+        metrics_address: format!("{}:{}", settings.ip, peer_port + 1),
+        store_address: settings.platform.address,
+        advice_address: settings.advice.filter(|address| !address.is_empty()),
+        shutdown_grace_ms: whole_ms(settings.bounds.grace_s * MS_PER_S),
+        lease_limit_ms: whole_ms(settings.bounds.hold_max_ms),
+        stop_grace_ms: whole_ms(settings.bounds.stop_grace_ms),
+        gang_timeout_ms: whole_ms(settings.bounds.gang_timeout_ms),
+        disturbance_limit_ms: whole_ms(settings.bounds.harm_ms),
+        state_kept_ms: whole_ms(settings.bounds.status_s * MS_PER_S),
+        descriptor_limit: settings.limits.max_fds,
+    })
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped to the range first"
+)]
+fn whole_ms(value: f64) -> u64 {
+    const LIMIT_MS: f64 = 1e12;
+    value.clamp(0.0, LIMIT_MS) as u64
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,357 @@
+//! The platform's key-value store as a back end of [`crate::store::Store`].
+
+use base64::engine::general_purpose::STANDARD;
+use base64::Engine as _;
+use bytes::Bytes;
+use http_types::{Method, Url};
+use serde::{Deserialize, Serialize};
+
+use crate::http::client::{ExchangeError, Pool, Reply};
+use crate::store::api::Change;
+use crate::store::{
+    Answer, BoxFuture, Entry, Expect, LeaseId, Operation, Priority, Revision, Store, StoreError,
+};
+
+/// Pause that a refusal for want of rate asks for, in milliseconds; the platform names none.
+const RATE_PAUSE_MS: u64 = 100;
+
+/// The platform's store over HTTP.
+#[derive(Clone, Debug)]
+pub struct PlatformStore {
+    address: String,
+    timeout_ms: u64,
+    pool: Pool,
+}
+
+impl PlatformStore {
+    /// A client of the store at `address` whose calls end after `timeout_ms`, watches that much
+    /// after their wait.
+    pub fn new(address: impl Into<String>, timeout_ms: u64, pool: Pool) -> Self {
+        Self { address: address.into(), timeout_ms, pool }
+    }
+
+    async fn carry_out(&self, operation: Operation) -> Result<Answer, StoreError> {
+        match operation {
+            Operation::Get { key } => self.get(&key).await,
+            Operation::List { prefix } => self.list(&prefix).await,
+            Operation::Put { key, value, expect, lease } => {
+                let conditions = vec![(key.clone(), expect)];
+                let written = self.commit(conditions, vec![(key, value, lease)], Vec::new()).await;
+                written.map(single)
+            }
+            Operation::Delete { key, expect } => {
+                let conditions = vec![(key.clone(), expect)];
+                self.commit(conditions, Vec::new(), vec![key]).await.map(single)
+            }
+            Operation::Commit { conditions, puts, deletes } => {
+                self.commit(conditions, puts, deletes).await
+            }
+            Operation::Grant { ttl_ms } => self.grant(ttl_ms).await,
+            Operation::Renew { lease } => {
+                self.lease(Method::Post, &format!("/kv-keep/{}", lease.0)).await
+            }
+            Operation::Revoke { lease } => {
+                self.lease(Method::Delete, &format!("/kv-lease-end/{}", lease.0)).await
+            }
+            Operation::Watch { prefix, after, wait_ms } => {
+                self.watch(&prefix, after, wait_ms).await
+            }
+        }
+    }
+
+    async fn get(&self, key: &str) -> Result<Answer, StoreError> {
+        let reply = self.call(Method::Get, "/kv-key", &[("key", key)], None, 0).await?;
+        match reply.status {
+            200 => Ok(Answer::Entry { entry: Some(decode::<Item>(&reply)?.into_entry()?) }),
+            404 => Ok(Answer::Entry { entry: None }),
+            _ => Err(refused(&reply)),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Answer, StoreError> {
+        let mut entries = Vec::new();
+        let mut after = String::new();
+        let mut first_revision = None;
+        loop {
+            let query = [("prefix", prefix), ("after", after.as_str())];
+            let query = if after.is_empty() { &query[..1] } else { &query[..] };
+            let reply = self.call(Method::Get, "/kv-range", query, None, 0).await?;
+            if reply.status != 200 {
+                return Err(refused(&reply));
+            }
+            let page: Page = decode(&reply)?;
+            // The pages are no snapshot: a watch has to begin where the first one was read.
+            let revision = *first_revision.get_or_insert(Revision(page.at));
+            for item in page.items {
+                entries.push(item.into_entry()?);
+            }
+            match entries.last() {
+                Some(last) if page.has_more => after = last.key.clone(),
+                _ => return Ok(Answer::Entries { revision, entries }),
+            }
+        }
+    }
+
+    async fn commit(
+        &self,
+        conditions: Vec<(String, Expect)>,
+        puts: Vec<(String, Bytes, Option<LeaseId>)>,
+        deletes: Vec<String>,
+    ) -> Result<Answer, StoreError> {
+        let body = CommitBody {
+            expected: conditions.into_iter().filter_map(condition).collect(),
+            puts: puts.into_iter().map(put).collect(),
+            deletes,
+        };
+        let body = serde_json::to_vec(&body).map_err(|error| away(&error))?;
+        let reply = self.call(Method::Post, "/kv-txn", &[], Some(body), 0).await?;
+        match reply.status {
+            200 => Ok(Answer::Written { revision: Revision(decode::<Written>(&reply)?.revision) }),
+            404 => Err(StoreError::LeaseGone),
+            412 => {
+                let conflict: Conflict = decode(&reply)?;
+                let entries: Result<Vec<Entry>, StoreError> = conflict
+                    .items
+                    .into_iter()
+                    .filter(|item| item.revision > 0)
+                    .map(Item::into_entry)
+                    .collect();
+                Ok(Answer::Conflicts { entries: entries? })
+            }
+            _ => Err(refused(&reply)),
+        }
+    }
+
+    async fn grant(&self, ttl_ms: u64) -> Result<Answer, StoreError> {
+        let body = serde_json::to_vec(&TtlBody { ttl_ms }).map_err(|error| away(&error))?;
+        let reply = self.call(Method::Post, "/kv-lease", &[], Some(body), 0).await?;
+        if reply.status != 200 {
+            return Err(refused(&reply));
+        }
+        Ok(Answer::Granted { lease: LeaseId(decode::<Granted>(&reply)?.lease) })
+    }
+
+    async fn lease(&self, method: Method, path: &str) -> Result<Answer, StoreError> {
+        let reply = self.call(method, path, &[], None, 0).await?;
+        match reply.status {
+            200..=299 => Ok(Answer::Renewed),
+            404 => Err(StoreError::LeaseGone),
+            _ => Err(refused(&reply)),
+        }
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait_ms: u64,
+    ) -> Result<Answer, StoreError> {
+        let (after, wait) = (after.0.to_string(), wait_ms.to_string());
+        let query = [("prefix", prefix), ("after", after.as_str()), ("wait-ms", wait.as_str())];
+        let reply = self.call(Method::Get, "/kv-watch", &query, None, wait_ms).await?;
+        match reply.status {
+            200 => {
+                let page: Events = decode(&reply)?;
+                let changes: Result<Vec<Change>, StoreError> =
+                    page.events.into_iter().map(Event::into_change).collect();
+                Ok(Answer::Changes { revision: Revision(page.at), changes: changes? })
+            }
+            410 => Ok(Answer::Compacted { oldest: Revision(0) }),
+            _ => Err(refused(&reply)),
+        }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        query: &[(&str, &str)],
+        body: Option<Vec<u8>>,
+        wait_ms: u64,
+    ) -> Result<Reply, StoreError> {
+        let url = format!("http://{}{path}", self.address);
+        let mut url = Url::parse(&url).map_err(|error| away(&error))?;
+        if !query.is_empty() {
+            url.query_pairs_mut().extend_pairs(query);
+        }
+        let mut request = http_types::Request::new(method, url);
+        if let Some(body) = body {
+            request.set_body(body);
+            request.insert_header("Content-Type", "application/json");
+        }
+        let sent = self.pool.send(&self.address, request, self.timeout_ms + wait_ms).await;
+        sent.map_err(|error| exchange_error(&error))
+    }
+}
+
+impl Store for PlatformStore {
+    fn call(
+        &self,
+        operation: Operation,
+        _priority: Priority,
+    ) -> BoxFuture<'_, Result<Answer, StoreError>> {
+        Box::pin(self.carry_out(operation))
+    }
+}
+
+/// The answer to a write of one key, from the answer to a commit.
+fn single(answer: Answer) -> Answer {
+    match answer {
+        Answer::Conflicts { entries } => Answer::Conflict { current: entries.into_iter().next() },
+        other => other,
+    }
+}
+
+fn condition((key, expect): (String, Expect)) -> Option<Condition> {
+    let revision = match expect {
+        Expect::Any => return None,
+        Expect::Absent => 0,
+        Expect::Modified(revision) => revision.0,
+    };
+    Some(Condition { key, revision })
+}
+
+fn put((key, value, lease): (String, Bytes, Option<LeaseId>)) -> PutBody {
+    PutBody { key, value: STANDARD.encode(value), lease: lease.map(|lease| lease.0) }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(reply: &Reply) -> Result<T, StoreError> {
+    serde_json::from_slice(&reply.body)
+        .map_err(|error| StoreError::Lost(format!("unreadable answer: {error}")))
+}
+
+fn exchange_error(error: &ExchangeError) -> StoreError {
+    if error.is_not_sent() {
+        return StoreError::Away(error.to_string());
+    }
+    StoreError::Lost(error.to_string())
+}
+
+fn refused(reply: &Reply) -> StoreError {
+    match reply.status {
+        429 => StoreError::Overloaded { retry_after_ms: RATE_PAUSE_MS },
+        503 | 400 | 403 => StoreError::Away(format!("status {}", reply.status)),
+        status => StoreError::Lost(format!("status {status}")),
+    }
+}
+
+fn away(error: &impl std::fmt::Display) -> StoreError {
+    StoreError::Away(error.to_string())
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Item {
+    key: String,
+    #[serde(default)]
+    value: String,
+    #[serde(default)]
+    revision: u64,
+    #[serde(default)]
+    created_at: u64,
+    #[serde(default)]
+    lease: u64,
+}
+
+impl Item {
+    fn into_entry(self) -> Result<Entry, StoreError> {
+        let value = STANDARD.decode(self.value.as_bytes());
+        let value = value.map_err(|error| StoreError::Lost(format!("{}: {error}", self.key)))?;
+        Ok(Entry {
+            key: self.key,
+            value: Bytes::from(value),
+            // A revision, in spite of its name.
+            created: Revision(self.created_at),
+            modified: Revision(self.revision),
+            lease: (self.lease > 0).then_some(LeaseId(self.lease)),
+        })
+    }
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Page {
+    items: Vec<Item>,
+    #[serde(default)]
+    has_more: bool,
+    at: u64,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Event {
+    #[serde(default)]
+    deleted: bool,
+    #[serde(flatten)]
+    item: Item,
+}
+
+impl Event {
+    fn into_change(self) -> Result<Change, StoreError> {
+        let revision = Revision(self.item.revision);
+        if self.deleted {
+            return Ok(Change { revision, key: self.item.key, entry: None });
+        }
+        let entry = self.item.into_entry()?;
+        Ok(Change { revision, key: entry.key.clone(), entry: Some(entry) })
+    }
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Events {
+    events: Vec<Event>,
+    at: u64,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Written {
+    revision: u64,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Conflict {
+    #[serde(default)]
+    items: Vec<Item>,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Granted {
+    lease: u64,
+}
+
+#[derive(Debug)]
+#[derive(Serialize)]
+#[serde(rename_all = "kebab-case")]
+struct TtlBody {
+    ttl_ms: u64,
+}
+
+#[derive(Debug)]
+#[derive(Serialize)]
+struct Condition {
+    key: String,
+    revision: u64,
+}
+
+#[derive(Debug)]
+#[derive(Serialize)]
+struct PutBody {
+    key: String,
+    value: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    lease: Option<u64>,
+}
+
+#[derive(Debug)]
+#[derive(Serialize)]
+struct CommitBody {
+    expected: Vec<Condition>,
+    puts: Vec<PutBody>,
+    deletes: Vec<String>,
+}
--- /dev/null
+++ b/src/queue/scheduler/status.rs
@@ -0,0 +1,469 @@
+//! Takes in what runners list, renews their leases, and notices when a life has ended.
+
+use crate::decision_log;
+use crate::queue::model::{
+    EndedRun, JobState, OrderError, RunEnd, RunnerId, RunnerReport, RunnerStatus, RunningTask,
+    TaskId,
+};
+use crate::queue::scheduler::event::{Action, HoldOrder};
+use crate::queue::scheduler::job::Place;
+use crate::queue::scheduler::runner::{Assigned, Phase, Runner, RunnerKey};
+use crate::queue::scheduler::Scheduler;
+
+/// Ends that a runner lists at once; with that many, more may follow.
+const ENDS_LISTED: usize = 500;
+
+/// Pause after each failed renewal in a row, in milliseconds; a few fit into a lease.
+const HOLD_RETRY_MS: u64 = 250;
+
+/// Failed renewals after which the pause no longer grows.
+const HOLD_RETRY_STEPS: u64 = 4;
+
+/// Longest time that an end waits for its write before the lease is renewed all the same.
+const ACKNOWLEDGE_WAIT_MS: u64 = 800;
+
+impl Scheduler {
+    pub(super) fn list_runner(&mut self, report: RunnerReport, now_ms: u64) {
+        let Some(key) = self.runner_keys.get(&report.id).copied() else {
+            decision_log::line("runner_found")
+                .with("runner", &report.id)
+                .with("zone", &report.zone)
+                .end();
+            let id = report.id.clone();
+            let key = self.runners.insert(Runner::new(report));
+            self.runner_keys.insert(id, key);
+            return;
+        };
+        let runner = &mut self.runners[key];
+        if runner.is_draining != report.is_draining || !runner.is_listed {
+            decision_log::line("runner_state")
+                .with("runner", &report.id)
+                .with("draining", report.is_draining)
+                .with("leaves_in_ms", report.leaves_in_ms.unwrap_or_default())
+                .end();
+        }
+        if runner.listed_born_unix_ms != report.born_unix_ms {
+            runner.hold.next_ms = now_ms;
+        }
+        runner.update(report);
+    }
+
+    pub(super) fn unlist_runner(&mut self, id: &RunnerId, _now_ms: u64) {
+        let Some(key) = self.runner_keys.get(id).copied() else { return };
+        let runner = &mut self.runners[key];
+        runner.is_listed = false;
+        decision_log::line("runner_unlisted")
+            .with("runner", id)
+            .with("tasks", runner.assigned.len())
+            .with("draining", runner.is_draining)
+            .end();
+    }
+
+    pub(super) fn expect_runner(&mut self, id: RunnerId, address: String) {
+        if self.runner_keys.contains_key(&id) {
+            return;
+        }
+        let key = self.runners.insert(Runner::expected(id.clone(), address));
+        self.runner_keys.insert(id, key);
+    }
+
+    pub(super) fn held(
+        &mut self,
+        key: RunnerKey,
+        sent_ms: u64,
+        result: Result<RunnerStatus, OrderError>,
+        now_ms: u64,
+    ) {
+        let Some(runner) = self.runners.get_mut(key) else { return };
+        runner.hold.is_in_flight = false;
+        let status = match result {
+            Ok(status) => status,
+            Err(error) => {
+                runner.hold.failures += 1;
+                let steps = u64::from(runner.hold.failures).min(HOLD_RETRY_STEPS);
+                runner.hold.next_ms = now_ms + HOLD_RETRY_MS * steps;
+                if runner.hold.failures == 1 {
+                    decision_log::line("runner_lost")
+                        .with("runner", &runner.id)
+                        .with("error", format_args!("{error:?}"))
+                        .with("tasks", runner.assigned.len())
+                        .with("lapses_in_ms", runner.lapses_ms().saturating_sub(now_ms))
+                        .end();
+                }
+                return;
+            }
+        };
+        if runner.hold.failures > 0 {
+            decision_log::line("runner_regained").with("runner", &runner.id).end();
+        }
+        runner.hold.failures = 0;
+        runner.hold.answered_ms = now_ms;
+        runner.hold.next_ms = now_ms + self.config.hold_gap_ms;
+        if runner.born_unix_ms != Some(status.born_unix_ms) {
+            self.begin_life(key, status.born_unix_ms, now_ms);
+        }
+        let runner = &mut self.runners[key];
+        runner.is_fenced = true;
+        // The answer was written before it arrived: its clock is taken as that of now, which errs
+        // towards a longer lease than the runner's.
+        runner.clock = Some((status.clock_ms, now_ms));
+        let is_whole = status.ended.len() < ENDS_LISTED;
+        for ended in status.ended {
+            self.take_end(key, ended, now_ms);
+        }
+        let listed: Vec<(TaskId, u64)> =
+            status.running.iter().map(|row| (row.task, row.run)).collect();
+        for row in status.running {
+            self.take_running(key, row, sent_ms, now_ms);
+        }
+        if is_whole {
+            self.drop_missing(key, &listed, sent_ms, now_ms);
+        }
+    }
+
+    /// What ran in the former life has ended with it; orders without an answer may still come.
+    fn begin_life(&mut self, key: RunnerKey, born_unix_ms: u64, now_ms: u64) {
+        let runner = &mut self.runners[key];
+        let former = runner.born_unix_ms;
+        runner.begin_life(born_unix_ms);
+        if former.is_none() {
+            return;
+        }
+        decision_log::line("runner_reborn")
+            .with("runner", &runner.id)
+            .with("tasks", runner.assigned.len())
+            .end();
+        let mut lost = Vec::new();
+        for (task, assigned) in &mut runner.assigned {
+            match assigned.phase {
+                Phase::Starting { is_unsure: false } if assigned.is_order_in_flight => {}
+                Phase::Starting { .. } => assigned.stop(now_ms, "reborn"),
+                _ => lost.push(*task),
+            }
+        }
+        self.lose(key, &lost, "reborn", now_ms);
+        for job in self.jobs.values_mut() {
+            for step in &mut job.steps {
+                step.advice.forget_ticket(key);
+            }
+        }
+    }
+
+    fn take_end(&mut self, key: RunnerKey, ended: EndedRun, now_ms: u64) {
+        let runner = &mut self.runners[key];
+        if ended.number <= runner.seen {
+            return;
+        }
+        runner.seen = ended.number;
+        let task = ended.task;
+        let is_current =
+            runner.assigned.get(&task).is_some_and(|assigned| assigned.run == ended.run);
+        if is_current {
+            runner.release(task);
+        }
+        match ended.end {
+            RunEnd::Done => runner.failed_jobs.clear(),
+            RunEnd::Failed => self.note_runner_failure(key, task, now_ms),
+            _ => {}
+        }
+        decision_log::line("run_ended")
+            .with("task", task)
+            .with("run", ended.run)
+            .with("runner", &self.runners[key].id)
+            .with("end", format_args!("{:?}", ended.end))
+            .end();
+        self.apply_end(key, &ended, is_current, now_ms);
+    }
+
+    fn apply_end(&mut self, key: RunnerKey, ended: &EndedRun, is_current: bool, now_ms: u64) {
+        let task = ended.task;
+        let Some(job_key) = self.job_keys.get(&task.step.job).copied() else { return };
+        let job = &mut self.jobs[job_key];
+        let (step, index) = (task.step.step as usize, task.index as usize);
+        let Some(declared) = job.submission.steps.get(step) else { return };
+        let (is_gang, is_lasting) = (declared.is_gang, declared.is_lasting);
+        if is_current {
+            if let Some(run) = job.task_mut(task).filter(|run| run.place == Place::At(key)) {
+                run.wait(now_ms);
+            }
+        }
+        if !ended.checkpoint.is_empty() && ended.end != RunEnd::Done {
+            if let Some(run) = job.task_mut(task) {
+                run.checkpoint = ended.checkpoint.clone();
+            }
+        }
+        match ended.end {
+            RunEnd::Done if !is_lasting => self.take_done(job_key, step, index, is_gang, now_ms),
+            RunEnd::Failed if !is_lasting => {
+                let max_attempts = job.max_attempts;
+                if job.steps[step].note_failure(task.index, ended.run) {
+                    self.saving.note(job_key);
+                }
+                if job.steps[step].failures(task.index, is_gang) >= max_attempts {
+                    self.finish(job_key, JobState::Failed, now_ms);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn take_done(
+        &mut self,
+        job_key: super::JobKey,
+        step: usize,
+        index: usize,
+        is_gang: bool,
+        now_ms: u64,
+    ) {
+        let job = &mut self.jobs[job_key];
+        let count = job.steps[step].tasks.len();
+        let ended = if is_gang { 0..count } else { index..index + 1 };
+        let mut news = Vec::new();
+        for index in ended {
+            let place = job.steps[step].tasks.get(index).map(|task| task.place);
+            if job.mark_done(step, index) {
+                news.push((job.task_id(step, index), place));
+            }
+        }
+        if news.is_empty() {
+            return;
+        }
+        let is_done = job.is_done();
+        self.saving.note(job_key);
+        for (task, place) in news {
+            // Another run of a task that is done must not go on; members of a gang end together.
+            if let (Some(Place::At(at)), false) = (place, is_gang) {
+                if let Some(other) = self.runners[at].assigned.get_mut(&task) {
+                    other.stop(now_ms, "done elsewhere");
+                }
+            }
+        }
+        if is_done {
+            self.finish(job_key, JobState::Completed, now_ms);
+        }
+    }
+
+    fn take_running(&mut self, key: RunnerKey, row: RunningTask, sent_ms: u64, now_ms: u64) {
+        let job_key = self.job_keys.get(&row.task.step.job).copied();
+        let runner = &mut self.runners[key];
+        if let Some(assigned) =
+            runner.assigned.get_mut(&row.task).filter(|known| known.run == row.run)
+        {
+            assigned.load = row.load;
+            assigned.percent = row.percent;
+            if matches!(assigned.phase, Phase::Starting { .. }) {
+                assigned.phase = Phase::Running { since_ms: now_ms };
+            }
+            let job = job_key.and_then(|job| self.jobs.get_mut(job));
+            if let Some(job) = job {
+                if job.state == JobState::Queued {
+                    job.state = JobState::Active;
+                }
+                if let Some(task) = job.task_mut(row.task) {
+                    task.checkpoint = row.checkpoint;
+                }
+            }
+            return;
+        }
+        if runner.assigned.get(&row.task).is_some_and(|known| known.run > row.run) {
+            return;
+        }
+        let _ = sent_ms;
+        self.adopt(key, row, now_ms);
+    }
+
+    /// Takes over a run that a former leader has started, or lets it be stopped.
+    fn adopt(&mut self, key: RunnerKey, row: RunningTask, now_ms: u64) {
+        let job_key = self.job_keys.get(&row.task.step.job).copied();
+        let job = job_key.and_then(|job| self.jobs.get_mut(job));
+        let mut assigned = Assigned {
+            run: row.run,
+            room: crate::place::spec::Resources::default(),
+            phase: Phase::Stopping { ordered_ms: None },
+            is_order_in_flight: false,
+            retry_ms: now_ms,
+            fills: false,
+            target_ms: 0,
+            load: row.load,
+            percent: row.percent,
+            pace: 100,
+            paced_ms: 0,
+        };
+        if let Some(job) = job {
+            if let Some(step) = job.submission.steps.get(row.task.step.step as usize) {
+                assigned.room = step.room();
+                assigned.fills = step.fills;
+                assigned.target_ms = step.target_ms;
+            }
+            let is_wanted = !job.state.is_final();
+            if job.state == JobState::Queued {
+                job.state = JobState::Active;
+            }
+            if let Some(task) = job.task_mut(row.task) {
+                if is_wanted && task.place == Place::Waiting {
+                    task.place = Place::At(key);
+                    task.checkpoint = row.checkpoint;
+                    assigned.phase = Phase::Running { since_ms: now_ms };
+                }
+            }
+        }
+        decision_log::line("run_found")
+            .with("task", row.task)
+            .with("run", row.run)
+            .with("runner", &self.runners[key].id)
+            .with("kept", matches!(assigned.phase, Phase::Running { .. }))
+            .end();
+        self.runners[key].assign(row.task, assigned);
+    }
+
+    /// Drops what the runner does not list although it was confirmed before the renewal was sent.
+    fn drop_missing(
+        &mut self,
+        key: RunnerKey,
+        listed: &[(TaskId, u64)],
+        sent_ms: u64,
+        now_ms: u64,
+    ) {
+        let runner = &self.runners[key];
+        let missing: Vec<TaskId> = runner
+            .assigned
+            .iter()
+            .filter(|(task, assigned)| {
+                let is_confirmed = match assigned.phase {
+                    Phase::Starting { .. } | Phase::Stopping { ordered_ms: None } => false,
+                    Phase::Running { since_ms } => since_ms < sent_ms,
+                    Phase::Stopping { ordered_ms: Some(ordered_ms) } => ordered_ms < sent_ms,
+                };
+                is_confirmed && !listed.contains(&(**task, assigned.run))
+            })
+            .map(|(task, _)| *task)
+            .collect();
+        self.lose(key, &missing, "not listed", now_ms);
+    }
+
+    /// Takes tasks away from a runner where they certainly do not run any more.
+    pub(super) fn lose(&mut self, key: RunnerKey, tasks: &[TaskId], reason: &str, now_ms: u64) {
+        for task in tasks {
+            let Some(assigned) = self.runners[key].release(*task) else { continue };
+            decision_log::line("run_lost")
+                .with("task", task)
+                .with("run", assigned.run)
+                .with("runner", &self.runners[key].id)
+                .with("reason", reason)
+                .end();
+            self.free_task(key, *task, now_ms);
+        }
+    }
+
+    /// Lets a task that was at this runner wait again; a gang is stopped as a whole.
+    pub(super) fn free_task(&mut self, key: RunnerKey, task: TaskId, now_ms: u64) {
+        let Some(job_key) = self.job_keys.get(&task.step.job).copied() else { return };
+        let job = &mut self.jobs[job_key];
+        let is_gang =
+            job.submission.steps.get(task.step.step as usize).is_some_and(|step| step.is_gang);
+        if let Some(run) = job.task_mut(task).filter(|run| run.place == Place::At(key)) {
+            run.wait(now_ms);
+        }
+        if !is_gang {
+            return;
+        }
+        for runner in self.runners.values_mut() {
+            for (other, assigned) in &mut runner.assigned {
+                if other.step == task.step {
+                    assigned.stop(now_ms, "gang broken");
+                }
+            }
+        }
+    }
+
+    /// Sets a runner aside on which only failures end.
+    fn note_runner_failure(&mut self, key: RunnerKey, task: TaskId, now_ms: u64) {
+        let (limit, quarantine_ms) =
+            (self.config.runner_failure_limit as usize, self.config.runner_quarantine_ms);
+        let runner = &mut self.runners[key];
+        if !runner.failed_jobs.contains(&task.step.job.0) {
+            runner.failed_jobs.push(task.step.job.0);
+        }
+        if runner.failed_jobs.len() >= limit {
+            runner.paused_until_ms = now_ms + quarantine_ms;
+            runner.failed_jobs.clear();
+            decision_log::line("runner_set_aside")
+                .with("runner", &runner.id)
+                .with("for_ms", quarantine_ms)
+                .end();
+        }
+    }
+
+    /// Gives up runs whose lease has certainly ended, and forgets runners that are gone.
+    pub(super) fn expire_runners(&mut self, now_ms: u64) {
+        let lapsed: Vec<(RunnerKey, Vec<TaskId>)> = self
+            .runners
+            .iter()
+            .filter(|(_, runner)| !runner.assigned.is_empty())
+            .filter(|(_, runner)| {
+                let has_left = runner.is_draining && !runner.is_listed && runner.hold.failures > 0;
+                let is_silent = runner.clock.is_some() && now_ms > runner.lapses_ms();
+                has_left || is_silent
+            })
+            .map(|(key, runner)| (key, runner.assigned.keys().copied().collect()))
+            .collect();
+        for (key, tasks) in lapsed {
+            self.lose(key, &tasks, "lease ended", now_ms);
+        }
+        let inherited = now_ms < self.inherited_until_ms;
+        let keys = &mut self.runner_keys;
+        self.runners.retain(|_, runner| {
+            let is_gone = !runner.is_listed
+                && runner.assigned.is_empty()
+                && !runner.hold.is_in_flight
+                && (runner.is_fenced || !inherited);
+            if is_gone {
+                keys.remove(&runner.id);
+            }
+            !is_gone
+        });
+    }
+
+    /// Renews the leases of runners that hold something or have not answered yet.
+    pub(super) fn renew(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let config = &self.config;
+        let may_renew = now_ms < self.confirmed_until_ms + config.renew_without_store_ms;
+        if !may_renew {
+            return;
+        }
+        for (key, runner) in &mut self.runners {
+            if runner.hold.is_in_flight || now_ms < runner.hold.next_ms {
+                continue;
+            }
+            let is_new = !runner.is_fenced
+                || runner.born_unix_ms != Some(runner.listed_born_unix_ms) && runner.is_listed
+                || runner.hold.failures > 0;
+            let is_unsaved = runner.seen > runner.acknowledged;
+            if !is_new && runner.assigned.is_empty() && !is_unsaved {
+                continue;
+            }
+            if is_unsaved && now_ms < runner.hold.answered_ms + ACKNOWLEDGE_WAIT_MS {
+                continue;
+            }
+            let until_ms = if runner.assigned.is_empty() {
+                None
+            } else {
+                runner.until_ms(config.run_lease_ms, now_ms)
+            };
+            let is_watched = runner.serves() && runner.is_filled();
+            let wait_ms = match (is_new || is_unsaved, is_watched) {
+                (true, _) => 0,
+                (_, true) => config.hold_wait_ms / 2,
+                _ => config.hold_wait_ms,
+            };
+            runner.hold.is_in_flight = true;
+            out.push(Action::Hold(HoldOrder {
+                runner: key,
+                at: runner.at(),
+                until_ms,
+                acknowledged: runner.acknowledged,
+                wait_ms,
+            }));
+        }
+    }
+}
--- /dev/null
+++ b/src/queue/shared.rs
@@ -0,0 +1,191 @@
+//! What the parts of one host share: settings, connections, and the newest beliefs.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use crate::clock;
+use crate::collections::HashMap;
+use crate::configs::queue::QueueConfig;
+use crate::decision_log;
+use crate::http::client::Pool;
+use crate::queue::control::Input;
+use crate::queue::metrics::QueueMetrics;
+use crate::queue::model::{Directory, JobId, JobState};
+use crate::queue::record::LeaderRecord;
+use crate::queue::site::Site;
+use crate::store::{Revision, Store, StoreError};
+
+/// Final states that a host remembers; at the largest site 38,000 jobs end in a day.
+const FINAL_STATES: usize = 40_000;
+
+/// Everything that the parts of one host share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Place and addresses of the host.
+    pub site: Site,
+    /// Settings.
+    pub config: QueueConfig,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Connections to runners, hosts and advice.
+    pub pool: Pool,
+    /// Counters and histograms.
+    pub metrics: QueueMetrics,
+    directory: Mutex<Arc<Directory>>,
+    leader: Mutex<Option<Leader>>,
+    control: Mutex<Option<async_channel::Sender<Input>>>,
+    finals: Mutex<HashMap<JobId, JobState>>,
+    store_answered_ms: AtomicU64,
+    is_store_lost: AtomicBool,
+    is_draining: AtomicBool,
+}
+
+/// Who leads, as the store says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leader {
+    /// The record of the leader.
+    pub record: LeaderRecord,
+    /// Revision at which the record was created: the fencing token of the term.
+    pub token: Revision,
+}
+
+impl Shared {
+    /// A host that knows nothing yet.
+    pub fn new(
+        site: Site,
+        config: QueueConfig,
+        store: Arc<dyn Store>,
+        pool: Pool,
+        metrics: QueueMetrics,
+    ) -> Self {
+        Self {
+            site,
+            config,
+            store,
+            pool,
+            metrics,
+            directory: Mutex::default(),
+            leader: Mutex::default(),
+            control: Mutex::default(),
+            finals: Mutex::default(),
+            store_answered_ms: AtomicU64::new(0),
+            is_store_lost: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+        }
+    }
+
+    /// The operator's declarations, as far as they are known here.
+    pub fn directory(&self) -> Arc<Directory> {
+        Arc::clone(&lock(&self.directory))
+    }
+
+    /// Takes over newer declarations; older ones are ignored. Returns whether they were newer.
+    pub fn declare(&self, directory: Directory) -> bool {
+        let mut known = lock(&self.directory);
+        if directory.version <= known.version {
+            return false;
+        }
+        decision_log::line("declared")
+            .with("version", directory.version)
+            .with("former", known.version)
+            .with("queues", directory.queues.len())
+            .end();
+        *known = Arc::new(directory);
+        drop(known);
+        self.tell(Input::Declared(self.directory()));
+        true
+    }
+
+    /// The leader, as far as it is known here.
+    pub fn leader(&self) -> Option<Leader> {
+        lock(&self.leader).clone()
+    }
+
+    /// Notes who leads; returns whether that is news.
+    pub fn set_leader(&self, leader: Option<Leader>) -> bool {
+        let mut known = lock(&self.leader);
+        if *known == leader {
+            return false;
+        }
+        decision_log::line("leader_known")
+            .with("leader", leader.as_ref().map_or("none", |leader| &leader.record.host))
+            .with("token", leader.as_ref().map_or(0, |leader| leader.token.0))
+            .end();
+        *known = leader;
+        drop(known);
+        self.tell(Input::LeaderChanged);
+        true
+    }
+
+    /// Connects the control of a term, or disconnects it.
+    pub fn set_control(&self, control: Option<async_channel::Sender<Input>>) {
+        *lock(&self.control) = control;
+    }
+
+    /// The control of this host's term, if it leads.
+    pub fn control(&self) -> Option<async_channel::Sender<Input>> {
+        lock(&self.control).clone()
+    }
+
+    /// Tells the control something, if this host leads.
+    pub fn tell(&self, input: Input) {
+        if let Some(control) = self.control() {
+            // A closed channel means that the term has ended.
+            let _ = control.try_send(input);
+        }
+    }
+
+    /// Remembers a final state.
+    pub fn note_final(&self, job: JobId, state: JobState) {
+        let mut finals = lock(&self.finals);
+        if finals.len() >= FINAL_STATES {
+            finals.clear();
+        }
+        finals.insert(job, state);
+    }
+
+    /// A final state that this host has seen.
+    pub fn final_state(&self, job: JobId) -> Option<JobState> {
+        lock(&self.finals).get(&job).copied()
+    }
+
+    /// Notes how a call to the store ended.
+    pub fn note_store<T>(&self, result: &Result<T, StoreError>) {
+        let is_answer = !matches!(result, Err(StoreError::Away(_) | StoreError::Lost(_)));
+        if is_answer {
+            self.store_answered_ms.store(clock::now_ms(), Ordering::Release);
+        }
+        if self.is_store_lost.swap(!is_answer, Ordering::AcqRel) != !is_answer {
+            let error = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
+            let event = if is_answer { "store_regained" } else { "store_lost" };
+            decision_log::line(event).with("error", error).end();
+        }
+    }
+
+    /// Whether the last call to the store failed.
+    pub fn is_store_lost(&self) -> bool {
+        self.is_store_lost.load(Ordering::Acquire)
+    }
+
+    /// Whether callers should come here.
+    pub fn is_ready(&self) -> bool {
+        let answered_ms = self.store_answered_ms.load(Ordering::Acquire);
+        let is_fresh = clock::now_ms() < answered_ms + self.config.ready_without_store_ms;
+        !self.is_draining() && is_fresh && self.directory().version > 0
+    }
+
+    /// Asks the parts of the host to come to an end.
+    pub fn begin_drain(&self) {
+        self.is_draining.store(true, Ordering::Release);
+        self.tell(Input::Resign);
+    }
+
+    /// Whether the host is coming to an end.
+    pub fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Acquire)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/queue/site.rs
@@ -0,0 +1,36 @@
+//! Where a host stands and whom it talks to, as its surroundings tell it.
+
+/// Place, addresses and bounds of one host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Site {
+    /// Name of the host.
+    pub host: String,
+    /// Availability zone of the host.
+    pub zone: String,
+    /// Address at which callers arrive, `IP:port`.
+    pub front_address: String,
+    /// Address at which the balancer asks whether the host is ready.
+    pub ready_address: String,
+    /// Address for calls between hosts.
+    pub peer_address: String,
+    /// Address that serves the metrics.
+    pub metrics_address: String,
+    /// Address of the platform's store.
+    pub store_address: String,
+    /// Address of the service that advises which runners may run a step.
+    pub advice_address: Option<String>,
+    /// Time between the request to stop and the kill, in milliseconds.
+    pub shutdown_grace_ms: u64,
+    /// Longest lease that a runner grants to what it runs, in milliseconds.
+    pub lease_limit_ms: u64,
+    /// Longest time that a run takes to stop, in milliseconds.
+    pub stop_grace_ms: u64,
+    /// Time for which a member of a gang waits for the others, in milliseconds.
+    pub gang_timeout_ms: u64,
+    /// Time for which filling tasks may push a serving task over its target, in milliseconds.
+    pub disturbance_limit_ms: u64,
+    /// Time for which the state of an ended job can be asked, in milliseconds.
+    pub state_kept_ms: u64,
+    /// Descriptors that the process may have open.
+    pub descriptor_limit: usize,
+}
--- a/src/standin/store.rs
+++ b/src/standin/store.rs
@@ -68,6 +68,9 @@
             Operation::List { prefix } => self.list(&prefix),
             Operation::Put { key, value, expect, lease } => self.put(key, value, expect, lease),
             Operation::Delete { key, expect } => self.delete(&key, expect),
+            Operation::Commit { conditions, puts, deletes } => {
+                self.commit(&conditions, puts, &deletes)
+            }
             Operation::Grant { ttl_ms } => self.grant(ttl_ms, now_ms),
             Operation::Renew { lease } => self.renew(lease, now_ms),
             Operation::Revoke { lease } => self.revoke(lease),
@@ -125,6 +128,32 @@
         Answer::Written { revision: self.revision }
     }
 
+    fn commit(
+        &mut self,
+        conditions: &[(String, Expect)],
+        puts: Vec<(String, Bytes, Option<LeaseId>)>,
+        deletes: &[String],
+    ) -> Answer {
+        if puts.iter().any(|(_, value, _)| value.len() > api::VALUE_LIMIT_BYTES) {
+            return Answer::TooLarge;
+        }
+        let leases = puts.iter().filter_map(|(_, _, lease)| lease.as_ref());
+        if leases.into_iter().any(|lease| !self.leases.contains_key(lease)) {
+            return Answer::LeaseGone;
+        }
+        if conditions.iter().any(|(key, expect)| !holds(*expect, self.entries.get(key))) {
+            let current = conditions.iter().filter_map(|(key, _)| self.entries.get(key));
+            return Answer::Conflicts { entries: current.cloned().collect() };
+        }
+        for (key, value, lease) in puts {
+            self.put(key, value, Expect::Any, lease);
+        }
+        for key in deletes {
+            self.delete(key, Expect::Any);
+        }
+        Answer::Written { revision: self.revision }
+    }
+
     fn grant(&mut self, ttl_ms: u64, now_ms: u64) -> Answer {
         self.next_lease += 1;
         let lease = LeaseId(self.next_lease);
--- a/src/store.rs
+++ b/src/store.rs
@@ -155,3 +155,60 @@
         other => Err(other.unexpected()),
     }
 }
+
+/// Several writes that take effect together or not at all.
+#[derive(Clone, Debug, Default)]
+pub struct Commit {
+    /// Keys and the state that each must be in.
+    pub conditions: Vec<(String, Expect)>,
+    /// Keys with their new values and leases.
+    pub puts: Vec<(String, Bytes, Option<LeaseId>)>,
+    /// Keys that are removed.
+    pub deletes: Vec<String>,
+}
+
+/// How a commit ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CommitOutcome {
+    /// All writes are stored at this revision.
+    Written(Revision),
+    /// Nothing was written; what the keys of the conditions hold.
+    Conflict(Vec<Entry>),
+}
+
+/// Carries out several writes, all or none.
+///
+/// # Errors
+/// As [`Store::call`]; [`StoreError::LeaseGone`] when a lease has ended.
+pub async fn commit(
+    store: &dyn Store,
+    commit: Commit,
+    priority: Priority,
+) -> Result<CommitOutcome, StoreError> {
+    let Commit { conditions, puts, deletes } = commit;
+    match store.call(Operation::Commit { conditions, puts, deletes }, priority).await? {
+        Answer::Written { revision } => Ok(CommitOutcome::Written(revision)),
+        Answer::Conflicts { entries } => Ok(CommitOutcome::Conflict(entries)),
+        other => Err(other.unexpected()),
+    }
+}
+
+/// Changes of the keys that begin with `prefix` after a revision; waits up to `wait_ms` for one.
+///
+/// `None` when the history after that revision is gone.
+///
+/// # Errors
+/// As [`Store::call`].
+pub async fn watch(
+    store: &dyn Store,
+    prefix: impl Into<String>,
+    after: Revision,
+    wait_ms: u64,
+) -> Result<Option<(Revision, Vec<api::Change>)>, StoreError> {
+    let watch = Operation::Watch { prefix: prefix.into(), after, wait_ms };
+    match store.call(watch, Priority::Control).await? {
+        Answer::Changes { revision, changes } => Ok(Some((revision, changes))),
+        Answer::Compacted { .. } => Ok(None),
+        other => Err(other.unexpected()),
+    }
+}
--- a/src/store/api.rs
+++ b/src/store/api.rs
@@ -79,6 +79,15 @@
         /// Condition.
         expect: Expect,
     },
+    /// Writes and removes several keys, all or none.
+    Commit {
+        /// Keys and the state that each must be in.
+        conditions: Vec<(String, Expect)>,
+        /// Keys with their new values and leases.
+        puts: Vec<(String, Bytes, Option<LeaseId>)>,
+        /// Keys that are removed.
+        deletes: Vec<String>,
+    },
     /// Grants a lease.
     Grant {
         /// Time to live after each renewal, in milliseconds.
@@ -118,6 +127,7 @@
             Self::List { .. } => "list",
             Self::Put { .. } => "put",
             Self::Delete { .. } => "delete",
+            Self::Commit { .. } => "commit",
             Self::Grant { .. } => "grant",
             Self::Renew { .. } => "renew",
             Self::Revoke { .. } => "revoke",
@@ -164,6 +174,11 @@
         /// What the key holds.
         current: Option<Entry>,
     },
+    /// To `Commit` whose conditions did not all hold: what their keys hold now.
+    Conflicts {
+        /// The keys that exist.
+        entries: Vec<Entry>,
+    },
     /// To `Grant`.
     Granted {
         /// The lease.
