--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -15,6 +15,10 @@
 /// Pause that a refusal for want of rate asks for, in milliseconds; the platform names none.
 const RATE_PAUSE_MS: u64 = 100;
 
+/// Longest answer of the store, in bytes: a page has about 1 MB, to which its last item adds up to
+/// 1 MB that base64 makes a third longer.
+pub const ANSWER_LIMIT_BYTES: u64 = 4 << 20;
+
 /// The platform's store over HTTP.
 #[derive(Clone, Debug)]
 pub struct PlatformStore {
--- a/src/queue/daemon.rs
+++ b/src/queue/daemon.rs
@@ -16,7 +16,7 @@
 use crate::http::server::Server;
 use crate::platform::callers;
 use crate::platform::settings;
-use crate::platform::store::PlatformStore;
+use crate::platform::store::{self, PlatformStore};
 use crate::queue::metrics::QueueMetrics;
 use crate::queue::shared::Shared;
 use crate::queue::{control, election, front, peer, watch};
@@ -57,8 +57,11 @@
         .with("version", env!("CARGO_PKG_VERSION"))
         .end();
     let registry = prometheus::Registry::new();
-    let pool =
-        Pool::new(HttpConfig { connect_timeout_ms: CONNECT_TIMEOUT_MS, ..HttpConfig::default() });
+    let pool = Pool::new(HttpConfig {
+        connect_timeout_ms: CONNECT_TIMEOUT_MS,
+        max_body_bytes: store::ANSWER_LIMIT_BYTES,
+        ..HttpConfig::default()
+    });
     let store =
         PlatformStore::new(site.store_address.as_str(), config.store_timeout_ms, pool.clone());
     let metrics = QueueMetrics::new(&registry)?;
