feat(queue): shorter leases, copies at once, stalled runs start elsewhere, refusals at once without the store

Change: run lease 4.3 s with renewals of 1 s; steps that may be copied start elsewhere when their runner stops answering; a run without progress for 2.5 s is stopped and started elsewhere; a host that has had no answer of the store for 1.2 s refuses at once with 503, and is not ready after 1.5 s.

--- a/src/configs/queue.rs
+++ b/src/configs/queue.rs
@@ -22,12 +22,14 @@
     pub leader_renew_ms: u64,
     /// Time by which a leader stops to order before its lease can have lapsed, in milliseconds.
     pub leader_margin_ms: u64,
-    /// Time for which a leader without the store still renews what runs, in milliseconds.
+    /// Time for which a leader still renews what runs after its own lease may have lapsed, in
+    /// milliseconds: with `run_lease_ms` it carries the runs over outages of the store of 8 s.
     pub renew_without_store_ms: u64,
     /// Lease that the leader asks of runners for what runs there, in milliseconds: longer than the
     /// time to live of its own lease and a takeover together.
     pub run_lease_ms: u64,
-    /// Wait of a renewal for an end, in milliseconds; runners allow 2,000.
+    /// Wait of a renewal for an end, in milliseconds; runners allow 2,000. A silent runner is
+    /// noticed that much later.
     pub hold_wait_ms: u64,
     /// Shortest time between renewals at one runner, in milliseconds: ends gather meanwhile.
     pub hold_gap_ms: u64,
@@ -39,6 +41,9 @@
     pub runner_failure_limit: u32,
     /// Time for which a runner that only fails is set aside, in milliseconds.
     pub runner_quarantine_ms: u64,
+    /// Time for which a run may show no progress before it is started elsewhere, in milliseconds:
+    /// above the time that one percent of the longest work of the sites takes.
+    pub stall_patience_ms: u64,
     /// Time between writes of what has ended, in milliseconds: ends share a write.
     pub save_gap_ms: u64,
     /// Records in one write; the store takes 32 entries, two of them for each record.
@@ -62,6 +67,9 @@
     pub disturbed_at_millis: u64,
     /// Load of a serving task, in thousandths of its target, at which filling tasks work again.
     pub calm_at_millis: u64,
+    /// Time without an answer of the store after which callers are refused at once, in milliseconds:
+    /// just above `declaration_wait_ms`, in which a living store answers at least once.
+    pub store_away_ms: u64,
     /// Longest time without the store in which a host still calls itself ready, in milliseconds.
     pub ready_without_store_ms: u64,
     /// Part of the grace period in which a host that is stopped still serves, in milliseconds.
@@ -77,14 +85,15 @@
             leader_ttl_ms: 2_500,
             leader_renew_ms: 600,
             leader_margin_ms: 300,
-            renew_without_store_ms: 6_000,
-            run_lease_ms: 6_000,
-            hold_wait_ms: 2_000,
+            renew_without_store_ms: 1_500,
+            run_lease_ms: 4_300,
+            hold_wait_ms: 1_000,
             hold_gap_ms: 60,
             order_timeout_ms: 600,
             runner_pause_ms: 1_000,
             runner_failure_limit: 3,
             runner_quarantine_ms: 6_000,
+            stall_patience_ms: 2_500,
             save_gap_ms: 50,
             save_batch: 15,
             record_gap_ms: 500,
@@ -96,7 +105,8 @@
             lasting_patience_ms: 1_000,
             disturbed_at_millis: 700,
             calm_at_millis: 400,
-            ready_without_store_ms: 3_000,
+            store_away_ms: 1_200,
+            ready_without_store_ms: 1_500,
             shutdown_serve_ms: 3_000,
         }
     }
--- a/src/queue/front.rs
+++ b/src/queue/front.rs
@@ -30,9 +30,9 @@
 /// Pause between two tries to store a record, in milliseconds.
 const RETRY_MS: u64 = 60;
 
-/// When a caller should come back after a refusal for want of the store, in milliseconds; the
-/// header counts whole seconds.
-const RETRY_AFTER_MS: u64 = 1_000;
+/// When a caller should come back after a refusal for want of the store, in milliseconds: outages
+/// last for seconds, and a caller that comes back at once uses up its tries.
+const RETRY_AFTER_MS: u64 = 2_000;
 
 /// Tries to reach a store that certainly did nothing, before the caller is sent elsewhere.
 const CERTAIN_TRIES: u32 = 3;
@@ -133,6 +133,10 @@
             return Err(ApiError::new(503, "repeats", "jobs that repeat are not served"));
         }
     };
+    if shared.is_store_away() {
+        decision_log::line("job_refused").with("job", id).with("reason", "store away").end();
+        return Err(store_away());
+    }
     let value = record::encode(&submission)
         .map_err(|error| ApiError::new(400, "not_a_job", error.to_string()))?;
     let stored = store_once(shared, record::job_key(id), value, deadline_ms).await;
@@ -274,6 +278,9 @@
 }
 
 async fn read(shared: &Shared, key: String) -> Result<Option<store::Entry>, ApiError> {
+    if shared.is_store_away() {
+        return Err(store_away());
+    }
     let result = store::get(&*shared.store, key, Priority::Record).await;
     watch::note(shared, "get", &result);
     result.map_err(|error| {
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -108,6 +108,7 @@
     /// Appends the orders, calls and writes that the state calls for now.
     pub fn act(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         self.expire_runners(now_ms);
+        self.stop_stalled(now_ms);
         self.repeat_orders(now_ms, out);
         if self.may_start(now_ms) {
             self.place(now_ms, out);
--- a/src/queue/scheduler/orders.rs
+++ b/src/queue/scheduler/orders.rs
@@ -107,7 +107,8 @@
 
     /// Gives the stops that are due, and starts without an answer again.
     pub(super) fn repeat_orders(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        for (key, runner) in &mut self.runners {
+        let answering = self.runners.iter_mut().filter(|(_, runner)| runner.hold.failures == 0);
+        for (key, runner) in answering {
             let due: Vec<TaskId> = runner
                 .assigned
                 .iter()
--- a/src/queue/scheduler/placing.rs
+++ b/src/queue/scheduler/placing.rs
@@ -202,22 +202,7 @@
         let spec = job.submission.spec.clone();
         let runner = &mut self.runners[key];
         let until_ms = runner.until_ms(self.config.run_lease_ms, now_ms).unwrap_or_default();
-        runner.assign(
-            id,
-            Assigned {
-                run,
-                room: wanted.declared.room(),
-                phase: Phase::Starting { is_unsure: false },
-                is_order_in_flight: true,
-                retry_ms: now_ms,
-                fills: wanted.declared.fills,
-                target_ms: wanted.declared.target_ms,
-                load: 0.0,
-                percent: 0.0,
-                pace: 100,
-                paced_ms: 0,
-            },
-        );
+        runner.assign(id, Assigned::new(run, wanted.declared, now_ms));
         let at = runner.at();
         let order =
             StartOrder { runner: key, at, task: id, run, spec, until_ms, checkpoint, ticket };
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -2,7 +2,7 @@
 
 use crate::collections::HashMap;
 use crate::place::spec::Resources;
-use crate::queue::model::{RunnerId, RunnerReport, TaskId};
+use crate::queue::model::{RunnerId, RunnerReport, Step, TaskId};
 
 slotmap::new_key_type! {
     /// A runner in the arena of the leader.
@@ -12,6 +12,9 @@
 /// How much longer than it says a lease can hold, in thousandths: a runner's clock may be 2% slow.
 const SLOW_CLOCK_MILLIS: u64 = 25;
 
+/// Pace of a run that nothing slows down, in percent.
+const FULL_PACE_PERCENT: u32 = 100;
+
 /// Spread of delays within which a lease is taken to have ended, in milliseconds.
 const LEASE_SLACK_MS: u64 = 300;
 
@@ -70,6 +73,12 @@
     pub(crate) is_order_in_flight: bool,
     pub(crate) retry_ms: u64,
     pub(crate) fills: bool,
+    /// Another run of the task may go on elsewhere.
+    pub(crate) may_copy: bool,
+    /// Progress of the task can be seen: it works alone and comes to an end.
+    pub(crate) advances: bool,
+    /// When its progress was last seen to change.
+    pub(crate) advanced_ms: u64,
     pub(crate) target_ms: u64,
     pub(crate) load: f64,
     pub(crate) percent: f64,
@@ -98,6 +107,41 @@
 }
 
 impl Assigned {
+    /// A task of this step that is ordered or found now.
+    pub(crate) fn new(run: u64, step: &Step, now_ms: u64) -> Self {
+        Self {
+            run,
+            room: step.room(),
+            phase: Phase::Starting { is_unsure: false },
+            is_order_in_flight: true,
+            retry_ms: now_ms,
+            fills: step.fills,
+            may_copy: step.may_copy,
+            advances: !step.is_gang && !step.is_lasting && !step.fills,
+            advanced_ms: now_ms,
+            target_ms: step.target_ms,
+            load: 0.0,
+            percent: 0.0,
+            pace: FULL_PACE_PERCENT,
+            paced_ms: 0,
+        }
+    }
+
+    /// Takes in how far the run is.
+    pub(crate) fn advance(&mut self, percent: f64, load: f64, now_ms: u64) {
+        if (percent - self.percent).abs() > f64::EPSILON {
+            self.advanced_ms = now_ms;
+        }
+        self.percent = percent;
+        self.load = load;
+    }
+
+    /// Whether the run has stood still for this long.
+    pub(crate) fn is_stalled(&self, patience_ms: u64, now_ms: u64) -> bool {
+        let Phase::Running { since_ms } = self.phase else { return false };
+        self.advances && now_ms > self.advanced_ms.max(since_ms) + patience_ms
+    }
+
     /// Lets the run be stopped.
     pub(crate) fn stop(&mut self, now_ms: u64, _reason: &str) {
         if !matches!(self.phase, Phase::Stopping { .. }) {
--- a/src/queue/scheduler/status.rs
+++ b/src/queue/scheduler/status.rs
@@ -5,7 +5,7 @@
 use crate::decision_log;
 use crate::queue::model::{
     EndedRun, JobState, OrderError, RunEnd, RunnerId, RunnerReport, RunnerStatus, RunningTask,
-    TaskId,
+    Step, TaskId,
 };
 use crate::queue::scheduler::event::{Action, HoldOrder};
 use crate::queue::scheduler::job::Place;
@@ -95,6 +95,7 @@
                         .with("tasks", runner.assigned.len())
                         .with("lapses_in_ms", runner.lapses_ms().saturating_sub(now_ms))
                         .end();
+                    self.copy_elsewhere(key, now_ms);
                 }
                 return;
             }
@@ -272,8 +273,7 @@
         if let Some(assigned) =
             runner.assigned.get_mut(&row.task).filter(|known| known.run == row.run)
         {
-            assigned.load = row.load;
-            assigned.percent = row.percent;
+            assigned.advance(row.percent, row.load, now_ms);
             if matches!(assigned.phase, Phase::Starting { .. }) {
                 assigned.phase = Phase::Running { since_ms: now_ms };
             }
@@ -299,25 +299,14 @@
     fn adopt(&mut self, key: RunnerKey, row: RunningTask, now_ms: u64) {
         let job_key = self.job_keys.get(&row.task.step.job).copied();
         let job = job_key.and_then(|job| self.jobs.get_mut(job));
-        let mut assigned = Assigned {
-            run: row.run,
-            room: crate::place::spec::Resources::default(),
-            phase: Phase::Stopping { ordered_ms: None },
-            is_order_in_flight: false,
-            retry_ms: now_ms,
-            fills: false,
-            target_ms: 0,
-            load: row.load,
-            percent: row.percent,
-            pace: 100,
-            paced_ms: 0,
-        };
+        let unknown = Step::default();
+        let step =
+            job.as_ref().and_then(|job| job.submission.steps.get(row.task.step.step as usize));
+        let mut assigned = Assigned::new(row.run, step.unwrap_or(&unknown), now_ms);
+        assigned.phase = Phase::Stopping { ordered_ms: None };
+        assigned.is_order_in_flight = false;
+        assigned.advance(row.percent, row.load, now_ms);
         if let Some(job) = job {
-            if let Some(step) = job.submission.steps.get(row.task.step.step as usize) {
-                assigned.room = step.room();
-                assigned.fills = step.fills;
-                assigned.target_ms = step.target_ms;
-            }
             let is_wanted = !job.state.is_final();
             if job.state == JobState::Queued {
                 job.state = JobState::Active;
@@ -399,6 +388,44 @@
         }
     }
 
+    /// Lets tasks that may be copied start elsewhere while their runner does not answer.
+    fn copy_elsewhere(&mut self, key: RunnerKey, now_ms: u64) {
+        let runner = &mut self.runners[key];
+        let mut copied = Vec::new();
+        for (task, assigned) in &mut runner.assigned {
+            if assigned.may_copy {
+                assigned.stop(now_ms, "copied elsewhere");
+                copied.push(*task);
+            }
+        }
+        for task in copied {
+            self.free_task(key, task, now_ms);
+        }
+    }
+
+    /// Stops runs that stand still, so that they start elsewhere, and sets their runners aside.
+    pub(super) fn stop_stalled(&mut self, now_ms: u64) {
+        let patience_ms = self.config.stall_patience_ms;
+        let pause_ms = self.config.runner_quarantine_ms;
+        for runner in self.runners.values_mut().filter(|runner| runner.hold.failures == 0) {
+            let mut stalled = 0;
+            for (task, assigned) in &mut runner.assigned {
+                if assigned.is_stalled(patience_ms, now_ms) {
+                    assigned.stop(now_ms, "stalled");
+                    stalled += 1;
+                    decision_log::line("run_stalled")
+                        .with("task", task)
+                        .with("runner", &runner.id)
+                        .with("percent", assigned.percent)
+                        .end();
+                }
+            }
+            if stalled > 0 {
+                runner.paused_until_ms = runner.paused_until_ms.max(now_ms + pause_ms);
+            }
+        }
+    }
+
     /// Sets a runner aside on which only failures end.
     fn note_runner_failure(&mut self, key: RunnerKey, task: TaskId, now_ms: u64) {
         let (limit, quarantine_ms) =
--- a/src/queue/shared.rs
+++ b/src/queue/shared.rs
@@ -167,6 +167,12 @@
         self.is_store_lost.load(Ordering::Acquire)
     }
 
+    /// Whether the store has failed for so long that a call is not worth its caller's time.
+    pub fn is_store_away(&self) -> bool {
+        let answered_ms = self.store_answered_ms.load(Ordering::Acquire);
+        self.is_store_lost() && clock::now_ms() > answered_ms + self.config.store_away_ms
+    }
+
     /// Whether callers should come here.
     pub fn is_ready(&self) -> bool {
         let answered_ms = self.store_answered_ms.load(Ordering::Acquire);
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -179,6 +179,44 @@
     assert_eq!(world.acknowledged("r1"), 1);
 }
 
+#[test]
+fn a_task_that_may_be_copied_starts_elsewhere_as_soon_as_its_runner_is_silent() {
+    let mut world = World::new(1);
+    world.add_runner("r1", 4_000);
+    world.add_runner("r2", 4_000);
+    let mut copied = step(1, 1_000);
+    copied.may_copy = true;
+    world.step(Event::Submitted(job(1, vec![copied])));
+    let first = world.starts();
+    world.answer_starts(&first);
+    let lost = first[0].at.0.clone();
+    world.silence(&lost);
+    world.pass(world.config.hold_wait_ms + 300);
+    let second = world.starts();
+    assert_eq!(second.len(), 1);
+    assert_ne!(second[0].at.0, lost);
+}
+
+#[test]
+fn a_run_that_stands_still_is_stopped_and_starts_elsewhere() {
+    let mut world = World::new(1);
+    world.add_runner("r1", 4_000);
+    world.add_runner("r2", 4_000);
+    world.step(Event::Submitted(job(1, vec![step(1, 1_000)])));
+    let first = world.starts();
+    world.answer_starts(&first);
+    for _ in 0..4 {
+        world.pass(world.config.hold_wait_ms);
+    }
+    let stops = world.stops();
+    assert_eq!(stops.len(), 1, "the runner of the tests shows no progress");
+    world.answer_stop(&stops[0], Ok(()));
+    world.end(&first[0], RunEnd::Stopped);
+    let second = world.starts();
+    assert_eq!(second.len(), 1);
+    assert_ne!(second[0].at.0, first[0].at.0);
+}
+
 #[test]
 fn every_action_is_one_that_the_case_expects() {
     let mut world = World::new(1);
