feat(queue): errands by other hosts, a restarted leader replaces itself, a shorter term lease

Change: term lease 1.6 s, run lease 3.6 s; a process that finds its own host's former term in the store removes it at once; a host without the store sends submissions, cancels and questions to another one.

--- a/src/configs/queue.rs
+++ b/src/configs/queue.rs
@@ -23,7 +23,7 @@
     /// Time by which a leader stops to order before its lease can have lapsed, in milliseconds.
     pub leader_margin_ms: u64,
     /// Time for which a leader still renews what runs after its own lease may have lapsed, in
-    /// milliseconds: with `run_lease_ms` it carries the runs over outages of the store of 8 s.
+    /// milliseconds: with `run_lease_ms` it carries the runs over outages of the store of 6 s.
     pub renew_without_store_ms: u64,
     /// Lease that the leader asks of runners for what runs there, in milliseconds: longer than the
     /// time to live of its own lease and a takeover together.
@@ -82,11 +82,11 @@
             store_timeout_ms: 800,
             declaration_wait_ms: 1_000,
             leader_wait_ms: 4_000,
-            leader_ttl_ms: 2_500,
-            leader_renew_ms: 600,
+            leader_ttl_ms: 1_600,
+            leader_renew_ms: 400,
             leader_margin_ms: 300,
             renew_without_store_ms: 1_500,
-            run_lease_ms: 4_300,
+            run_lease_ms: 3_600,
             hold_wait_ms: 1_000,
             hold_gap_ms: 60,
             order_timeout_ms: 600,
--- a/src/queue/daemon.rs
+++ b/src/queue/daemon.rs
@@ -91,13 +91,19 @@
 async fn campaign(shared: &Arc<Shared>) {
     let spread_ms = collections::stable_hash(&shared.site.host) % CAMPAIGN_SPREAD_MS;
     while !shared.is_draining() {
-        let may_lead = shared.leader().is_none() && shared.is_ready();
-        if !may_lead {
+        let leader = shared.leader();
+        let is_former_self = leader.as_ref().is_some_and(|leader| shared.is_own(&leader.record));
+        if !shared.is_ready() || (leader.is_some() && !is_former_self) {
             task::sleep(Duration::from_millis(CAMPAIGN_LOOK_MS)).await;
             continue;
         }
-        task::sleep(Duration::from_millis(spread_ms)).await;
+        if let Some(former) = leader {
+            election::retire(shared, &former).await;
+        } else {
+            task::sleep(Duration::from_millis(spread_ms)).await;
+        }
         if shared.leader().is_some() {
+            task::sleep(Duration::from_millis(CAMPAIGN_LOOK_MS)).await;
             continue;
         }
         match election::campaign(shared).await {
--- a/src/queue/election.rs
+++ b/src/queue/election.rs
@@ -7,7 +7,8 @@
 use crate::queue::shared::{Leader, Shared};
 use crate::queue::watch;
 use crate::store::{
-    self, Commit, CommitOutcome, Expect, LeaseId, Operation, Priority, Revision, StoreError,
+    self, Commit, CommitOutcome, Expect, LeaseId, Operation, Priority, PutOutcome, Revision,
+    StoreError,
 };
 
 /// Tries to settle an answer that was lost before the try is given up.
@@ -72,6 +73,28 @@
     Err(StoreError::Lost("no try to lead was answered".to_owned()))
 }
 
+/// Removes the key of a term that an earlier process of this host has left behind.
+///
+/// That process is gone, so that nobody has to wait for its lease to lapse.
+pub async fn retire(shared: &Shared, former: &Leader) {
+    let expect = Expect::Modified(former.token);
+    let result = store::delete(&*shared.store, record::LEADER, expect, Priority::Control).await;
+    watch::note(shared, "retire", &result);
+    decision_log::line("term_retired")
+        .with("token", former.token.0)
+        .with("outcome", format_args!("{result:?}"))
+        .end();
+    match result {
+        Ok(PutOutcome::Written(_) | PutOutcome::Conflict(None)) => {
+            shared.set_leader(None);
+        }
+        Ok(PutOutcome::Conflict(Some(entry))) => {
+            shared.set_leader(watch::leader_of(&entry));
+        }
+        Err(_) => {}
+    }
+}
+
 /// Ends a lease, so that nobody waits for it to lapse.
 pub async fn release(shared: &Shared, lease: LeaseId) {
     let result = shared.store.call(Operation::Revoke { lease }, Priority::Control).await;
--- a/src/queue/front.rs
+++ b/src/queue/front.rs
@@ -15,7 +15,7 @@
 use crate::http::server;
 use crate::platform::callers::{self, Decoded};
 use crate::queue::model::{Directory, JobId, JobState, Queue, Submission};
-use crate::queue::peer;
+use crate::queue::peer::{self, Errand, ErrandEnd};
 use crate::queue::record::{self, Progress};
 use crate::queue::shared::Shared;
 use crate::queue::watch;
@@ -133,29 +133,92 @@
             return Err(ApiError::new(503, "repeats", "jobs that repeat are not served"));
         }
     };
-    if shared.is_store_away() {
-        decision_log::line("job_refused").with("job", id).with("reason", "store away").end();
-        return Err(store_away());
-    }
-    let value = record::encode(&submission)
-        .map_err(|error| ApiError::new(400, "not_a_job", error.to_string()))?;
-    let stored = store_once(shared, record::job_key(id), value, deadline_ms).await;
+    let steps = submission.steps.len();
+    let (stored, by) = if shared.is_store_away() {
+        (peer::send_errand(shared, &Errand::Submit(submission)).await, "another host")
+    } else {
+        (keep_job(shared, submission, deadline_ms).await, "this host")
+    };
     decision_log::line("job_submitted")
         .with("job", id)
         .with("queue", &queue.name)
         .with("version", directory.version)
-        .with("steps", submission.steps.len())
+        .with("steps", steps)
+        .with("by", by)
         .with("outcome", format_args!("{stored:?}"))
         .end();
-    match stored {
-        Stored::New | Stored::Known => {
-            let is_new = stored == Stored::New;
-            announce(shared, submission, is_new);
-            Ok(Response::new(StatusCode::Ok))
+    stored_response(stored)
+}
+
+/// The answer to a caller whose record was to be stored.
+fn stored_response(end: ErrandEnd) -> Result<Response, ApiError> {
+    match end {
+        ErrandEnd::Stored | ErrandEnd::State(_) => Ok(Response::new(StatusCode::Ok)),
+        ErrandEnd::NotStored => Err(store_away()),
+        ErrandEnd::Unsure => Err(ApiError::new(504, "unknown", "the record may have been stored")),
+        ErrandEnd::NoJob => Err(no_such_job()),
+    }
+}
+
+fn no_such_job() -> ApiError {
+    ApiError::new(410, "no_such_job", "the job is not known")
+}
+
+/// Does an errand for a host that the store turns away.
+pub async fn run_errand(shared: &Arc<Shared>, errand: Errand) -> ErrandEnd {
+    if shared.is_store_away() {
+        return ErrandEnd::NotStored;
+    }
+    let deadline_ms = clock::now_ms() + shared.config.store_timeout_ms;
+    match errand {
+        Errand::Submit(submission) => keep_job(shared, submission, deadline_ms).await,
+        Errand::Cancel(id) => keep_cancel(shared, id, deadline_ms).await,
+        Errand::State(id) => match find_state(shared, id).await {
+            Ok(Some((state, _))) => ErrandEnd::State(state),
+            Ok(None) => ErrandEnd::NoJob,
+            Err(_) => ErrandEnd::NotStored,
+        },
+    }
+}
+
+/// Stores a job and tells the leader of it.
+async fn keep_job(shared: &Arc<Shared>, submission: Submission, deadline_ms: u64) -> ErrandEnd {
+    let key = record::job_key(submission.id);
+    let value = match record::encode(&submission) {
+        Ok(value) => value,
+        Err(error) => {
+            decision_log::line("job_unwritable")
+                .with("job", submission.id)
+                .with("error", error)
+                .end();
+            return ErrandEnd::NotStored;
         }
-        Stored::Nothing => Err(store_away()),
-        Stored::Unsure => Err(ApiError::new(504, "unknown", "the job may have been accepted")),
+    };
+    let stored = store_once(shared, key, value, deadline_ms).await;
+    if stored == Stored::New {
+        announce(shared, submission);
+    }
+    stored.into()
+}
+
+/// Stores a cancellation and tells the leader of it.
+async fn keep_cancel(shared: &Arc<Shared>, id: JobId, deadline_ms: u64) -> ErrandEnd {
+    match read(shared, record::job_key(id)).await {
+        Ok(Some(_)) => {}
+        Ok(None) => return ErrandEnd::NoJob,
+        Err(_) => return ErrandEnd::NotStored,
+    }
+    let value = bytes::Bytes::from_static(b"cancel");
+    let stored = store_once(shared, record::cancel_key(id), value, deadline_ms).await;
+    if matches!(stored, Stored::New | Stored::Known) {
+        let shared = Arc::clone(shared);
+        task::spawn(async move {
+            if let Err(error) = peer::announce_cancel(&shared, id).await {
+                decision_log::line("announce_failed").with("job", id).with("error", error).end();
+            }
+        });
     }
+    stored.into()
 }
 
 fn store_away() -> ApiError {
@@ -163,10 +226,7 @@
     error.with_retry_after_ms(RETRY_AFTER_MS)
 }
 
-fn announce(shared: &Arc<Shared>, submission: Submission, is_new: bool) {
-    if !is_new {
-        return;
-    }
+fn announce(shared: &Arc<Shared>, submission: Submission) {
     let shared = Arc::clone(shared);
     task::spawn(async move {
         let id = submission.id;
@@ -189,6 +249,16 @@
     Unsure,
 }
 
+impl From<Stored> for ErrandEnd {
+    fn from(stored: Stored) -> Self {
+        match stored {
+            Stored::New | Stored::Known => Self::Stored,
+            Stored::Nothing => Self::NotStored,
+            Stored::Unsure => Self::Unsure,
+        }
+    }
+}
+
 /// Writes a record unless it exists; a lost answer is settled by the same write again.
 async fn store_once(shared: &Shared, key: String, value: bytes::Bytes, deadline_ms: u64) -> Stored {
     let mut is_unsure = false;
@@ -241,22 +311,38 @@
     if let Some(state) = shared.final_state(id) {
         return Ok(json(callers::encode_state(state)));
     }
-    let (state, source) = match peer::ask_state(shared, id).await {
-        Ok(Some(state)) => (Some(state), "leader"),
-        Ok(None) | Err(_) => (stored_state(shared, id).await?, "store"),
+    let found = find_state(shared, id).await;
+    let (state, source) = match found {
+        Ok(Some(found)) => found,
+        Ok(None) => return Err(no_such_job()),
+        Err(error) => match peer::send_errand(shared, &Errand::State(id)).await {
+            ErrandEnd::State(state) => (state, "another host"),
+            ErrandEnd::NoJob => return Err(no_such_job()),
+            _ => return Err(error),
+        },
     };
     decision_log::line("state_told")
         .with("job", id)
         .with("state", format_args!("{state:?}"))
         .with("source", source)
         .end();
-    let state = state.ok_or_else(|| ApiError::new(410, "no_such_job", "the job is not known"))?;
     if state.is_final() {
         shared.note_final(id, state);
     }
     Ok(json(callers::encode_state(state)))
 }
 
+/// State of a job and who knows it: the leader, or else the store.
+async fn find_state(
+    shared: &Shared,
+    id: JobId,
+) -> Result<Option<(JobState, &'static str)>, ApiError> {
+    if let Ok(Some(state)) = peer::ask_state(shared, id).await {
+        return Ok(Some((state, "leader")));
+    }
+    Ok(stored_state(shared, id).await?.map(|state| (state, "store")))
+}
+
 /// State of a job from its records; `None` if there are none.
 async fn stored_state(shared: &Shared, id: JobId) -> Result<Option<JobState>, ApiError> {
     let progress = read(shared, record::progress_key(id)).await?;
@@ -291,31 +377,16 @@
 
 async fn cancel(shared: &Arc<Shared>, id: JobId) -> Result<Response, ApiError> {
     let deadline_ms = clock::now_ms() + DEFAULT_DEADLINE_MS - ANSWER_MARGIN_MS;
-    if read(shared, record::job_key(id)).await?.is_none() {
-        return Err(ApiError::new(410, "no_such_job", "the job is not known"));
-    }
-    let value = bytes::Bytes::from_static(b"cancel");
-    let stored = store_once(shared, record::cancel_key(id), value, deadline_ms).await;
+    let end = if shared.is_store_away() {
+        peer::send_errand(shared, &Errand::Cancel(id)).await
+    } else {
+        keep_cancel(shared, id, deadline_ms).await
+    };
     decision_log::line("job_cancelled")
         .with("job", id)
-        .with("outcome", format_args!("{stored:?}"))
+        .with("outcome", format_args!("{end:?}"))
         .end();
-    match stored {
-        Stored::New | Stored::Known => {
-            let shared = Arc::clone(shared);
-            task::spawn(async move {
-                if let Err(error) = peer::announce_cancel(&shared, id).await {
-                    decision_log::line("announce_failed")
-                        .with("job", id)
-                        .with("error", error)
-                        .end();
-                }
-            });
-            Ok(Response::new(StatusCode::Ok))
-        }
-        Stored::Nothing => Err(store_away()),
-        Stored::Unsure => Err(ApiError::new(504, "unknown", "the job may have been cancelled")),
-    }
+    stored_response(end)
 }
 
 fn json(body: Vec<u8>) -> Response {
--- a/src/queue/peer.rs
+++ b/src/queue/peer.rs
@@ -14,6 +14,7 @@
 use crate::http::server;
 use crate::platform::advice;
 use crate::queue::control::Input;
+use crate::queue::front;
 use crate::queue::model::{Admission, JobId, JobState, StepId, Submission};
 use crate::queue::scheduler::Event;
 use crate::queue::shared::Shared;
@@ -23,6 +24,7 @@
 const CANCELED: &str = "/peer/canceled";
 const STATE: &str = "/peer/state";
 const PENDING: &str = "/peer/pending";
+const ERRAND: &str = "/peer/errand";
 const ADVISE: &str = "/peer/advise";
 
 /// Time that a call for advice may take beyond what its policy says, in milliseconds: other hosts
@@ -55,6 +57,62 @@
     state: Option<JobState>,
 }
 
+/// What a host does in place of one that the store turns away.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub enum Errand {
+    /// Store a job.
+    Submit(Submission),
+    /// Store a cancellation.
+    Cancel(JobId),
+    /// Tell the state of a job.
+    State(JobId),
+}
+
+/// How an errand ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum ErrandEnd {
+    /// The record is stored.
+    Stored,
+    /// The record is not stored and will not be.
+    NotStored,
+    /// The record may be stored.
+    Unsure,
+    /// The state of the job.
+    State(JobState),
+    /// There is no such job.
+    NoJob,
+}
+
+/// Hosts that an errand is sent to before it is given up.
+const ERRAND_TRIES: usize = 2;
+
+/// Lets another host do an errand that this one cannot do without the store.
+pub async fn send_errand(shared: &Shared, errand: &Errand) -> ErrandEnd {
+    let mut end = ErrandEnd::NotStored;
+    let timeout_ms = shared.config.store_timeout_ms;
+    for address in shared.other_hosts().into_iter().take(ERRAND_TRIES) {
+        let call = Call { address: &address, path: ERRAND, token: "", timeout_ms };
+        let result: Result<ErrandEnd, RpcError> = rpc::call(&shared.pool, &call, errand).await;
+        match result {
+            Ok(ErrandEnd::NotStored) => {}
+            Ok(ErrandEnd::Unsure) => end = ErrandEnd::Unsure,
+            Ok(settled) => return settled,
+            Err(error) => {
+                if !error.is_certain() {
+                    end = ErrandEnd::Unsure;
+                }
+                crate::decision_log::line("errand_failed")
+                    .with("host_asked", &address)
+                    .with("error", error)
+                    .end();
+            }
+        }
+    }
+    end
+}
+
 /// Why the leader gave no answer.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -78,6 +136,7 @@
     app.at(CANCELED).post(|request| async { reply(canceled(request).await) });
     app.at(STATE).post(|request| async { reply(state(request).await) });
     app.at(PENDING).post(|request| async { reply(pending(request).await) });
+    app.at(ERRAND).post(|request| async { reply(errand(request).await) });
     app.at(ADVISE).post(|request| async { reply(advise_here(request).await) });
     app
 }
@@ -103,7 +162,15 @@
 
 async fn hello(mut request: Request<Arc<Shared>>) -> Result<Response, ApiError> {
     let Hello { address, zone } = body(&mut request).await?;
-    tell(request.state(), Event::HelperSeen { address: Arc::from(address), zone }).await
+    let address: Arc<str> = Arc::from(address);
+    let hosts = request.state().note_host(Arc::clone(&address));
+    tell(request.state(), Event::HelperSeen { address, zone }).await?;
+    Ok(rpc::answer(&hosts))
+}
+
+async fn errand(mut request: Request<Arc<Shared>>) -> Result<Response, ApiError> {
+    let errand: Errand = body(&mut request).await?;
+    Ok(rpc::answer(&front::run_errand(request.state(), errand).await))
 }
 
 async fn submitted(mut request: Request<Arc<Shared>>) -> Result<Response, ApiError> {
@@ -245,9 +312,12 @@
     let hello = Hello { address: shared.site.peer_address.clone(), zone: shared.site.zone.clone() };
     loop {
         if shared.control().is_none() && shared.leader().is_some() && !shared.is_draining() {
-            let said: Result<(), PeerError> = call(&shared, HELLO, &hello).await;
-            if let Err(error) = said {
-                crate::decision_log::line("leader_unreached").with("error", error).end();
+            let said: Result<Vec<Arc<str>>, PeerError> = call(&shared, HELLO, &hello).await;
+            match said {
+                Ok(hosts) => shared.set_hosts(hosts),
+                Err(error) => {
+                    crate::decision_log::line("leader_unreached").with("error", error).end();
+                }
             }
         }
         task::sleep(Duration::from_millis(shared.config.hello_ms)).await;
--- a/src/queue/shared.rs
+++ b/src/queue/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::clock;
-use crate::collections::HashMap;
+use crate::collections::{self, HashMap};
 use crate::configs::queue::QueueConfig;
 use crate::decision_log;
 use crate::http::client::Pool;
@@ -18,6 +18,9 @@
 /// Final states that a host remembers; at the largest site 38,000 jobs end in a day.
 const FINAL_STATES: usize = 40_000;
 
+/// Hosts that are remembered; an errand tries a few of them.
+const KNOWN_HOSTS: usize = 8;
+
 /// Everything that the parts of one host share.
 #[derive(Debug)]
 pub struct Shared {
@@ -34,6 +37,7 @@
     directory: Mutex<Arc<Directory>>,
     leader: Mutex<Option<Leader>>,
     control: Mutex<Option<async_channel::Sender<Input>>>,
+    hosts: Mutex<Vec<Arc<str>>>,
     finals: Mutex<HashMap<JobId, JobState>>,
     store_answered_ms: AtomicU64,
     is_store_lost: AtomicBool,
@@ -67,6 +71,7 @@
             directory: Mutex::default(),
             leader: Mutex::default(),
             control: Mutex::default(),
+            hosts: Mutex::default(),
             finals: Mutex::default(),
             store_answered_ms: AtomicU64::new(0),
             is_store_lost: AtomicBool::new(false),
@@ -117,6 +122,37 @@
         true
     }
 
+    /// Whether the record names this host, in this process or an earlier one.
+    pub fn is_own(&self, record: &LeaderRecord) -> bool {
+        record.host == self.site.host && record.address == self.site.peer_address
+    }
+
+    /// Other hosts that are alive as far as the leader knows; the leader comes first.
+    pub fn other_hosts(&self) -> Vec<Arc<str>> {
+        let leader = self.leader().map(|leader| Arc::from(leader.record.address.as_str()));
+        let mut hosts: Vec<Arc<str>> = leader.into_iter().collect();
+        hosts.extend(lock(&self.hosts).iter().cloned());
+        hosts.retain(|address| **address != *self.site.peer_address);
+        let mut seen = collections::HashSet::default();
+        hosts.retain(|address| seen.insert(Arc::clone(address)));
+        hosts
+    }
+
+    /// Takes over which hosts are alive.
+    pub fn set_hosts(&self, hosts: Vec<Arc<str>>) {
+        *lock(&self.hosts) = hosts;
+    }
+
+    /// Notes that a host is alive; returns all that have said so.
+    pub fn note_host(&self, address: Arc<str>) -> Vec<Arc<str>> {
+        let mut hosts = lock(&self.hosts);
+        hosts.retain(|known| *known != address);
+        // The newest first: hosts that are gone fall off the end.
+        hosts.insert(0, address);
+        hosts.truncate(KNOWN_HOSTS);
+        hosts.clone()
+    }
+
     /// Connects the control of a term, or disconnects it.
     pub fn set_control(&self, control: Option<async_channel::Sender<Input>>) {
         *lock(&self.control) = control;
