feat(queue): a leader bridges outages of the store; only what can run elsewhere is waited for

Change: the leader goes on with the jobs that it knows for 4.5 s beyond its lease and takes no new ones meanwhile; a successor waits that much longer, but only for tasks that its predecessor can have started: not for retries of runs that it found, nor for steps after them. A new leader that knows no runner at all does not count them all as heard (found by a test).

--- a/src/configs/queue.rs
+++ b/src/configs/queue.rs
@@ -22,9 +22,10 @@
     pub leader_renew_ms: u64,
     /// Time by which a leader stops to order before its lease can have lapsed, in milliseconds.
     pub leader_margin_ms: u64,
-    /// Time for which a leader still renews what runs after its own lease may have lapsed, in
-    /// milliseconds: with `run_lease_ms` it carries the runs over outages of the store of 6 s.
-    pub renew_without_store_ms: u64,
+    /// Time for which a leader still orders runners after its own lease may have lapsed, in
+    /// milliseconds: outages of the store last for about 5 s. A successor waits that much longer
+    /// for runners that do not answer it.
+    pub bridge_ms: u64,
     /// Lease that the leader asks of runners for what runs there, in milliseconds: longer than the
     /// time to live of its own lease and a takeover together.
     pub run_lease_ms: u64,
@@ -85,7 +86,7 @@
             leader_ttl_ms: 1_600,
             leader_renew_ms: 400,
             leader_margin_ms: 300,
-            renew_without_store_ms: 1_500,
+            bridge_ms: 4_500,
             run_lease_ms: 3_600,
             hold_wait_ms: 1_000,
             hold_gap_ms: 60,
--- a/src/queue/control.rs
+++ b/src/queue/control.rs
@@ -108,7 +108,7 @@
                 if taken.is_succession {
                     let config = &shared.config;
                     let wait_ms = config.leader_ttl_ms
-                        + config.renew_without_store_ms
+                        + config.bridge_ms
                         + config.run_lease_ms
                         + INHERITED_SLACK_MS;
                     scheduler.inherit(clock::now_ms() + wait_ms);
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -76,8 +76,9 @@
     /// those runners until `until_ms`.
     pub fn inherit(&mut self, until_ms: u64) {
         self.inherited_until_ms = until_ms;
-        for job in self.jobs.values_mut() {
-            job.is_inherited = true;
+        let steps = self.jobs.values_mut().flat_map(|job| &mut job.steps);
+        for task in steps.flat_map(|step| &mut step.tasks) {
+            task.is_inherited = true;
         }
     }
 
@@ -85,6 +86,8 @@
     pub fn step(&mut self, event: Event, now_ms: u64) {
         match event {
             Event::Declared(directory) => self.directory = directory,
+            // A successor that is not known here yet would not take the job for an inherited one.
+            Event::Submitted(_) if now_ms >= self.confirmed_until_ms => {}
             Event::Submitted(submission) => self.submit(submission, now_ms),
             Event::Progress(id, progress) => self.restore(id, &progress, now_ms),
             Event::Canceled(id) => self.cancel(id, now_ms),
@@ -110,7 +113,7 @@
         self.expire_runners(now_ms);
         self.stop_stalled(now_ms);
         self.repeat_orders(now_ms, out);
-        if self.may_start(now_ms) {
+        if self.may_order(now_ms) {
             self.place(now_ms, out);
         }
         self.adjust_pace(now_ms, out);
@@ -118,9 +121,10 @@
         self.renew(now_ms, out);
     }
 
-    /// Whether the leader's lease certainly holds, so that nobody else orders runners.
-    pub fn may_start(&self, now_ms: u64) -> bool {
-        now_ms < self.confirmed_until_ms
+    /// Whether runners may be ordered: the leader's lease holds, or lapsed so lately that a
+    /// successor still waits for the runners that have not answered it.
+    pub fn may_order(&self, now_ms: u64) -> bool {
+        now_ms < self.confirmed_until_ms + self.config.bridge_ms
     }
 
     /// State of a job as callers may see it; a final state shows once it is stored.
--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -29,8 +29,6 @@
     pub(crate) known_ms: u64,
     /// When the job should be done.
     pub(crate) due_ms: u64,
-    /// A former leader may have started tasks of it.
-    pub(crate) is_inherited: bool,
 }
 
 /// A step of a job.
@@ -49,6 +47,8 @@
     pub(crate) place: Place,
     pub(crate) checkpoint: Bytes,
     pub(crate) waits_since_ms: u64,
+    /// A former leader may have started it at a runner that has not answered yet.
+    pub(crate) is_inherited: bool,
 }
 
 /// Where a task is.
@@ -92,7 +92,6 @@
             service: queue.map(|queue| queue.service.clone()).unwrap_or_default(),
             known_ms: now_ms,
             due_ms: now_ms + allowed_ms,
-            is_inherited: false,
             submission,
         }
     }
@@ -139,6 +138,17 @@
         true
     }
 
+    /// Steps after this one cannot have been started by a former leader: one of the runs that they
+    /// wait for was still under way when its runner first answered this one.
+    pub(crate) fn disinherit_after(&mut self, step: usize) {
+        let number = u32::try_from(step).unwrap_or(u32::MAX);
+        for (later, run) in self.submission.steps.iter().zip(&mut self.steps) {
+            if later.after.contains(&number) {
+                run.tasks.iter_mut().for_each(|task| task.is_inherited = false);
+            }
+        }
+    }
+
     /// Whether every task is done.
     pub(crate) fn is_done(&self) -> bool {
         self.steps.iter().all(StepRun::is_done)
@@ -183,6 +193,12 @@
         tasks.filter(|(_, task)| task.place == Place::Waiting).map(|(index, _)| index)
     }
 
+    /// Tasks that may start: those that may run where nobody has answered yet only once
+    /// `is_settled`.
+    pub(crate) fn startable(&self, is_settled: bool) -> impl Iterator<Item = usize> + '_ {
+        self.waiting().filter(move |index| is_settled || !self.tasks[*index].is_inherited)
+    }
+
     /// Notes a failed run; returns whether that is news.
     pub(crate) fn note_failure(&mut self, index: u32, run: u64) -> bool {
         if self.failed.contains(&(index, run)) {
@@ -208,7 +224,12 @@
 
 impl Task {
     fn new(now_ms: u64) -> Self {
-        Self { place: Place::Waiting, checkpoint: Bytes::new(), waits_since_ms: now_ms }
+        Self {
+            place: Place::Waiting,
+            checkpoint: Bytes::new(),
+            waits_since_ms: now_ms,
+            is_inherited: false,
+        }
     }
 
     pub(crate) fn wait(&mut self, now_ms: u64) {
--- a/src/queue/scheduler/placing.rs
+++ b/src/queue/scheduler/placing.rs
@@ -26,13 +26,13 @@
     /// Starts what can start, asks for advice, and makes room for lasting tasks.
     pub(super) fn place(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let is_settled = now_ms >= self.inherited_until_ms
-            || self.runners.values().all(|runner| runner.is_fenced);
+            || !self.runners.is_empty() && self.runners.values().all(|runner| runner.is_fenced);
         if is_settled {
             self.inherited_until_ms = 0;
         }
         let mut ready: Vec<(u32, u64, JobKey, usize)> = Vec::new();
         for (key, job) in &self.jobs {
-            if job.state.is_final() || job.is_inherited && !is_settled {
+            if job.state.is_final() {
                 continue;
             }
             for step in 0..job.steps.len() {
@@ -43,13 +43,20 @@
         }
         ready.sort_unstable();
         for (_, _, key, step) in ready {
-            self.place_step(key, step, now_ms, out);
+            self.place_step(key, step, is_settled, now_ms, out);
         }
     }
 
-    fn place_step(&mut self, key: JobKey, step: usize, now_ms: u64, out: &mut Vec<Action>) {
+    fn place_step(
+        &mut self,
+        key: JobKey,
+        step: usize,
+        is_settled: bool,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
         let first = out.len();
-        self.fill_step(key, step, now_ms, out);
+        self.fill_step(key, step, is_settled, now_ms, out);
         self.log_starts(key, step, &out[first..], now_ms);
     }
 
@@ -75,7 +82,14 @@
             .end();
     }
 
-    fn fill_step(&mut self, key: JobKey, step: usize, now_ms: u64, out: &mut Vec<Action>) {
+    fn fill_step(
+        &mut self,
+        key: JobKey,
+        step: usize,
+        is_settled: bool,
+        now_ms: u64,
+        out: &mut Vec<Action>,
+    ) {
         let job = &self.jobs[key];
         let policy = self.advice_policy(key);
         let declared = job.submission.steps[step].clone();
@@ -89,7 +103,10 @@
             0
         };
         let wanted = Wanted { key, step, declared: &declared, service: &service, reserve_millis };
-        let waiting: Vec<usize> = job.steps[step].waiting().collect();
+        let waiting: Vec<usize> = job.steps[step].startable(is_settled).collect();
+        if waiting.is_empty() {
+            return;
+        }
         if declared.is_gang {
             if waiting.len() == job.steps[step].tasks.len() {
                 self.place_gang(&wanted, &waiting, policy, now_ms, out);
--- a/src/queue/scheduler/status.rs
+++ b/src/queue/scheduler/status.rs
@@ -217,7 +217,12 @@
             }
         }
         match ended.end {
-            RunEnd::Done if !is_lasting => self.take_done(job_key, step, index, is_gang, now_ms),
+            RunEnd::Done if !is_lasting => {
+                if is_current {
+                    job.disinherit_after(step);
+                }
+                self.take_done(job_key, step, index, is_gang, now_ms);
+            }
             RunEnd::Failed if !is_lasting => {
                 let max_attempts = job.max_attempts;
                 if job.steps[step].note_failure(task.index, ended.run) {
@@ -312,6 +317,7 @@
                 job.state = JobState::Active;
             }
             if let Some(task) = job.task_mut(row.task) {
+                task.is_inherited = false;
                 if is_wanted && task.place == Place::Waiting {
                     task.place = Place::At(key);
                     task.checkpoint = row.checkpoint;
@@ -477,7 +483,7 @@
     /// Renews the leases of runners that hold something or have not answered yet.
     pub(super) fn renew(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let config = &self.config;
-        let may_renew = now_ms < self.confirmed_until_ms + config.renew_without_store_ms;
+        let may_renew = self.may_order(now_ms);
         if !may_renew {
             return;
         }
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -183,6 +183,21 @@
         self.pass(100);
     }
 
+    /// As [`World::end`] when the leader's lease is not confirmed.
+    pub fn end_quietly(&mut self, start: &StartOrder, end: RunEnd) {
+        self.confirms = false;
+        self.end(start, end);
+    }
+
+    /// A runner that is listed and has never answered.
+    pub fn add_silent_runner(&mut self, id: &str, capacity: u64) {
+        let runner = FakeRunner { capacity, is_silent: true, ..FakeRunner::default() };
+        self.runners.insert(RunnerId::from(id), runner);
+        let report = self.report(id, false);
+        self.step(Event::RunnerListed(report));
+        self.pass(20);
+    }
+
     fn status(&self, id: &str) -> RunnerStatus {
         let runner = &self.runners[id];
         let running = runner.running.iter().map(|(task, run)| RunningTask {
