fix(queue): a run stands still only as far as its runner has answered

Cause: a runner whose renewal was under way for long had its runs stopped without any sign (found by the test of the bridge, whose runners now answer renewals when their wait is over). Change: the patience is counted up to the runner's last answer.

--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -136,10 +136,10 @@
         self.load = load;
     }
 
-    /// Whether the run has stood still for this long.
-    pub(crate) fn is_stalled(&self, patience_ms: u64, now_ms: u64) -> bool {
+    /// Whether the run had stood still for this long when its runner answered last.
+    pub(crate) fn is_stalled(&self, patience_ms: u64, answered_ms: u64) -> bool {
         let Phase::Running { since_ms } = self.phase else { return false };
-        self.advances && now_ms > self.advanced_ms.max(since_ms) + patience_ms
+        self.advances && answered_ms > self.advanced_ms.max(since_ms) + patience_ms
     }
 
     /// Lets the run be stopped.
--- a/src/queue/scheduler/status.rs
+++ b/src/queue/scheduler/status.rs
@@ -415,8 +415,9 @@
         let pause_ms = self.config.runner_quarantine_ms;
         for runner in self.runners.values_mut().filter(|runner| runner.hold.failures == 0) {
             let mut stalled = 0;
+            let answered_ms = runner.hold.answered_ms;
             for (task, assigned) in &mut runner.assigned {
-                if assigned.is_stalled(patience_ms, now_ms) {
+                if assigned.is_stalled(patience_ms, answered_ms) {
                     assigned.stop(now_ms, "stalled");
                     stalled += 1;
                     decision_log::line("run_stalled")
