--- a/src/queue/control.rs
+++ b/src/queue/control.rs
@@ -58,7 +58,7 @@
     let keeper = task::spawn(keep(Arc::clone(shared), term.clone(), sender.clone()));
     let reason = match prepare(shared, &term, &inputs).await {
         Ok((scheduler, taken)) => {
-            let followers = follow(shared, &sender, &taken, &term);
+            let followers = follow(shared, &sender, &taken);
             let executor = Executor::new(Arc::clone(shared), sender, term.token, taken);
             let (executor, records, runners) = (executor, followers.0, followers.1);
             let reason = run(shared, scheduler, executor, &inputs, &term).await;
@@ -81,7 +81,6 @@
     shared: &Arc<Shared>,
     sender: &async_channel::Sender<Input>,
     taken: &Taken,
-    _term: &Term,
 ) -> (JoinHandle<()>, JoinHandle<()>) {
     let records = watch::follow_records(Arc::clone(shared), sender.clone(), taken.records.clone());
     let runners = watch::follow_runners(
@@ -167,7 +166,7 @@
             taken += 1;
             next = if taken < INPUT_BATCH { inputs.try_recv().ok() } else { None };
         }
-        let seen = Event::HelperSeen { address: Arc::clone(&own), zone: shared.site.zone.clone() };
+        let seen = Event::HelperSeen { address: Arc::clone(&own) };
         scheduler.step(seen, now_ms);
         scheduler.act(now_ms, &mut actions);
         for action in actions.drain(..) {
--- a/src/queue/peer.rs
+++ b/src/queue/peer.rs
@@ -36,7 +36,6 @@
 #[derive(Serialize, Deserialize)]
 struct Hello {
     address: String,
-    zone: String,
 }
 
 /// A request to call for advice.
@@ -161,10 +160,10 @@
 }
 
 async fn hello(mut request: Request<Arc<Shared>>) -> Result<Response, ApiError> {
-    let Hello { address, zone } = body(&mut request).await?;
+    let Hello { address } = body(&mut request).await?;
     let address: Arc<str> = Arc::from(address);
     let hosts = request.state().note_host(Arc::clone(&address));
-    tell(request.state(), Event::HelperSeen { address, zone }).await?;
+    tell(request.state(), Event::HelperSeen { address }).await?;
     Ok(rpc::answer(&hosts))
 }
 
@@ -309,7 +308,7 @@
 
 /// Tells the leader again and again that this host is alive.
 pub async fn say_hello(shared: Arc<Shared>) {
-    let hello = Hello { address: shared.site.peer_address.clone(), zone: shared.site.zone.clone() };
+    let hello = Hello { address: shared.site.peer_address.clone() };
     loop {
         if shared.control().is_none() && shared.leader().is_some() && !shared.is_draining() {
             let said: Result<Vec<Arc<str>>, PeerError> = call(&shared, HELLO, &hello).await;
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -92,15 +92,15 @@
             Event::Progress(id, progress) => self.restore(id, &progress, now_ms),
             Event::Canceled(id) => self.cancel(id, now_ms),
             Event::RunnerListed(report) => self.list_runner(report, now_ms),
-            Event::RunnerUnlisted(id) => self.unlist_runner(&id, now_ms),
+            Event::RunnerUnlisted(id) => self.unlist_runner(&id),
             Event::RosterKnown(id, address) => self.expect_runner(id, address),
             Event::Held { runner, sent_ms, result } => self.held(runner, sent_ms, result, now_ms),
-            Event::Ordered(ordered) => self.ordered(ordered, now_ms),
+            Event::Ordered(ordered) => self.ordered(&ordered, now_ms),
             Event::PaceFailed { runner, task } => self.pace_failed(runner, task),
             Event::Advised { step, helper, asked, sent_ms, result } => {
-                self.advised(step, helper, &asked, sent_ms, result, now_ms);
+                self.advised(step, &helper, &asked, sent_ms, result, now_ms);
             }
-            Event::HelperSeen { address, zone } => self.helper_seen(address, zone, now_ms),
+            Event::HelperSeen { address } => self.helper_seen(address, now_ms),
             Event::Saved { is_stored } => self.saved(is_stored, now_ms),
             Event::RosterSaved { is_stored } => self.roster_saved(is_stored),
             Event::Confirmed { until_ms } => self.confirmed_until_ms = until_ms,
@@ -213,7 +213,7 @@
         for runner in self.runners.values_mut() {
             for (task, assigned) in &mut runner.assigned {
                 if task.step.job == id {
-                    assigned.stop(now_ms, "job ended");
+                    assigned.stop(now_ms);
                 }
             }
         }
--- a/src/queue/scheduler/advice.rs
+++ b/src/queue/scheduler/advice.rs
@@ -35,7 +35,6 @@
 #[derive(Debug)]
 pub struct Helper {
     address: Arc<str>,
-    zone: String,
     seen_ms: u64,
     /// Expected duration of the call in flight.
     busy: Option<u64>,
@@ -84,10 +83,10 @@
 }
 
 impl Scheduler {
-    pub(super) fn helper_seen(&mut self, address: Arc<str>, zone: String, now_ms: u64) {
+    pub(super) fn helper_seen(&mut self, address: Arc<str>, now_ms: u64) {
         match self.helpers.iter_mut().find(|helper| helper.address == address) {
             Some(helper) => helper.seen_ms = now_ms,
-            None => self.helpers.push(Helper { address, zone, seen_ms: now_ms, busy: None }),
+            None => self.helpers.push(Helper { address, seen_ms: now_ms, busy: None }),
         }
     }
 
@@ -110,7 +109,7 @@
         &mut self,
         step: StepId,
         policy: AdvicePolicy,
-        runners: Vec<RunnerKey>,
+        runners: &[RunnerKey],
         now_ms: u64,
         out: &mut Vec<Action>,
     ) -> bool {
@@ -124,7 +123,6 @@
         let Some(helper) = self.free_helper(expected_ms, now_ms) else { return false };
         helper.busy = Some(expected_ms);
         let address = Arc::clone(&helper.address);
-        let _ = &helper.zone;
         let named = runners.iter().map(|key| (*key, self.runners[*key].id.clone())).collect();
         out.push(Action::Advise { step, helper: address, runners: named, expected_ms });
         true
@@ -133,18 +131,18 @@
     pub(super) fn advised(
         &mut self,
         step: StepId,
-        helper: Arc<str>,
+        helper: &Arc<str>,
         asked: &[RunnerKey],
         sent_ms: u64,
         result: Option<Vec<Admission>>,
         now_ms: u64,
     ) {
-        if let Some(helper) = self.helpers.iter_mut().find(|known| known.address == helper) {
+        if let Some(helper) = self.helpers.iter_mut().find(|known| known.address == *helper) {
             helper.busy = None;
         }
         decision_log::line("advised")
             .with("step", step)
-            .with("by", &helper)
+            .with("by", helper)
             .with("asked", asked.len())
             .with("admitted", result.as_ref().map_or(-1, |rows| rows.len() as i64))
             .with("took_ms", now_ms.saturating_sub(sent_ms))
--- a/src/queue/scheduler/event.rs
+++ b/src/queue/scheduler/event.rs
@@ -63,8 +63,6 @@
     HelperSeen {
         /// Its address.
         address: Arc<str>,
-        /// Its zone.
-        zone: String,
     },
     /// The write of progress ended.
     Saved {
--- a/src/queue/scheduler/orders.rs
+++ b/src/queue/scheduler/orders.rs
@@ -10,8 +10,8 @@
 const ORDER_RETRY_MS: u64 = 200;
 
 impl Scheduler {
-    pub(super) fn ordered(&mut self, ordered: Ordered, now_ms: u64) {
-        let Ordered { runner: key, task, run, is_stop, sent_ms, result } = ordered;
+    pub(super) fn ordered(&mut self, ordered: &Ordered, now_ms: u64) {
+        let Ordered { runner: key, task, run, is_stop, sent_ms, result } = *ordered;
         let Some(runner) = self.runners.get_mut(key) else { return };
         let Some(assigned) = runner.assigned.get_mut(&task).filter(|known| known.run == run) else {
             return;
@@ -76,7 +76,7 @@
             }
             Err(OrderError::NotSent) if is_unsure => assigned.retry_ms = now_ms + ORDER_RETRY_MS,
             // An earlier order may still be carried out; a stop makes sure that it is not.
-            Err(_) if is_unsure => assigned.stop(now_ms, "unsure start"),
+            Err(_) if is_unsure => assigned.stop(now_ms),
             Err(error) => {
                 match error {
                     OrderError::Ticket => self.forget_ticket(key, task),
@@ -137,7 +137,7 @@
                 let step = job.and_then(|job| job.steps.get(task.step.step as usize));
                 let (Some(job), Some(step), Some(until_ms)) = (job, step, until_ms) else {
                     assigned.is_order_in_flight = false;
-                    assigned.stop(now_ms, "job gone");
+                    assigned.stop(now_ms);
                     continue;
                 };
                 out.push(Action::Start(StartOrder {
--- a/src/queue/scheduler/placing.rs
+++ b/src/queue/scheduler/placing.rs
@@ -258,7 +258,7 @@
             return;
         }
         let id = job.step_id(wanted.step);
-        if self.ask_advice(id, policy, runners, now_ms, out) {
+        if self.ask_advice(id, policy, &runners, now_ms, out) {
             self.jobs[wanted.key].steps[wanted.step].advice.is_in_flight = true;
         }
     }
@@ -298,7 +298,7 @@
                 .end();
             for task in stops {
                 if let Some(assigned) = self.runners[key].assigned.get_mut(&task) {
-                    assigned.stop(now_ms, "preempted");
+                    assigned.stop(now_ms);
                 }
             }
             return;
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -143,7 +143,7 @@
     }
 
     /// Lets the run be stopped.
-    pub(crate) fn stop(&mut self, now_ms: u64, _reason: &str) {
+    pub(crate) fn stop(&mut self, now_ms: u64) {
         if !matches!(self.phase, Phase::Stopping { .. }) {
             self.phase = Phase::Stopping { ordered_ms: None };
             self.retry_ms = now_ms;
@@ -221,7 +221,7 @@
 
     /// How many tasks of this size fit into `free`.
     pub(crate) fn slots(free: Resources, need: Resources) -> u64 {
-        let by = |free: u64, need: u64| if need == 0 { u64::MAX } else { free / need };
+        let by = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
         by(free.cpu_millis, need.cpu_millis)
             .min(by(free.memory_bytes, need.memory_bytes))
             .min(by(u64::from(free.accelerators), u64::from(need.accelerators)))
--- a/src/queue/scheduler/status.rs
+++ b/src/queue/scheduler/status.rs
@@ -54,7 +54,7 @@
         runner.update(report);
     }
 
-    pub(super) fn unlist_runner(&mut self, id: &RunnerId, _now_ms: u64) {
+    pub(super) fn unlist_runner(&mut self, id: &RunnerId) {
         let Some(key) = self.runner_keys.get(id).copied() else { return };
         let runner = &mut self.runners[key];
         runner.is_listed = false;
@@ -122,13 +122,13 @@
         runner.clock = Some((status.clock_ms, now_ms));
         let is_whole = status.ended.len() < ENDS_LISTED;
         self.log_ends(key, &status.ended, now_ms.saturating_sub(sent_ms));
-        for ended in status.ended {
+        for ended in &status.ended {
             self.take_end(key, ended, now_ms);
         }
         let listed: Vec<(TaskId, u64)> =
             status.running.iter().map(|row| (row.task, row.run)).collect();
         for row in status.running {
-            self.take_running(key, row, sent_ms, now_ms);
+            self.take_running(key, row, now_ms);
         }
         if is_whole {
             self.drop_missing(key, &listed, sent_ms, now_ms);
@@ -167,7 +167,7 @@
         for (task, assigned) in &mut runner.assigned {
             match assigned.phase {
                 Phase::Starting { is_unsure: false } if assigned.is_order_in_flight => {}
-                Phase::Starting { .. } => assigned.stop(now_ms, "reborn"),
+                Phase::Starting { .. } => assigned.stop(now_ms),
                 _ => lost.push(*task),
             }
         }
@@ -179,7 +179,7 @@
         }
     }
 
-    fn take_end(&mut self, key: RunnerKey, ended: EndedRun, now_ms: u64) {
+    fn take_end(&mut self, key: RunnerKey, ended: &EndedRun, now_ms: u64) {
         let runner = &mut self.runners[key];
         if ended.number <= runner.seen {
             return;
@@ -196,7 +196,7 @@
             RunEnd::Failed => self.note_runner_failure(key, task, now_ms),
             _ => {}
         }
-        self.apply_end(key, &ended, is_current, now_ms);
+        self.apply_end(key, ended, is_current, now_ms);
     }
 
     fn apply_end(&mut self, key: RunnerKey, ended: &EndedRun, is_current: bool, now_ms: u64) {
@@ -263,7 +263,7 @@
             // Another run of a task that is done must not go on; members of a gang end together.
             if let (Some(Place::At(at)), false) = (place, is_gang) {
                 if let Some(other) = self.runners[at].assigned.get_mut(&task) {
-                    other.stop(now_ms, "done elsewhere");
+                    other.stop(now_ms);
                 }
             }
         }
@@ -272,7 +272,7 @@
         }
     }
 
-    fn take_running(&mut self, key: RunnerKey, row: RunningTask, sent_ms: u64, now_ms: u64) {
+    fn take_running(&mut self, key: RunnerKey, row: RunningTask, now_ms: u64) {
         let job_key = self.job_keys.get(&row.task.step.job).copied();
         let runner = &mut self.runners[key];
         if let Some(assigned) =
@@ -296,7 +296,6 @@
         if runner.assigned.get(&row.task).is_some_and(|known| known.run > row.run) {
             return;
         }
-        let _ = sent_ms;
         self.adopt(key, row, now_ms);
     }
 
@@ -388,7 +387,7 @@
         for runner in self.runners.values_mut() {
             for (other, assigned) in &mut runner.assigned {
                 if other.step == task.step {
-                    assigned.stop(now_ms, "gang broken");
+                    assigned.stop(now_ms);
                 }
             }
         }
@@ -400,7 +399,7 @@
         let mut copied = Vec::new();
         for (task, assigned) in &mut runner.assigned {
             if assigned.may_copy {
-                assigned.stop(now_ms, "copied elsewhere");
+                assigned.stop(now_ms);
                 copied.push(*task);
             }
         }
@@ -418,7 +417,7 @@
             let answered_ms = runner.hold.answered_ms;
             for (task, assigned) in &mut runner.assigned {
                 if assigned.is_stalled(patience_ms, answered_ms) {
-                    assigned.stop(now_ms, "stalled");
+                    assigned.stop(now_ms);
                     stalled += 1;
                     decision_log::line("run_stalled")
                         .with("task", task)
--- a/src/queue/shared.rs
+++ b/src/queue/shared.rs
@@ -191,7 +191,7 @@
         if is_answer {
             self.store_answered_ms.store(clock::now_ms(), Ordering::Release);
         }
-        if self.is_store_lost.swap(!is_answer, Ordering::AcqRel) != !is_answer {
+        if self.is_store_lost.swap(!is_answer, Ordering::AcqRel) == is_answer {
             let error = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
             let event = if is_answer { "store_regained" } else { "store_lost" };
             decision_log::line(event).with("error", error).end();
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -1,6 +1,7 @@
 //! A world of runners that answer renewals, for cases about the scheduler of queues.
 
 #![allow(dead_code, missing_docs, unreachable_pub, reason = "a support module of tests")]
+#![allow(clippy::unwrap_used, reason = "a helper of tests")]
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
