--- a/src/configs/queue.rs
+++ b/src/configs/queue.rs
@@ -49,6 +49,9 @@
     pub save_gap_ms: u64,
     /// Records in one write; the store takes 32 entries, two of them for each record.
     pub save_batch: usize,
+    /// Time for which the records of an ended job are kept, in milliseconds: the sites ask for
+    /// 120 s, and another half of that covers late repeats of a submission.
+    pub ended_kept_ms: u64,
     /// Time between looks at new records that no host has announced, in milliseconds.
     pub record_gap_ms: u64,
     /// Time between looks at the runners' own records, in milliseconds: less than half of the 2 s
@@ -97,6 +100,7 @@
             stall_patience_ms: 2_500,
             save_gap_ms: 50,
             save_batch: 15,
+            ended_kept_ms: 180_000,
             record_gap_ms: 500,
             runner_gap_ms: 600,
             hello_ms: 1_000,
--- a/src/queue/leader.rs
+++ b/src/queue/leader.rs
@@ -94,6 +94,7 @@
                 }));
             }
             Action::Save(records) => drop(task::spawn(save(context, records))),
+            Action::Forget(jobs) => drop(task::spawn(forget(context, jobs))),
             Action::SaveRoster(entries) => drop(task::spawn(save_roster(context, entries))),
         }
     }
@@ -256,6 +257,27 @@
     }
 }
 
+async fn forget(context: Arc<Context>, jobs: Vec<JobId>) {
+    let keys =
+        |job: &JobId| [record::job_key(*job), record::cancel_key(*job), record::progress_key(*job)];
+    let commit = Commit {
+        conditions: vec![context.leads()],
+        puts: Vec::new(),
+        deletes: jobs.iter().flat_map(keys).collect(),
+    };
+    let result = store::commit(&*context.shared.store, commit, Priority::Bulk).await;
+    watch::note(&context.shared, "forget", &result);
+    let is_removed = matches!(result, Ok(CommitOutcome::Written(_)));
+    if is_removed {
+        let mut known = lock(&context.revisions);
+        known.retain(|job, _| !jobs.contains(job));
+    }
+    if let Ok(CommitOutcome::Conflict(entries)) = result {
+        settle(&context, &entries).await;
+    }
+    context.tell(Event::Forgotten { is_removed }).await;
+}
+
 async fn save_roster(context: Arc<Context>, entries: Vec<RosterEntry>) {
     let is_stored = match record::encode(&entries) {
         Ok(value) => write_roster(&context, value).await,
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod advice;
 mod event;
+mod forgetting;
 mod job;
 mod orders;
 mod pace;
@@ -36,8 +37,9 @@
     directory: Arc<Directory>,
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<JobId, JobKey>,
-    /// Jobs whose final state is stored, and when they reached it.
-    ended: HashMap<JobId, JobState>,
+    /// Jobs whose final state is stored, and when this leader learned of it.
+    ended: HashMap<JobId, (JobState, u64)>,
+    forgetting: forgetting::Forgetting,
     /// Cancellations that came before their submission.
     early_cancels: HashSet<JobId>,
     runners: SlotMap<RunnerKey, Runner>,
@@ -61,6 +63,7 @@
             jobs: SlotMap::with_key(),
             job_keys: HashMap::default(),
             ended: HashMap::default(),
+            forgetting: forgetting::Forgetting::default(),
             early_cancels: HashSet::default(),
             runners: SlotMap::with_key(),
             runner_keys: HashMap::default(),
@@ -102,6 +105,7 @@
             }
             Event::HelperSeen { address } => self.helper_seen(address, now_ms),
             Event::Saved { is_stored } => self.saved(is_stored, now_ms),
+            Event::Forgotten { is_removed } => self.forgotten(is_removed),
             Event::RosterSaved { is_stored } => self.roster_saved(is_stored),
             Event::Confirmed { until_ms } => self.confirmed_until_ms = until_ms,
             Event::Tick => {}
@@ -118,6 +122,7 @@
         }
         self.adjust_pace(now_ms, out);
         self.save(now_ms, out);
+        self.forget(now_ms, out);
         self.renew(now_ms, out);
     }
 
@@ -129,7 +134,7 @@
 
     /// State of a job as callers may see it; a final state shows once it is stored.
     pub fn state_of(&self, id: JobId) -> Option<JobState> {
-        if let Some(state) = self.ended.get(&id) {
+        if let Some((state, _)) = self.ended.get(&id) {
             return Some(*state);
         }
         let job = &self.jobs[*self.job_keys.get(&id)?];
@@ -172,7 +177,7 @@
         if progress.state.is_final() {
             self.job_keys.remove(&id);
             self.jobs.remove(key);
-            self.ended.insert(id, progress.state);
+            self.ended.insert(id, (progress.state, now_ms));
             return;
         }
         let Some(job) = self.jobs.get_mut(key) else { return };
--- a/src/queue/scheduler/event.rs
+++ b/src/queue/scheduler/event.rs
@@ -69,6 +69,11 @@
         /// Whether it took effect.
         is_stored: bool,
     },
+    /// The removal of records ended.
+    Forgotten {
+        /// Whether it took effect.
+        is_removed: bool,
+    },
     /// The write of the roster ended.
     RosterSaved {
         /// Whether it took effect.
@@ -144,6 +149,8 @@
     },
     /// Write progress.
     Save(Vec<Save>),
+    /// Remove all records of jobs whose state need not be told any more.
+    Forget(Vec<JobId>),
     /// Write the runners that may get orders.
     SaveRoster(Vec<RosterEntry>),
 }
--- a/src/queue/scheduler/saving.rs
+++ b/src/queue/scheduler/saving.rs
@@ -102,7 +102,7 @@
             if is_ended && !self.saving.dirty.contains(&key) {
                 if let Some(job) = self.jobs.remove(key) {
                     self.job_keys.remove(&job.submission.id);
-                    self.ended.insert(job.submission.id, job.state);
+                    self.ended.insert(job.submission.id, (job.state, now_ms));
                 }
             }
         }
--- a/tests/platform_store.rs
+++ b/tests/platform_store.rs
@@ -1,6 +1,7 @@
 //! The client of the platform's store against a small stand-in that speaks its protocol.
 
 #![allow(clippy::unwrap_used, reason = "the stand-in of a test")]
+#![allow(clippy::disallowed_methods, reason = "the top of each test")]
 
 use std::sync::{Arc, Mutex};
 
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -263,6 +263,23 @@
     assert_ne!(second[0].at.0, first[0].at.0);
 }
 
+#[test]
+fn the_records_of_an_ended_job_are_kept_for_their_time_and_then_removed() {
+    let mut world = World::new(1);
+    world.add_runner("r1", 4_000);
+    world.step(Event::Submitted(job(1, vec![step(1, 1_000)])));
+    let starts = world.starts();
+    world.answer_starts(&starts);
+    world.end(&starts[0], RunEnd::Done);
+    world.pass(world.config.ended_kept_ms - 1_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert!(!world.seen.iter().any(|action| matches!(action, Action::Forget(_))));
+    world.pass(3_000);
+    assert!(world.seen.iter().any(|action| matches!(action, Action::Forget(_))));
+    world.step(Event::Forgotten { is_removed: true });
+    assert_eq!(world.state(1), None);
+}
+
 #[test]
 fn every_action_is_one_that_the_case_expects() {
     let mut world = World::new(1);
