--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -40,6 +40,8 @@
     /// Jobs whose final state is stored, and when this leader learned of it.
     ended: HashMap<JobId, (JobState, u64)>,
     forgetting: forgetting::Forgetting,
+    /// Jobs that came while the leader's lease was not confirmed.
+    deferred: Vec<Submission>,
     /// Cancellations that came before their submission.
     early_cancels: HashSet<JobId>,
     runners: SlotMap<RunnerKey, Runner>,
@@ -64,6 +66,7 @@
             job_keys: HashMap::default(),
             ended: HashMap::default(),
             forgetting: forgetting::Forgetting::default(),
+            deferred: Vec::new(),
             early_cancels: HashSet::default(),
             runners: SlotMap::with_key(),
             runner_keys: HashMap::default(),
@@ -90,7 +93,9 @@
         match event {
             Event::Declared(directory) => self.directory = directory,
             // A successor that is not known here yet would not take the job for an inherited one.
-            Event::Submitted(_) if now_ms >= self.confirmed_until_ms => {}
+            Event::Submitted(submission) if now_ms >= self.confirmed_until_ms => {
+                self.deferred.push(submission);
+            }
             Event::Submitted(submission) => self.submit(submission, now_ms),
             Event::Progress(id, progress) => self.restore(id, &progress, now_ms),
             Event::Canceled(id) => self.cancel(id, now_ms),
@@ -107,7 +112,7 @@
             Event::Saved { is_stored } => self.saved(is_stored, now_ms),
             Event::Forgotten { is_removed } => self.forgotten(is_removed),
             Event::RosterSaved { is_stored } => self.roster_saved(is_stored),
-            Event::Confirmed { until_ms } => self.confirmed_until_ms = until_ms,
+            Event::Confirmed { until_ms } => self.confirm(until_ms, now_ms),
             Event::Tick => {}
         }
     }
@@ -158,6 +163,16 @@
         [self.jobs.len(), held, usable]
     }
 
+    /// The lease still holds, so that no successor has taken over the jobs that came meanwhile.
+    fn confirm(&mut self, until_ms: u64, now_ms: u64) {
+        self.confirmed_until_ms = until_ms;
+        if now_ms < until_ms {
+            for submission in std::mem::take(&mut self.deferred) {
+                self.submit(submission, now_ms);
+            }
+        }
+    }
+
     fn submit(&mut self, submission: Submission, now_ms: u64) {
         let id = submission.id;
         if self.job_keys.contains_key(&id) || self.ended.contains_key(&id) {
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -165,6 +165,8 @@
     assert_eq!(second.len(), 1);
     assert_eq!(second[0].task, task(1, 0, 1));
     assert_eq!(world.state(2), None);
+    world.confirm_until(world.now_ms + 1_000);
+    assert_eq!(world.state(2), Some(JobState::Queued), "it is known once the lease is confirmed");
 }
 
 #[test]
