fix(queue): a failed task is tried at another runner first

Change: the runner of the last failure is chosen only if no other will do. Result: the test fails without it.

--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -49,6 +49,8 @@
     pub(crate) waits_since_ms: u64,
     /// A former leader may have started it at a runner that has not answered yet.
     pub(crate) is_inherited: bool,
+    /// Where it failed last.
+    pub(crate) failed_at: Option<RunnerKey>,
 }
 
 /// Where a task is.
@@ -229,6 +231,7 @@
             checkpoint: Bytes::new(),
             waits_since_ms: now_ms,
             is_inherited: false,
+            failed_at: None,
         }
     }
 
--- a/src/queue/scheduler/placing.rs
+++ b/src/queue/scheduler/placing.rs
@@ -115,7 +115,9 @@
         }
         let mut left = waiting.len();
         for index in waiting {
-            let Some(runner) = self.choose(&wanted, policy.is_some(), now_ms) else { break };
+            let failed_at = self.jobs[key].steps[step].tasks[index].failed_at;
+            let chosen = self.choose(&wanted, failed_at, policy.is_some(), now_ms);
+            let Some(runner) = chosen else { break };
             let run = self.new_run();
             self.start(&wanted, index, runner, run, now_ms, out);
             left -= 1;
@@ -162,12 +164,24 @@
     }
 
     /// The best runner for one more task, with a valid ticket where one is needed.
-    fn choose(&self, wanted: &Wanted<'_>, is_advised: bool, now_ms: u64) -> Option<RunnerKey> {
+    ///
+    /// A runner that fails its tasks at once always looks empty: a task that has failed there goes
+    /// elsewhere if it can.
+    fn choose(
+        &self,
+        wanted: &Wanted<'_>,
+        failed_at: Option<RunnerKey>,
+        is_advised: bool,
+        now_ms: u64,
+    ) -> Option<RunnerKey> {
         let need = wanted.declared.room();
         let admitted = &self.jobs[wanted.key].steps[wanted.step].advice;
         self.candidates(wanted, now_ms)
             .filter(|(key, _)| !is_advised || admitted.admits(*key, now_ms))
-            .max_by_key(|(key, _)| rank(&self.runners[*key], need, wanted.declared))
+            .max_by_key(|(key, _)| {
+                let is_other = Some(*key) != failed_at;
+                (is_other, rank(&self.runners[*key], need, wanted.declared))
+            })
             .map(|(key, _)| key)
     }
 
--- a/src/queue/scheduler/status.rs
+++ b/src/queue/scheduler/status.rs
@@ -224,6 +224,9 @@
                 self.take_done(job_key, step, index, is_gang, now_ms);
             }
             RunEnd::Failed if !is_lasting => {
+                if let Some(run) = job.task_mut(task) {
+                    run.failed_at = Some(key);
+                }
                 let max_attempts = job.max_attempts;
                 if job.steps[step].note_failure(task.index, ended.run) {
                     self.saving.note(job_key);
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -133,6 +133,20 @@
     assert_eq!(world.state(1), Some(JobState::Failed));
 }
 
+#[test]
+fn a_failed_task_is_tried_at_another_runner_even_if_the_first_looks_emptier() {
+    let mut world = World::new(1);
+    world.add_runner("r1", 8_000);
+    world.add_runner("r2", 2_000);
+    world.step(Event::Submitted(job(1, vec![step(1, 1_000)])));
+    let first = world.starts();
+    assert_eq!(&*first[0].at.0, "r1");
+    world.answer_starts(&first);
+    world.end(&first[0], RunEnd::Failed);
+    let second = world.starts();
+    assert_eq!(&*second[0].at.0, "r2");
+}
+
 #[test]
 fn no_order_leaves_once_a_successor_no_longer_waits_for_this_leader() {
     let mut world = World::new(1);
