--- a/src/queue/leader.rs
+++ b/src/queue/leader.rs
@@ -1,6 +1,6 @@
 //! Carries out what the scheduler asks for: orders, renewals, calls for advice and writes.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use async_std::task;
 
@@ -13,7 +13,7 @@
 use crate::queue::peer;
 use crate::queue::record::{self, Progress, RosterEntry};
 use crate::queue::scheduler::{Action, Event, HoldOrder, Ordered, RunnerKey, Save, StartOrder};
-use crate::queue::shared::Shared;
+use crate::queue::shared::{lock, Shared};
 use crate::queue::takeover::Taken;
 use crate::queue::watch;
 use crate::store::{self, Commit, CommitOutcome, Entry, Expect, Priority, Revision};
@@ -316,7 +316,3 @@
         Err(_) => false,
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -4,6 +4,7 @@
 mod event;
 mod forgetting;
 mod job;
+mod lease;
 mod orders;
 mod pace;
 mod placing;
--- a/src/queue/shared.rs
+++ b/src/queue/shared.rs
@@ -228,6 +228,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/src/queue/takeover.rs
+++ b/src/queue/takeover.rs
@@ -78,17 +78,9 @@
 fn list_runners(scheduler: &mut Scheduler, entries: &[Entry], now_ms: u64) -> HashSet<String> {
     let mut listed = HashSet::default();
     for entry in entries {
-        match runners::decode(&entry.key, &entry.value) {
-            Ok(report) => {
-                listed.insert(entry.key.clone());
-                scheduler.step(Event::RunnerListed(report), now_ms);
-            }
-            Err(error) => {
-                decision_log::line("runner_unreadable")
-                    .with("key", &entry.key)
-                    .with("error", error)
-                    .end();
-            }
+        if let Some(event) = watch::runner_event(entry) {
+            listed.insert(entry.key.clone());
+            scheduler.step(event, now_ms);
         }
     }
     listed
@@ -109,11 +101,8 @@
 fn load_jobs(scheduler: &mut Scheduler, entries: &[Entry], now_ms: u64) {
     for entry in entries {
         let Some((id, false)) = record::parse_job_key(&entry.key) else { continue };
-        match record::decode_submission(&entry.value) {
-            Ok(submission) => scheduler.step(Event::Submitted(submission), now_ms),
-            Err(error) => {
-                decision_log::line("job_unreadable").with("job", id).with("error", error).end();
-            }
+        if let Some(event) = watch::submission_event(id, entry) {
+            scheduler.step(event, now_ms);
         }
     }
 }
--- a/src/queue/watch.rs
+++ b/src/queue/watch.rs
@@ -168,19 +168,37 @@
 /// Tells the control of a submission or a cancellation.
 pub async fn take_record(inputs: &async_channel::Sender<Input>, entry: &Entry) {
     let Some((id, is_cancel)) = record::parse_job_key(&entry.key) else { return };
-    let event = if is_cancel {
-        Event::Canceled(id)
-    } else {
-        match record::decode_submission(&entry.value) {
-            Ok(submission) => Event::Submitted(submission),
-            Err(error) => {
-                decision_log::line("job_unreadable").with("job", id).with("error", error).end();
-                return;
-            }
+    let event = if is_cancel { Some(Event::Canceled(id)) } else { submission_event(id, entry) };
+    if let Some(event) = event {
+        // A closed channel means that the term has ended.
+        let _ = inputs.send(Input::Event(event)).await;
+    }
+}
+
+/// The submission in a record, unless it cannot be read.
+pub fn submission_event(id: JobId, entry: &Entry) -> Option<Event> {
+    match record::decode_submission(&entry.value) {
+        Ok(submission) => Some(Event::Submitted(submission)),
+        Err(error) => {
+            decision_log::line("job_unreadable").with("job", id).with("error", error).end();
+            None
         }
-    };
-    // A closed channel means that the term has ended.
-    let _ = inputs.send(Input::Event(event)).await;
+    }
+}
+
+/// The report in a runner's own record, unless the record names no runner to use.
+pub fn runner_event(entry: &Entry) -> Option<Event> {
+    match runners::decode(&entry.key, &entry.value) {
+        Ok(report) => Some(Event::RunnerListed(report)),
+        Err(error) => {
+            decision_log::line("runner_unreadable")
+                .with("key", &entry.key)
+                .with("revision", entry.modified.0)
+                .with("error", error)
+                .end();
+            None
+        }
+    }
 }
 
 /// Follows the runners' own records while this host leads.
@@ -231,18 +249,9 @@
     entry: &Entry,
     known: &mut HashSet<String>,
 ) {
-    match runners::decode(&entry.key, &entry.value) {
-        Ok(report) => {
-            known.insert(entry.key.clone());
-            let _ = inputs.send(Input::Event(Event::RunnerListed(report))).await;
-        }
-        Err(error) => {
-            decision_log::line("runner_unreadable")
-                .with("key", &entry.key)
-                .with("revision", entry.modified.0)
-                .with("error", error)
-                .end();
-        }
+    if let Some(event) = runner_event(entry) {
+        known.insert(entry.key.clone());
+        let _ = inputs.send(Input::Event(event)).await;
     }
 }
 
