feat(queue): far larger hosts lead

Cause: on the grown sites hosts have 0.12 to 0.5 cores. Ruled out: the store (6,000 reads a second allowed, a hundred used), the runners, the advice. Change: signs of life carry the processor share; a leader leaves its term to a host of at least twice its size, and small hosts let larger ones try first for 250 ms. Test: queue_standing.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -44,11 +44,15 @@
 #[serde(rename_all = "kebab-case", default)]
 struct Limits {
     max_fds: usize,
+    /// Part of the processor that the process gets.
+    cpu_share: f64,
+    /// Speed of the processor as a multiple of one core, not a number of cores.
+    cores: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { max_fds: 1_024 }
+        Self { max_fds: 1_024, cpu_share: 1.0, cores: 1.0 }
     }
 }
 
@@ -90,6 +94,7 @@
 /// ```
 pub fn decode(text: &[u8]) -> Result<Site, String> {
     const MS_PER_S: f64 = 1_000.0;
+    const MILLIS_PER_CORE: f64 = 1_000.0;
     let settings: Settings = serde_json::from_slice(text).map_err(|error| error.to_string())?;
     let peer_port = *settings.internal_ports.first().ok_or("internal-ports is empty")?;
     Ok(Site {
@@ -101,12 +106,13 @@
         metrics_address: format!("{}:{}", settings.ip, peer_port + 1),
         store_address: settings.platform.address,
         advice_address: settings.advice.filter(|address| !address.is_empty()),
-        shutdown_grace_ms: whole_ms(settings.bounds.grace_s * MS_PER_S),
-        lease_limit_ms: whole_ms(settings.bounds.hold_max_ms),
-        stop_grace_ms: whole_ms(settings.bounds.stop_grace_ms),
-        gang_timeout_ms: whole_ms(settings.bounds.gang_timeout_ms),
-        disturbance_limit_ms: whole_ms(settings.bounds.harm_ms),
-        state_kept_ms: whole_ms(settings.bounds.status_s * MS_PER_S),
+        shutdown_grace_ms: whole(settings.bounds.grace_s * MS_PER_S),
+        lease_limit_ms: whole(settings.bounds.hold_max_ms),
+        stop_grace_ms: whole(settings.bounds.stop_grace_ms),
+        gang_timeout_ms: whole(settings.bounds.gang_timeout_ms),
+        disturbance_limit_ms: whole(settings.bounds.harm_ms),
+        state_kept_ms: whole(settings.bounds.status_s * MS_PER_S),
+        cpu_millis: whole(settings.limits.cpu_share * settings.limits.cores * MILLIS_PER_CORE),
         descriptor_limit: settings.limits.max_fds,
     })
 }
@@ -116,7 +122,7 @@
     clippy::cast_sign_loss,
     reason = "the value is clamped to the range first"
 )]
-fn whole_ms(value: f64) -> u64 {
-    const LIMIT_MS: f64 = 1e12;
-    value.clamp(0.0, LIMIT_MS) as u64
+fn whole(value: f64) -> u64 {
+    const LIMIT: f64 = 1e12;
+    value.clamp(0.0, LIMIT) as u64
 }
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -15,5 +15,6 @@
 pub mod scheduler;
 pub mod shared;
 pub mod site;
+pub mod standing;
 pub mod takeover;
 pub mod watch;
--- a/src/queue/control.rs
+++ b/src/queue/control.rs
@@ -32,6 +32,16 @@
 /// milliseconds.
 const INHERITED_SLACK_MS: u64 = 500;
 
+/// Time for which a term lasts at least before it is left to a larger host, in milliseconds: a few
+/// times as long as a takeover.
+const YIELD_AFTER_MS: u64 = 3_000;
+
+/// Why a term ends whose host comes to an end.
+const RESIGNED: &str = "resigned";
+
+/// Why a term ends in favour of a larger host.
+const YIELDED: &str = "a larger host can lead";
+
 /// Something that reaches the control of a term.
 #[derive(Debug)]
 pub enum Input {
@@ -45,6 +55,8 @@
     Superseded(&'static str),
     /// The host comes to an end; another one should lead.
     Resign,
+    /// A far larger host is alive and could lead.
+    LargerHost,
     /// A question for the state of a job.
     State(JobId, async_channel::Sender<Option<JobState>>),
     /// A question for the number of jobs that have not started.
@@ -72,7 +84,7 @@
     inputs.close();
     keeper.cancel().await;
     decision_log::line("term_ended").with("token", term.token.0).with("reason", reason).end();
-    if reason == "resigned" {
+    if reason == RESIGNED || reason == YIELDED {
         election::release(shared, term.lease).await;
     }
 }
@@ -131,7 +143,7 @@
 fn ends_term(shared: &Shared, term: &Term, input: &Input) -> Option<&'static str> {
     match input {
         Input::Superseded(reason) => Some(reason),
-        Input::Resign => Some("resigned"),
+        Input::Resign => Some(RESIGNED),
         Input::LeaderChanged => {
             let leads = shared.leader().is_some_and(|leader| leader.token == term.token);
             (!leads).then_some("the store names another leader or none")
@@ -149,6 +161,7 @@
 ) -> &'static str {
     let mut actions: Vec<Action> = Vec::new();
     let own: Arc<str> = Arc::from(shared.site.peer_address.as_str());
+    let yields_from_ms = clock::now_ms() + YIELD_AFTER_MS;
     loop {
         let [jobs, held, usable] = scheduler.figures(clock::now_ms());
         executor.note_figures([jobs, held, usable]);
@@ -162,6 +175,9 @@
             if let Some(reason) = ends_term(shared, term, &input) {
                 return reason;
             }
+            if matches!(input, Input::LargerHost) && now_ms >= yields_from_ms {
+                return YIELDED;
+            }
             take(&mut scheduler, input, now_ms);
             taken += 1;
             next = if taken < INPUT_BATCH { inputs.try_recv().ok() } else { None };
@@ -186,7 +202,7 @@
         Input::Pending(queue, answer) => {
             let _ = answer.try_send(scheduler.pending(&queue));
         }
-        Input::LeaderChanged | Input::Superseded(_) | Input::Resign => {}
+        Input::LeaderChanged | Input::Superseded(_) | Input::Resign | Input::LargerHost => {}
     }
 }
 
--- a/src/queue/daemon.rs
+++ b/src/queue/daemon.rs
@@ -100,7 +100,8 @@
         if let Some(former) = leader {
             election::retire(shared, &former).await;
         } else {
-            task::sleep(Duration::from_millis(spread_ms)).await;
+            let wait_ms = spread_ms + shared.standing().campaign_delay_ms();
+            task::sleep(Duration::from_millis(wait_ms)).await;
         }
         if shared.leader().is_some() {
             task::sleep(Duration::from_millis(CAMPAIGN_LOOK_MS)).await;
--- a/src/queue/peer.rs
+++ b/src/queue/peer.rs
@@ -36,6 +36,18 @@
 #[derive(Serialize, Deserialize)]
 struct Hello {
     address: String,
+    /// Processor that it could lead with, in thousandths of a core; 0 if it cannot lead now.
+    cpu_millis: u64,
+}
+
+/// What the leader says of the hosts that are alive.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+struct HelloAnswer {
+    /// Some of them.
+    addresses: Vec<Arc<str>>,
+    /// Processor of the largest one, in thousandths of a core.
+    largest_millis: u64,
 }
 
 /// A request to call for advice.
@@ -160,11 +172,16 @@
 }
 
 async fn hello(mut request: Request<Arc<Shared>>) -> Result<Response, ApiError> {
-    let Hello { address } = body(&mut request).await?;
+    let Hello { address, cpu_millis } = body(&mut request).await?;
+    let shared = request.state();
     let address: Arc<str> = Arc::from(address);
-    let hosts = request.state().note_host(Arc::clone(&address));
-    tell(request.state(), Event::HelperSeen { address }).await?;
-    Ok(rpc::answer(&hosts))
+    let addresses = shared.note_host(Arc::clone(&address));
+    let largest_millis = shared.note_size(cpu_millis);
+    tell(shared, Event::HelperSeen { address }).await?;
+    if shared.standing().is_far_larger(cpu_millis) {
+        shared.tell(Input::LargerHost);
+    }
+    Ok(rpc::answer(&HelloAnswer { addresses, largest_millis }))
 }
 
 async fn errand(mut request: Request<Arc<Shared>>) -> Result<Response, ApiError> {
@@ -308,12 +325,16 @@
 
 /// Tells the leader again and again that this host is alive.
 pub async fn say_hello(shared: Arc<Shared>) {
-    let hello = Hello { address: shared.site.peer_address.clone() };
     loop {
         if shared.control().is_none() && shared.leader().is_some() && !shared.is_draining() {
-            let said: Result<Vec<Arc<str>>, PeerError> = call(&shared, HELLO, &hello).await;
+            let cpu_millis = if shared.is_ready() { shared.site.cpu_millis } else { 0 };
+            let hello = Hello { address: shared.site.peer_address.clone(), cpu_millis };
+            let said: Result<HelloAnswer, PeerError> = call(&shared, HELLO, &hello).await;
             match said {
-                Ok(hosts) => shared.set_hosts(hosts),
+                Ok(HelloAnswer { addresses, largest_millis }) => {
+                    shared.set_hosts(addresses);
+                    shared.note_size(largest_millis);
+                }
                 Err(error) => {
                     crate::decision_log::line("leader_unreached").with("error", error).end();
                 }
--- a/src/queue/shared.rs
+++ b/src/queue/shared.rs
@@ -13,6 +13,7 @@
 use crate::queue::model::{Directory, JobId, JobState};
 use crate::queue::record::LeaderRecord;
 use crate::queue::site::Site;
+use crate::queue::standing::Standing;
 use crate::store::{Revision, Store, StoreError};
 
 /// Final states that a host remembers; at the largest site 38,000 jobs end in a day.
@@ -38,6 +39,7 @@
     leader: Mutex<Option<Leader>>,
     control: Mutex<Option<async_channel::Sender<Input>>>,
     hosts: Mutex<Vec<Arc<str>>>,
+    standing: Mutex<Standing>,
     finals: Mutex<HashMap<JobId, JobState>>,
     store_answered_ms: AtomicU64,
     is_store_lost: AtomicBool,
@@ -62,6 +64,7 @@
         pool: Pool,
         metrics: QueueMetrics,
     ) -> Self {
+        let standing = Standing::new(site.cpu_millis);
         Self {
             site,
             config,
@@ -72,6 +75,7 @@
             leader: Mutex::default(),
             control: Mutex::default(),
             hosts: Mutex::default(),
+            standing: Mutex::new(standing),
             finals: Mutex::default(),
             store_answered_ms: AtomicU64::new(0),
             is_store_lost: AtomicBool::new(false),
@@ -153,6 +157,17 @@
         hosts.clone()
     }
 
+    /// Takes in the processor of a host that could lead, in thousandths of a core; returns that of
+    /// the largest one.
+    pub fn note_size(&self, cpu_millis: u64) -> u64 {
+        lock(&self.standing).note(cpu_millis, clock::now_ms())
+    }
+
+    /// How this host stands among the others.
+    pub fn standing(&self) -> Standing {
+        *lock(&self.standing)
+    }
+
     /// Connects the control of a term, or disconnects it.
     pub fn set_control(&self, control: Option<async_channel::Sender<Input>>) {
         *lock(&self.control) = control;
--- a/src/queue/site.rs
+++ b/src/queue/site.rs
@@ -31,6 +31,8 @@
     pub disturbance_limit_ms: u64,
     /// Time for which the state of an ended job can be asked, in milliseconds.
     pub state_kept_ms: u64,
+    /// Processor of the host, in thousandths of a core.
+    pub cpu_millis: u64,
     /// Descriptors that the process may have open.
     pub descriptor_limit: usize,
 }
