fix(queue): tasks given up without a confirmed lease wait, and unknown runs leave no room

The leader's zone was cut off from 33.5 to 39.0 s. Without a confirmed lease it still ordered its zone's runners (bridge, until 39.3 s), gave up runs at silent runners when their lease had ended (38.9 s) and started the tasks again in its own zone (39.1 s), while the successor of 35.1 s had heard those runners and knew that the tasks were done. The successor then found these runs; their jobs had ended there, so they counted as taking no room, and it went over two runners' means. Ruled out: late orders (the runs' senders and times), the inherited wait (the tasks were done). Change: a task that was given up starts again only while the lease is confirmed; a found run of an unknown job takes all that its runner has until it has ended. Both cases of tests/queue_scheduler.rs fail before, pass after.

--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -51,6 +51,8 @@
     pub(crate) is_inherited: bool,
     /// Where it failed last.
     pub(crate) failed_at: Option<RunnerKey>,
+    /// A run of it was given up at a runner that did not tell how the run ended.
+    pub(crate) is_given_up: bool,
 }
 
 /// Where a task is.
@@ -196,9 +198,17 @@
     }
 
     /// Tasks that may start: those that may run where nobody has answered yet only once
-    /// `is_settled`.
-    pub(crate) fn startable(&self, is_settled: bool) -> impl Iterator<Item = usize> + '_ {
-        self.waiting().filter(move |index| is_settled || !self.tasks[*index].is_inherited)
+    /// `is_settled`, and those that were given up only while the leader `is_confirmed`, since a
+    /// successor may know of their end.
+    pub(crate) fn startable(
+        &self,
+        is_settled: bool,
+        is_confirmed: bool,
+    ) -> impl Iterator<Item = usize> + '_ {
+        self.waiting().filter(move |index| {
+            let task = &self.tasks[*index];
+            (is_settled || !task.is_inherited) && (is_confirmed || !task.is_given_up)
+        })
     }
 
     /// Notes a failed run; returns whether that is news.
@@ -232,6 +242,7 @@
             waits_since_ms: now_ms,
             is_inherited: false,
             failed_at: None,
+            is_given_up: false,
         }
     }
 
--- a/src/queue/scheduler/placing.rs
+++ b/src/queue/scheduler/placing.rs
@@ -103,7 +103,8 @@
             0
         };
         let wanted = Wanted { key, step, declared: &declared, service: &service, reserve_millis };
-        let waiting: Vec<usize> = job.steps[step].startable(is_settled).collect();
+        let is_confirmed = now_ms < self.confirmed_until_ms;
+        let waiting: Vec<usize> = job.steps[step].startable(is_settled, is_confirmed).collect();
         if waiting.is_empty() {
             return;
         }
@@ -229,6 +230,7 @@
         let ticket = step.advice.ticket(key);
         let task = &mut step.tasks[index];
         task.place = Place::At(key);
+        task.is_given_up = false;
         let checkpoint = task.checkpoint.clone();
         let spec = job.submission.spec.clone();
         let runner = &mut self.runners[key];
--- a/src/queue/scheduler/status.rs
+++ b/src/queue/scheduler/status.rs
@@ -333,6 +333,10 @@
         let step =
             job.as_ref().and_then(|job| job.submission.steps.get(row.task.step.step as usize));
         let mut assigned = Assigned::new(row.run, step.unwrap_or(&unknown), now_ms);
+        if step.is_none() {
+            // Nobody knows what it needs: it may be all that the runner has.
+            assigned.room = self.runners[key].capacity;
+        }
         assigned.phase = Phase::Stopping { ordered_ms: None };
         assigned.is_order_in_flight = false;
         assigned.advance(row.percent, row.load, now_ms);
@@ -396,6 +400,19 @@
                 .with("reason", reason)
                 .end();
             self.free_task(key, *task, now_ms);
+            self.note_given_up(*task);
+        }
+    }
+
+    /// Notes that nobody has told how a run of the task ended; members of a gang share their runs.
+    fn note_given_up(&mut self, task: TaskId) {
+        let Some(job_key) = self.job_keys.get(&task.step.job).copied() else { return };
+        let job = &mut self.jobs[job_key];
+        let number = task.step.step as usize;
+        if job.submission.steps.get(number).is_some_and(|step| step.is_gang) {
+            job.steps[number].tasks.iter_mut().for_each(|task| task.is_given_up = true);
+        } else if let Some(task) = job.task_mut(task) {
+            task.is_given_up = true;
         }
     }
 
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -331,3 +331,41 @@
         world.seen.iter().find(|action| !matches!(action, Action::Hold(_) | Action::SaveRoster(_)));
     assert!(unexpected.is_none(), "{unexpected:?}");
 }
+
+#[test]
+fn a_run_given_up_without_a_confirmed_lease_starts_again_only_once_the_lease_is_confirmed() {
+    let mut world = World::new(1);
+    world.add_runner("r1", 4_000);
+    world.add_runner("r2", 4_000);
+    world.step(Event::Submitted(job(1, vec![step(1, 1_000)])));
+    let first = world.starts();
+    world.answer_starts(&first);
+    world.silence(&first[0].at.0);
+    world.confirm_until(world.now_ms + 1_300);
+    // A successor may hear that runner, and what has become of the run, but not the other one.
+    for _ in 0..50 {
+        world.pass_without_confirmation(100);
+        assert!(world.starts().is_empty(), "at {} ms", world.now_ms);
+    }
+    world.confirm_until(world.now_ms + 1_300);
+    world.pass_without_confirmation(100);
+    let second = world.starts();
+    assert_eq!(second.len(), 1, "nobody else has led meanwhile");
+    assert_ne!(second[0].at.0, first[0].at.0);
+}
+
+#[test]
+fn a_run_of_a_job_that_is_not_known_leaves_no_room_until_it_has_ended() {
+    let mut world = World::new(9);
+    let unknown = task(99, 0, 0);
+    world.add_runner_with("r1", 4_000, vec![(unknown, 5)]);
+    world.step(Event::Submitted(job(1, vec![step(1, 1_000)])));
+    world.pass(200);
+    assert!(world.starts().is_empty(), "nobody knows what that run needs");
+    let stops = world.stops();
+    assert_eq!(stops.len(), 1);
+    world.answer_stop(&stops[0], Ok(()));
+    world.end_at("r1", 1, unknown, 5, RunEnd::Stopped);
+    world.pass(200);
+    assert_eq!(world.starts().len(), 1);
+}
