--- /dev/null
+++ b/tests/queue_cell/mod.rs
@@ -0,0 +1,246 @@
+//! A cell for tests: stand-ins of the platform in the test's process, real processes as hosts.
+
+#![allow(dead_code, missing_docs, unreachable_pub, reason = "a support module of tests")]
+#![allow(clippy::unwrap_used, clippy::expect_used, reason = "a helper that fails fails its test")]
+#![allow(clippy::disallowed_methods, reason = "tests start real processes")]
+
+pub mod runners;
+
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+
+use async_std::task::block_on;
+use bytes::Bytes;
+use hemlockrock::clock;
+use hemlockrock::configs::http::HttpConfig;
+use hemlockrock::http::client::{self, Pool};
+use hemlockrock::http::server::Server;
+use hemlockrock::queue::model::JobId;
+use hemlockrock::standin::proxy::{Fault, ProxyStandin};
+use hemlockrock::store::{Answer, Expect, LeaseId, Operation};
+use http_types::Method;
+use serde_json::{json, Value};
+
+use super::platform_support;
+use runners::World;
+
+/// Signs of life of a runner are missed three times before its record goes.
+const RECORD_TTL_MS: u64 = 4_500;
+
+const HOST_NAME: &str = "queue.example";
+const PREFIX: &str = "/q/";
+
+/// What a caller was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// The status of an answer.
+    Status(u16),
+    /// Nothing, or nothing whole.
+    Nothing,
+}
+
+/// A host: its process, and the proxy between it and the store.
+#[derive(Debug)]
+pub struct Host {
+    pub front: String,
+    pub store: ProxyStandin,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// A cell with its stand-ins.
+pub struct Cell {
+    pub world: runners::Shared,
+    pub hosts: Vec<Host>,
+    platform: platform_support::Shared,
+    records: Vec<LeaseId>,
+    servers: Vec<Server>,
+    pool: Pool,
+    version: u64,
+}
+
+impl Cell {
+    /// Starts hosts and runners; the hosts' logs go to `directory`.
+    pub fn start(directory: &Path, hosts: usize, runners: usize) -> Self {
+        std::fs::create_dir_all(directory).unwrap();
+        let platform = platform_support::Shared::default();
+        let server = block_on(platform_support::start(&platform));
+        let store = server.address().to_string();
+        let world = runners::Shared::new(Mutex::new(World::default()));
+        let config = HttpConfig { connect_timeout_ms: 500, ..HttpConfig::default() };
+        let mut cell = Self {
+            world: Arc::clone(&world),
+            hosts: Vec::new(),
+            platform,
+            records: Vec::new(),
+            servers: vec![server],
+            pool: Pool::new(config),
+            version: 0,
+        };
+        cell.declare();
+        for _ in 0..runners {
+            let number = runners::lock(&world).add();
+            cell.servers.push(block_on(runners::serve(&world, number)));
+            let Answer::Granted { lease } = cell.apply(Operation::Grant { ttl_ms: RECORD_TTL_MS })
+            else {
+                panic!("a lease");
+            };
+            cell.records.push(lease);
+        }
+        cell.keep_records();
+        for number in 0..hosts {
+            let host = Host::new(directory, number, &store);
+            cell.hosts.push(host);
+            cell.hosts[number].begin();
+        }
+        cell
+    }
+
+    fn apply(&self, operation: Operation) -> Answer {
+        platform_support::apply(&self.platform, operation)
+    }
+
+    /// Declares a newer configuration.
+    pub fn declare(&mut self) {
+        self.version += 1;
+        let route = json!({
+            "name": "q", "host": HOST_NAME, "prefix": PREFIX, "service": "s", "priority": 0,
+            "max-attempts": runners::ATTEMPTS, "stretch": 2.0, "target-latency-ms": 1000,
+        });
+        let config = json!({ "version": self.version, "routes": [route] });
+        self.put("op/config", &config, None);
+    }
+
+    fn put(&self, key: &str, value: &Value, lease: Option<LeaseId>) {
+        let value = Bytes::from(value.to_string());
+        let put = Operation::Put { key: key.to_owned(), value, expect: Expect::Any, lease };
+        self.apply(put);
+    }
+
+    /// Lets the runners say that they live.
+    pub fn keep_records(&self) {
+        for (number, lease) in self.records.iter().enumerate() {
+            self.apply(Operation::Renew { lease: *lease });
+            let record = json!({
+                "service": "s", "address": self.servers[number + 1].address().to_string(),
+                "zone": "z", "version": "1", "slots": 8, "state": "ready",
+                "cold-remaining-ms": 0, "sequence": clock::now_ms(), "labels": [],
+                "capacity": { "cpu": runners::CAPACITY, "mem-mb": 4096, "gpu": 0 },
+                "born": runners::lock(&self.world).born(number),
+            });
+            self.put(&format!("servers/i-{number}"), &record, Some(*lease));
+        }
+    }
+
+    /// Drops the history of the store, as a compaction does.
+    pub fn compact(&self) {
+        self.platform.lock().unwrap().compact();
+    }
+
+    /// The connections and the address with which callers reach a host.
+    pub fn way_to(&self, host: usize) -> (Pool, String) {
+        (self.pool.clone(), self.hosts[host].front.clone())
+    }
+}
+
+/// Sends a request about a job to the host at `front`.
+pub async fn send(
+    pool: &Pool,
+    front: &str,
+    method: Method,
+    job: JobId,
+    body: Option<Value>,
+) -> (Told, Value) {
+    const TIMEOUT_MS: u64 = 3_000;
+    let mut request = client::request(method, front, &format!("{PREFIX}{job}")).unwrap();
+    request.insert_header("Host", HOST_NAME);
+    if let Some(body) = body {
+        request.set_body(body.to_string());
+        request.insert_header("Content-Type", "application/json");
+    }
+    match pool.send(front, request, TIMEOUT_MS).await {
+        Ok(reply) => {
+            let body = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
+            (Told::Status(reply.status), body)
+        }
+        Err(_) => (Told::Nothing, Value::Null),
+    }
+}
+
+impl Host {
+    fn new(directory: &Path, number: usize, store: &str) -> Self {
+        let proxy = block_on(ProxyStandin::start("127.0.0.1:0", store)).unwrap();
+        let ip = format!("127.0.0.{}", 10 + number);
+        let port = free_ports(&ip);
+        let front = format!("{ip}:{port}");
+        let settings = json!({
+            "node-name": format!("host-{number}"), "ip": ip, "zone": "z",
+            "listen-addrs": { "front": front, "ready": format!("{ip}:{}", port + 1) },
+            "internal-ports": [port + 2, port + 3],
+            "platform": { "address": proxy.address() },
+            "bounds": { "grace-s": 4 },
+        });
+        let path = directory.join(format!("host-{number}.json"));
+        std::fs::write(&path, settings.to_string()).unwrap();
+        let log = directory.join(format!("host-{number}.log"));
+        let _ = std::fs::remove_file(&log);
+        Self { front, store: proxy, settings: path, log, child: None }
+    }
+
+    /// Starts the process, unless it runs.
+    pub fn begin(&mut self) {
+        if let Some(child) = &mut self.child {
+            if child.try_wait().unwrap().is_none() {
+                return;
+            }
+        }
+        let log = std::fs::File::options().create(true).append(true).open(&self.log).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hemlock-queue"));
+        command.arg("--site").arg(&self.settings).stdout(log).stderr(Stdio::null());
+        self.child = Some(command.spawn().unwrap());
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Sends a signal to the process, if it runs.
+    #[allow(unsafe_code, reason = "signals to our own child")]
+    pub fn signal(&mut self, signal: i32) {
+        let Some(child) = &mut self.child else { return };
+        if child.try_wait().unwrap().is_some() {
+            return;
+        }
+        // SAFETY: the process is our child and has not been waited for.
+        unsafe { libc::kill(i32::try_from(child.id()).unwrap(), signal) };
+    }
+
+    /// Sets what goes wrong between the host and the store.
+    pub fn set_store_fault(&self, fault: Fault) {
+        self.store.set_fault(fault);
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The first of four free ports at an address.
+fn free_ports(ip: &str) -> u16 {
+    loop {
+        let first = std::net::TcpListener::bind((ip, 0)).unwrap();
+        let port = first.local_addr().unwrap().port();
+        let is_free = |port: u16| std::net::TcpListener::bind((ip, port)).is_ok();
+        if port < 65_000 && (port + 1..port + 4).all(is_free) {
+            return port;
+        }
+    }
+}
