fix(queue): records of thousands of runners are read as fast as they are written

Runners write 2,000 records a second; after each answer of the watch (some hundreds of changes) the leader paused for 600 ms, so that it read that a runner leaves (1.5 s) over 5 s late (start at 6.9 s). Ruled out: the scheduler (a runner known as leaving gets nothing), the store (acked in 6 ms). Change: no pause while an answer holds 200 changes or more.

--- a/src/queue/watch.rs
+++ b/src/queue/watch.rs
@@ -19,6 +19,10 @@
 /// Pause after a failed call to the store, in milliseconds.
 const RETRY_MS: u64 = 200;
 
+/// Changes in one look after which more may wait already: the store answers with some hundreds at
+/// once, and thousands of runners write every second or two.
+const BUSY_CHANGES: usize = 200;
+
 /// One look at a prefix: everything, or what has changed since.
 #[derive(Debug)]
 pub enum Look {
@@ -28,6 +32,22 @@
     Changes(Vec<Change>),
 }
 
+impl Look {
+    /// Pause before the next look, in milliseconds: `gap_ms`, or none while changes pile up.
+    ///
+    /// ```
+    /// use hemlockrock::queue::watch::Look;
+    ///
+    /// assert_eq!(Look::Changes(Vec::new()).pause_ms(600), 600);
+    /// ```
+    pub fn pause_ms(&self, gap_ms: u64) -> u64 {
+        match self {
+            Self::Changes(changes) if changes.len() >= BUSY_CHANGES => 0,
+            _ => gap_ms,
+        }
+    }
+}
+
 /// Follows one prefix of the store.
 #[derive(Clone, Debug)]
 pub struct Follower {
@@ -148,7 +168,10 @@
     mut follower: Follower,
 ) {
     while !inputs.is_closed() {
-        match follower.look(&shared, shared.config.hold_wait_ms).await {
+        let look = follower.look(&shared, shared.config.hold_wait_ms).await;
+        let gap_ms = shared.config.record_gap_ms;
+        let pause_ms = look.as_ref().map_or(RETRY_MS + gap_ms, |look| look.pause_ms(gap_ms));
+        match look {
             Ok(Look::All(entries)) => {
                 for entry in &entries {
                     take_record(&inputs, entry).await;
@@ -159,9 +182,10 @@
                     take_record(&inputs, entry).await;
                 }
             }
-            Err(_) => pause(RETRY_MS).await,
+            // Counted and logged with the call.
+            Err(_) => {}
         }
-        pause(shared.config.record_gap_ms).await;
+        pause(pause_ms).await;
     }
 }
 
@@ -209,7 +233,10 @@
     mut known: HashSet<String>,
 ) {
     while !inputs.is_closed() {
-        match follower.look(&shared, shared.config.hold_wait_ms).await {
+        let look = follower.look(&shared, shared.config.hold_wait_ms).await;
+        let gap_ms = shared.config.runner_gap_ms;
+        let pause_ms = look.as_ref().map_or(RETRY_MS + gap_ms, |look| look.pause_ms(gap_ms));
+        match look {
             Ok(Look::All(entries)) => {
                 take_runners(&inputs, &entries, &mut known).await;
             }
@@ -221,9 +248,10 @@
                     }
                 }
             }
-            Err(_) => pause(RETRY_MS).await,
+            // Counted and logged with the call.
+            Err(_) => {}
         }
-        pause(shared.config.runner_gap_ms).await;
+        pause(pause_ms).await;
     }
 }
 
