--- a/tests/queue_soak.rs
+++ b/tests/queue_soak.rs
@@ -34,6 +34,9 @@
 const SUBMIT_GAP_MS: u64 = 60;
 const RETRIES: usize = 4;
 
+/// Cells that are played beside each other.
+const BESIDE: usize = 2;
+
 /// Seeds of CI. Each seed that ever failed stays here, with its cause.
 const SEEDS: [u64; 2] = [1, 2];
 
@@ -58,15 +61,24 @@
         }
         None => SEEDS.to_vec(),
     };
-    let failed: Vec<(u64, Vec<String>)> = seeds
-        .into_iter()
-        .map(|seed| (seed, soak(seed)))
-        .inspect(|(seed, broken)| println!("seed {seed}: broken: {broken:#?}"))
-        .filter(|(_, broken)| !broken.is_empty())
-        .collect();
+    let mut failed = Vec::new();
+    for beside in seeds.chunks(BESIDE) {
+        let begun: Vec<_> = beside.iter().map(|seed| (*seed, begin(*seed))).collect();
+        for (seed, thread) in begun {
+            let broken = thread.join().unwrap();
+            println!("seed {seed}: broken: {broken:#?}");
+            if !broken.is_empty() {
+                failed.push((seed, broken));
+            }
+        }
+    }
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+fn begin(seed: u64) -> std::thread::JoinHandle<Vec<String>> {
+    std::thread::spawn(move || soak(seed))
+}
+
 fn soak(seed: u64) -> Vec<String> {
     let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak/{seed}"));
     let cell = Arc::new(Mutex::new(Cell::start(&directory, HOSTS, RUNNERS)));
