--- a/src/configs/queue.rs
+++ b/src/configs/queue.rs
@@ -22,6 +22,9 @@
     pub leader_renew_ms: u64,
     /// Time by which a leader stops to order before its lease can have lapsed, in milliseconds.
     pub leader_margin_ms: u64,
+    /// Time for which a leader that has resigned tries to end its lease, in milliseconds: with the
+    /// last call it fits into the time in which a host that is stopped still serves.
+    pub leader_release_ms: u64,
     /// Time for which a leader still orders runners after its own lease may have lapsed, in
     /// milliseconds: outages of the store last for about 5 s. A successor waits that much longer
     /// for runners that do not answer it.
@@ -89,6 +92,7 @@
             leader_ttl_ms: 1_600,
             leader_renew_ms: 400,
             leader_margin_ms: 300,
+            leader_release_ms: 2_200,
             bridge_ms: 4_500,
             run_lease_ms: 3_600,
             hold_wait_ms: 1_000,
--- a/src/queue/control.rs
+++ b/src/queue/control.rs
@@ -86,7 +86,7 @@
     keeper.cancel().await;
     decision_log::line("term_ended").with("token", term.token.0).with("reason", reason).end();
     if reason == RESIGNED || reason == YIELDED {
-        election::release(shared, term.lease).await;
+        election::release_patiently(shared, term.lease).await;
     }
 }
 
--- a/src/queue/election.rs
+++ b/src/queue/election.rs
@@ -1,5 +1,9 @@
 //! One leader for the cell: a key on a lease in the store, whose creation counts the terms.
 
+use std::time::Duration;
+
+use async_std::task;
+
 use crate::clock;
 use crate::collections;
 use crate::decision_log;
@@ -14,6 +18,9 @@
 /// Tries to settle an answer that was lost before the try is given up.
 const SETTLE_TRIES: u32 = 3;
 
+/// Pause before a lease is to be ended again, in milliseconds.
+const RELEASE_RETRY_MS: u64 = 150;
+
 /// A term as leader.
 #[derive(Clone, Debug)]
 pub struct Term {
@@ -95,11 +102,24 @@
     }
 }
 
-/// Ends a lease, so that nobody waits for it to lapse.
-pub async fn release(shared: &Shared, lease: LeaseId) {
+/// Ends a lease, so that nobody waits for it to lapse; returns whether it has ended.
+pub async fn release(shared: &Shared, lease: LeaseId) -> bool {
     let result = shared.store.call(Operation::Revoke { lease }, Priority::Control).await;
     watch::note(shared, "release", &result);
-    if let Err(error) = result {
-        decision_log::line("release_failed").with("lease", lease.0).with("error", error).end();
+    match result {
+        Ok(_) | Err(StoreError::LeaseGone) => true,
+        Err(error) => {
+            decision_log::line("release_failed").with("lease", lease.0).with("error", error).end();
+            false
+        }
+    }
+}
+
+/// As [`release`], again while the store is away: some stores do not count the time of an outage
+/// towards a lease.
+pub async fn release_patiently(shared: &Shared, lease: LeaseId) {
+    let ends_ms = clock::now_ms() + shared.config.leader_release_ms;
+    while !release(shared, lease).await && clock::now_ms() < ends_ms {
+        task::sleep(Duration::from_millis(RELEASE_RETRY_MS)).await;
     }
 }
--- a/tests/queue_cell/mod.rs
+++ b/tests/queue_cell/mod.rs
@@ -15,8 +15,10 @@
 use hemlockrock::clock;
 use hemlockrock::configs::http::HttpConfig;
 use hemlockrock::http::client::{self, Pool};
+use hemlockrock::http::rpc;
 use hemlockrock::http::server::Server;
 use hemlockrock::queue::model::JobId;
+use hemlockrock::queue::record::{self, LeaderRecord};
 use hemlockrock::standin::proxy::{Fault, ProxyStandin};
 use hemlockrock::store::{Answer, Expect, LeaseId, Operation};
 use http_types::Method;
@@ -46,6 +48,7 @@
     pub front: String,
     pub store: ProxyStandin,
     settings: PathBuf,
+    own_settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
 }
@@ -64,6 +67,11 @@
 impl Cell {
     /// Starts hosts and runners; the hosts' logs go to `directory`.
     pub fn start(directory: &Path, hosts: usize, runners: usize) -> Self {
+        Self::start_with(directory, hosts, runners, "{}")
+    }
+
+    /// As [`Cell::start`], with settings of our own in YAML.
+    pub fn start_with(directory: &Path, hosts: usize, runners: usize, settings: &str) -> Self {
         std::fs::create_dir_all(directory).unwrap();
         let platform = platform_support::Shared::default();
         let server = block_on(platform_support::start(&platform));
@@ -90,8 +98,10 @@
             cell.records.push(lease);
         }
         cell.keep_records();
+        let own_settings = directory.join("queue.yaml");
+        std::fs::write(&own_settings, settings).unwrap();
         for number in 0..hosts {
-            let host = Host::new(directory, number, &store);
+            let host = Host::new(directory, number, &store, &own_settings);
             cell.hosts.push(host);
             cell.hosts[number].begin();
         }
@@ -134,6 +144,23 @@
         }
     }
 
+    /// Number of the host that leads, as the store says.
+    pub fn leader(&self) -> Option<usize> {
+        let answer = self.apply(Operation::Get { key: record::LEADER.to_owned() });
+        let Answer::Entry { entry: Some(entry) } = answer else { return None };
+        let leader: LeaderRecord = rpc::decode(&entry.value).unwrap();
+        leader.host.trim_start_matches("host-").parse().ok()
+    }
+
+    /// Fencing token of the present term; 0 if nobody leads.
+    pub fn leader_token(&self) -> u64 {
+        let answer = self.apply(Operation::Get { key: record::LEADER.to_owned() });
+        match answer {
+            Answer::Entry { entry: Some(entry) } => entry.created.0,
+            _ => 0,
+        }
+    }
+
     /// Drops the history of the store, as a compaction does.
     pub fn compact(&self) {
         self.platform.lock().unwrap().compact();
@@ -170,7 +197,7 @@
 }
 
 impl Host {
-    fn new(directory: &Path, number: usize, store: &str) -> Self {
+    fn new(directory: &Path, number: usize, store: &str, own_settings: &Path) -> Self {
         let proxy = block_on(ProxyStandin::start("127.0.0.1:0", store)).unwrap();
         let ip = format!("127.0.0.{}", 10 + number);
         let port = free_ports(&ip);
@@ -186,7 +213,8 @@
         std::fs::write(&path, settings.to_string()).unwrap();
         let log = directory.join(format!("host-{number}.log"));
         let _ = std::fs::remove_file(&log);
-        Self { front, store: proxy, settings: path, log, child: None }
+        let own_settings = own_settings.to_path_buf();
+        Self { front, store: proxy, settings: path, own_settings, log, child: None }
     }
 
     /// Starts the process, unless it runs.
@@ -198,7 +226,8 @@
         }
         let log = std::fs::File::options().create(true).append(true).open(&self.log).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_hemlock-queue"));
-        command.arg("--site").arg(&self.settings).stdout(log).stderr(Stdio::null());
+        command.arg("--site").arg(&self.settings).arg("--settings").arg(&self.own_settings);
+        command.stdout(log).stderr(Stdio::null());
         self.child = Some(command.spawn().unwrap());
     }
 
