refactor(test): one opening for cases that begin alike

The two cases about an endpoint that was taken over, and four about one job at some runners, shared their first lines to the letter. No assertion changes.

--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -49,11 +49,7 @@
 
 #[test]
 fn a_run_is_given_up_once_its_lease_has_certainly_ended() {
-    let mut world = World::new(1);
-    world.add_runner("r1", 4_000);
-    world.add_runner("r2", 4_000);
-    world.step(Event::Submitted(job(1, vec![step(1, 1_000)])));
-    let first = world.starts();
+    let (mut world, first) = World::with_job(&[("r1", 4_000), ("r2", 4_000)], vec![step(1, 1_000)]);
     world.answer_starts(&first);
     let lost = first[0].at.0.clone();
     world.silence(&lost);
@@ -193,10 +189,7 @@
 
 #[test]
 fn a_leader_without_the_store_goes_on_with_the_jobs_it_knows_and_takes_no_new_ones() {
-    let mut world = World::new(1);
-    world.add_runner("r1", 1_000);
-    world.step(Event::Submitted(job(1, vec![step(2, 1_000)])));
-    let first = world.starts();
+    let (mut world, first) = World::with_job(&[("r1", 1_000)], vec![step(2, 1_000)]);
     world.answer_starts(&first);
     world.confirm_until(world.now_ms);
     world.step(Event::Submitted(job(2, vec![step(1, 1_000)])));
@@ -286,11 +279,7 @@
 
 #[test]
 fn a_run_that_stands_still_is_stopped_and_starts_elsewhere() {
-    let mut world = World::new(1);
-    world.add_runner("r1", 4_000);
-    world.add_runner("r2", 4_000);
-    world.step(Event::Submitted(job(1, vec![step(1, 1_000)])));
-    let first = world.starts();
+    let (mut world, first) = World::with_job(&[("r1", 4_000), ("r2", 4_000)], vec![step(1, 1_000)]);
     world.answer_starts(&first);
     world.stand_still(&first[0].at.0);
     for _ in 0..6 {
@@ -334,11 +323,7 @@
 
 #[test]
 fn a_run_given_up_without_a_confirmed_lease_starts_again_only_once_the_lease_is_confirmed() {
-    let mut world = World::new(1);
-    world.add_runner("r1", 4_000);
-    world.add_runner("r2", 4_000);
-    world.step(Event::Submitted(job(1, vec![step(1, 1_000)])));
-    let first = world.starts();
+    let (mut world, first) = World::with_job(&[("r1", 4_000), ("r2", 4_000)], vec![step(1, 1_000)]);
     world.answer_starts(&first);
     world.silence(&first[0].at.0);
     world.confirm_until(world.now_ms + 1_300);
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -109,6 +109,17 @@
         world
     }
 
+    /// A world with these runners and job 1, and the starts that it leads to.
+    pub fn with_job(runners: &[(&str, u64)], steps: Vec<Step>) -> (Self, Vec<StartOrder>) {
+        let mut world = Self::new(1);
+        for (id, capacity) in runners {
+            world.add_runner(id, *capacity);
+        }
+        world.step(Event::Submitted(job(1, steps)));
+        let starts = world.starts();
+        (world, starts)
+    }
+
     fn report(&self, id: &str, is_draining: bool) -> RunnerReport {
         RunnerReport {
             id: RunnerId::from(id),
--- a/tests/route/rules.rs
+++ b/tests/route/rules.rs
@@ -300,13 +300,19 @@
     assert_eq!(finishes(&bench.submit(2, false)), [(2, Outcome::NotRun, Reason::NoEndpoint)]);
 }
 
-#[test]
-fn requests_wait_for_the_first_reading_of_an_endpoint_that_was_taken_over() {
+/// A host that had no endpoint for long and has just taken one over, unread.
+fn taken_over() -> Bench {
     let mut bench = Bench::new(RouteConfig::default());
-    let wait_ms = RouteConfig::default().no_endpoint_wait_ms;
     bench.submit(0, false);
-    bench.wait(10 * wait_ms);
+    bench.wait(10 * RouteConfig::default().no_endpoint_wait_ms);
     bench.step(Event::Own { endpoint: FIRST, service: SERVICE, slots: 1, guard: None });
+    bench
+}
+
+#[test]
+fn requests_wait_for_the_first_reading_of_an_endpoint_that_was_taken_over() {
+    let mut bench = taken_over();
+    let wait_ms = RouteConfig::default().no_endpoint_wait_ms;
     assert!(bench.submit(1, false).is_empty(), "it is refused before the reading");
     assert!(bench.wait(wait_ms - 1).is_empty());
     let sent = bench.step(Event::Learned { endpoint: FIRST, busy: 0 });
@@ -315,11 +321,8 @@
 
 #[test]
 fn an_endpoint_that_is_never_read_holds_nobody_longer_than_the_short_wait() {
-    let mut bench = Bench::new(RouteConfig::default());
+    let mut bench = taken_over();
     let wait_ms = RouteConfig::default().no_endpoint_wait_ms;
-    bench.submit(0, false);
-    bench.wait(10 * wait_ms);
-    bench.step(Event::Own { endpoint: FIRST, service: SERVICE, slots: 1, guard: None });
     assert!(bench.submit(1, false).is_empty(), "it is refused before the reading");
     assert_eq!(finishes(&bench.wait(wait_ms)), [(1, Outcome::NotRun, Reason::NoEndpoint)]);
     assert_eq!(finishes(&bench.submit(2, false)), [(2, Outcome::NotRun, Reason::NoEndpoint)]);
