refactor(platform): bounds that nothing uses are not decoded

Lease limit, stop grace, gang timeout, harm and status time were read into Site and used by nobody. They stay among the fields that are ignored. No behaviour changes.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -56,30 +56,16 @@
     }
 }
 
-// The bounds mix two spellings on the wire: most names use hyphens, a few underscores.
 #[derive(Debug)]
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
 struct Bounds {
     grace_s: f64,
-    hold_max_ms: f64,
-    stop_grace_ms: f64,
-    gang_timeout_ms: f64,
-    harm_ms: f64,
-    #[serde(rename = "status_s")]
-    status_s: f64,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self {
-            grace_s: 6.0,
-            hold_max_ms: 10_000.0,
-            stop_grace_ms: 1_000.0,
-            gang_timeout_ms: 3_000.0,
-            harm_ms: 4_000.0,
-            status_s: 120.0,
-        }
+        Self { grace_s: 6.0 }
     }
 }
 
@@ -107,11 +93,6 @@
         store_address: settings.platform.address,
         advice_address: settings.advice.filter(|address| !address.is_empty()),
         shutdown_grace_ms: whole(settings.bounds.grace_s * MS_PER_S),
-        lease_limit_ms: whole(settings.bounds.hold_max_ms),
-        stop_grace_ms: whole(settings.bounds.stop_grace_ms),
-        gang_timeout_ms: whole(settings.bounds.gang_timeout_ms),
-        disturbance_limit_ms: whole(settings.bounds.harm_ms),
-        state_kept_ms: whole(settings.bounds.status_s * MS_PER_S),
         cpu_millis: whole(settings.limits.cpu_share * settings.limits.cores * MILLIS_PER_CORE),
         descriptor_limit: settings.limits.max_fds,
     })
--- a/src/queue/site.rs
+++ b/src/queue/site.rs
@@ -21,16 +21,6 @@
     pub advice_address: Option<String>,
     /// Time between the request to stop and the kill, in milliseconds.
     pub shutdown_grace_ms: u64,
-    /// Longest lease that a runner grants to what it runs, in milliseconds.
-    pub lease_limit_ms: u64,
-    /// Longest time that a run takes to stop, in milliseconds.
-    pub stop_grace_ms: u64,
-    /// Time for which a member of a gang waits for the others, in milliseconds.
-    pub gang_timeout_ms: u64,
-    /// Time for which filling tasks may push a serving task over its target, in milliseconds.
-    pub disturbance_limit_ms: u64,
-    /// Time for which the state of an ended job can be asked, in milliseconds.
-    pub state_kept_ms: u64,
     /// Processor of the host, in thousandths of a core.
     pub cpu_millis: u64,
     /// Descriptors that the process may have open.
