refactor(queue): one way to tell the leader, to read a look and to hear of a larger host

- Announcements of jobs and of cancellations were twins, in peer and in front: tell_leader, announce.
- Followers repeated the loop over a look: Look::entries.
- A larger host reached the control by an input of its own and by the standing: the standing remains.
- place_step only passed on to fill_step; a step that may start nothing is no longer cloned first.
No decision changes.
Only difference: a far larger host that is not the largest also ends a takeover, as it already ended a term.

--- a/src/queue/control.rs
+++ b/src/queue/control.rs
@@ -56,8 +56,6 @@
     Superseded(&'static str),
     /// The host comes to an end; another one should lead.
     Resign,
-    /// A far larger host is alive and could lead.
-    LargerHost,
     /// A question for the state of a job.
     State(JobId, async_channel::Sender<Option<JobState>>),
     /// A question for the number of jobs that have not started.
@@ -185,14 +183,14 @@
         let mut next =
             async_std::future::timeout(limit, inputs.recv()).await.ok().and_then(Result::ok);
         let now_ms = clock::now_ms();
+        if shared.standing().hears_larger_since(yields_from_ms) {
+            return YIELDED;
+        }
         let mut taken = 0;
         while let Some(input) = next {
             if let Some(reason) = ends_term(shared, term, &input) {
                 return reason;
             }
-            if matches!(input, Input::LargerHost) && now_ms >= yields_from_ms {
-                return YIELDED;
-            }
             take(&mut scheduler, input, now_ms);
             taken += 1;
             next = if taken < INPUT_BATCH { inputs.try_recv().ok() } else { None };
@@ -217,7 +215,7 @@
         Input::Pending(queue, answer) => {
             let _ = answer.try_send(scheduler.pending(&queue));
         }
-        Input::LeaderChanged | Input::Superseded(_) | Input::Resign | Input::LargerHost => {}
+        Input::LeaderChanged | Input::Superseded(_) | Input::Resign => {}
     }
 }
 
--- a/src/queue/front.rs
+++ b/src/queue/front.rs
@@ -1,5 +1,6 @@
 //! What callers ask of a host: to take a job, to tell its state, to cancel it, to count.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use crate::http::server;
 use crate::platform::callers::{self, Decoded};
 use crate::queue::model::{Directory, JobId, JobState, Queue, Submission};
-use crate::queue::peer::{self, Errand, ErrandEnd};
+use crate::queue::peer::{self, Errand, ErrandEnd, PeerError};
 use crate::queue::record::{self, Progress};
 use crate::queue::shared::Shared;
 use crate::queue::watch;
@@ -196,7 +197,9 @@
     };
     let stored = store_once(shared, key, value, deadline_ms).await;
     if stored == Stored::New {
-        announce(shared, submission);
+        let told = Arc::clone(shared);
+        let id = submission.id;
+        announce(id, async move { peer::announce(&told, submission).await });
     }
     stored.into()
 }
@@ -211,12 +214,8 @@
     let value = bytes::Bytes::from_static(b"cancel");
     let stored = store_once(shared, record::cancel_key(id), value, deadline_ms).await;
     if matches!(stored, Stored::New | Stored::Known) {
-        let shared = Arc::clone(shared);
-        task::spawn(async move {
-            if let Err(error) = peer::announce_cancel(&shared, id).await {
-                decision_log::line("announce_failed").with("job", id).with("error", error).end();
-            }
-        });
+        let told = Arc::clone(shared);
+        announce(id, async move { peer::announce_cancel(&told, id).await });
     }
     stored.into()
 }
@@ -226,11 +225,10 @@
     error.with_retry_after_ms(RETRY_AFTER_MS)
 }
 
-fn announce(shared: &Arc<Shared>, submission: Submission) {
-    let shared = Arc::clone(shared);
+/// Tells the leader without keeping the caller waiting; it finds the record by itself if that fails.
+fn announce(id: JobId, telling: impl Future<Output = Result<(), PeerError>> + Send + 'static) {
     task::spawn(async move {
-        let id = submission.id;
-        if let Err(error) = peer::announce(&shared, submission).await {
+        if let Err(error) = telling.await {
             decision_log::line("announce_failed").with("job", id).with("error", error).end();
         }
     });
--- a/src/queue/peer.rs
+++ b/src/queue/peer.rs
@@ -9,6 +9,7 @@
 use tide::{Request, Response};
 
 use crate::configs::http::HttpConfig;
+use crate::decision_log;
 use crate::http::error::ApiError;
 use crate::http::rpc::{self, Call, RpcError};
 use crate::http::server;
@@ -117,7 +118,7 @@
                 if !error.is_certain() {
                     end = ErrandEnd::Unsure;
                 }
-                crate::decision_log::line("errand_failed")
+                decision_log::line("errand_failed")
                     .with("host_asked", &address)
                     .with("error", error)
                     .end();
@@ -181,9 +182,6 @@
     let addresses = shared.note_host(Arc::clone(&address));
     let largest_millis = shared.note_size(cpu_millis);
     tell(shared, Event::HelperSeen { address }).await?;
-    if shared.standing().is_far_larger(cpu_millis) {
-        shared.tell(Input::LargerHost);
-    }
     Ok(rpc::answer(&HelloAnswer { addresses, largest_millis }))
 }
 
@@ -286,11 +284,7 @@
 /// # Errors
 /// [`PeerError`] when the leader was not reached.
 pub async fn announce(shared: &Shared, submission: Submission) -> Result<(), PeerError> {
-    if let Some(control) = shared.control() {
-        let told = control.send(Input::Event(Event::Submitted(submission))).await;
-        return told.map_err(|_| PeerError::NoLeader);
-    }
-    call(shared, SUBMITTED, &submission).await
+    tell_leader(shared, SUBMITTED, submission, Event::Submitted).await
 }
 
 /// Tells the leader of a stored cancellation; it finds the record by itself if the call fails.
@@ -298,11 +292,22 @@
 /// # Errors
 /// [`PeerError`] when the leader was not reached.
 pub async fn announce_cancel(shared: &Shared, id: JobId) -> Result<(), PeerError> {
-    if let Some(control) = shared.control() {
-        let told = control.send(Input::Event(Event::Canceled(id))).await;
-        return told.map_err(|_| PeerError::NoLeader);
-    }
-    call(shared, CANCELED, &id).await
+    tell_leader(shared, CANCELED, id, Event::Canceled).await
+}
+
+/// Hands news to the control of this host if it leads, and else to the leader.
+async fn tell_leader<Body>(
+    shared: &Shared,
+    path: &str,
+    body: Body,
+    event: impl FnOnce(Body) -> Event,
+) -> Result<(), PeerError>
+where
+    Body: Serialize + Sync,
+{
+    let Some(control) = shared.control() else { return call(shared, path, &body).await };
+    let told = control.send(Input::Event(event(body))).await;
+    told.map_err(|_| PeerError::NoLeader)
 }
 
 /// Gets advice by way of the host at `helper`.
@@ -339,7 +344,7 @@
                     shared.note_size(largest_millis);
                 }
                 Err(error) => {
-                    crate::decision_log::line("leader_unreached").with("error", error).end();
+                    decision_log::line("leader_unreached").with("error", error).end();
                 }
             }
         }
--- a/src/queue/scheduler/placing.rs
+++ b/src/queue/scheduler/placing.rs
@@ -43,23 +43,12 @@
         }
         ready.sort_unstable();
         for (_, _, key, step) in ready {
+            let first = out.len();
             self.place_step(key, step, is_settled, now_ms, out);
+            self.log_starts(key, step, &out[first..], now_ms);
         }
     }
 
-    fn place_step(
-        &mut self,
-        key: JobKey,
-        step: usize,
-        is_settled: bool,
-        now_ms: u64,
-        out: &mut Vec<Action>,
-    ) {
-        let first = out.len();
-        self.fill_step(key, step, is_settled, now_ms, out);
-        self.log_starts(key, step, &out[first..], now_ms);
-    }
-
     /// One line for all starts of a step that were decided together.
     fn log_starts(&self, key: JobKey, step: usize, actions: &[Action], now_ms: u64) {
         let mut starts = String::new();
@@ -82,7 +71,7 @@
             .end();
     }
 
-    fn fill_step(
+    fn place_step(
         &mut self,
         key: JobKey,
         step: usize,
@@ -91,6 +80,11 @@
         out: &mut Vec<Action>,
     ) {
         let job = &self.jobs[key];
+        let is_confirmed = now_ms < self.confirmed_until_ms;
+        let waiting: Vec<usize> = job.steps[step].startable(is_settled, is_confirmed).collect();
+        if waiting.is_empty() {
+            return;
+        }
         let policy = self.advice_policy(key);
         let declared = job.submission.steps[step].clone();
         let service = self
@@ -103,11 +97,6 @@
             0
         };
         let wanted = Wanted { key, step, declared: &declared, service: &service, reserve_millis };
-        let is_confirmed = now_ms < self.confirmed_until_ms;
-        let waiting: Vec<usize> = job.steps[step].startable(is_settled, is_confirmed).collect();
-        if waiting.is_empty() {
-            return;
-        }
         if declared.is_gang {
             if waiting.len() == job.steps[step].tasks.len() {
                 self.place_gang(&wanted, &waiting, policy, now_ms, out);
--- a/src/queue/standing.rs
+++ b/src/queue/standing.rs
@@ -22,7 +22,9 @@
 pub struct Standing {
     own_millis: u64,
     largest_millis: u64,
-    heard_ms: u64,
+    largest_heard_ms: u64,
+    /// When a host was heard that should lead rather than this one.
+    larger_heard_ms: u64,
     has_heard: bool,
 }
 
@@ -39,16 +41,25 @@
     /// assert!(small.campaign_delay_ms() > 0);
     /// ```
     pub fn new(own_millis: u64) -> Self {
-        Self { own_millis, largest_millis: 0, heard_ms: 0, has_heard: false }
+        Self {
+            own_millis,
+            largest_millis: 0,
+            largest_heard_ms: 0,
+            larger_heard_ms: 0,
+            has_heard: false,
+        }
     }
 
     /// Takes in the processor of a host that could lead; returns that of the largest one heard
     /// lately, this one included.
     pub fn note(&mut self, cpu_millis: u64, now_ms: u64) -> u64 {
         self.has_heard = true;
-        if cpu_millis >= self.largest_millis || now_ms > self.heard_ms + SIZE_KEPT_MS {
+        if self.is_far_larger(cpu_millis) {
+            self.larger_heard_ms = now_ms;
+        }
+        if cpu_millis >= self.largest_millis || now_ms > self.largest_heard_ms + SIZE_KEPT_MS {
             self.largest_millis = cpu_millis;
-            self.heard_ms = now_ms;
+            self.largest_heard_ms = now_ms;
         }
         self.largest_millis.max(self.own_millis)
     }
@@ -75,6 +86,6 @@
 
     /// Whether a host that should lead rather than this one has been heard after `since_ms`.
     pub fn hears_larger_since(&self, since_ms: u64) -> bool {
-        self.heard_ms > since_ms && self.is_far_larger(self.largest_millis)
+        self.larger_heard_ms > since_ms
     }
 }
--- a/src/queue/watch.rs
+++ b/src/queue/watch.rs
@@ -33,6 +33,16 @@
 }
 
 impl Look {
+    /// The entries that are there, or that were written since; nothing for those removed.
+    fn entries(&self) -> Vec<&Entry> {
+        match self {
+            Self::All(entries) => entries.iter().collect(),
+            Self::Changes(changes) => {
+                changes.iter().filter_map(|change| change.entry.as_ref()).collect()
+            }
+        }
+    }
+
     /// Pause before the next look, in milliseconds: `gap_ms`, or none while changes pile up.
     ///
     /// ```
@@ -106,12 +116,8 @@
     let mut follower = Follower::new(declarations::PREFIX);
     loop {
         match follower.look(&shared, shared.config.declaration_wait_ms).await {
-            Ok(Look::All(entries)) => {
-                entries.iter().for_each(|entry| take_declaration(&shared, entry));
-            }
-            Ok(Look::Changes(changes)) => {
-                let written = changes.iter().filter_map(|change| change.entry.as_ref());
-                written.for_each(|entry| take_declaration(&shared, entry));
+            Ok(look) => {
+                look.entries().into_iter().for_each(|entry| take_declaration(&shared, entry));
             }
             Err(_) => pause(RETRY_MS).await,
         }
@@ -171,19 +177,9 @@
         let look = follower.look(&shared, shared.config.hold_wait_ms).await;
         let gap_ms = shared.config.record_gap_ms;
         let pause_ms = look.as_ref().map_or(RETRY_MS + gap_ms, |look| look.pause_ms(gap_ms));
-        match look {
-            Ok(Look::All(entries)) => {
-                for entry in &entries {
-                    take_record(&inputs, entry).await;
-                }
-            }
-            Ok(Look::Changes(changes)) => {
-                for entry in changes.iter().filter_map(|change| change.entry.as_ref()) {
-                    take_record(&inputs, entry).await;
-                }
-            }
-            // Counted and logged with the call.
-            Err(_) => {}
+        // A failure is counted and logged with the call.
+        for entry in look.iter().flat_map(Look::entries) {
+            take_record(&inputs, entry).await;
         }
         pause(pause_ms).await;
     }
