perf(queue): placing looks only at the runners that a step may use

Cause: for each task of a step with tickets, all runners of the cell were checked against the step's list of admitted runners, in each pass, also while the step waited for advice. Change: the admitted runners are looked up; advice is not prepared while no host is free to ask for it.

--- a/src/queue/scheduler/advice.rs
+++ b/src/queue/scheduler/advice.rs
@@ -71,6 +71,12 @@
         admitted.is_some_and(|known| now_ms < known.valid_until_ms)
     }
 
+    /// Runners with a valid ticket.
+    pub(crate) fn valid_at(&self, now_ms: u64) -> impl Iterator<Item = RunnerKey> + '_ {
+        let valid = self.admitted.iter().filter(move |known| now_ms < known.valid_until_ms);
+        valid.map(|known| known.runner)
+    }
+
     /// Whether the runner was ever admitted; its ticket may have expired.
     pub(crate) fn has_admitted(&self, runner: RunnerKey) -> bool {
         self.admitted.iter().any(|known| known.runner == runner)
@@ -97,6 +103,11 @@
         }
     }
 
+    /// Whether any host has no call in flight.
+    pub(super) fn has_idle_advice_host(&self) -> bool {
+        self.advice_hosts.iter().any(|advice_host| advice_host.busy.is_none())
+    }
+
     /// Finds an idle host for a call of this expected duration.
     fn free_advice_host(&mut self, expected_ms: u64, now_ms: u64) -> Option<&mut AdviceHost> {
         let oldest_ms = now_ms.saturating_sub(self.config.hello_ms * MISSED_HEARTBEATS);
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -136,10 +136,11 @@
         now_ms: u64,
         out: &mut Vec<Action>,
     ) {
-        let mut slots: Vec<(RunnerKey, u64)> = self
-            .candidates(request, now_ms)
-            .filter(|(key, _)| policy.is_none() || self.admits(request, *key, now_ms))
-            .collect();
+        let mut slots: Vec<(RunnerKey, u64)> = if policy.is_some() {
+            self.admitted_candidates(request, now_ms).collect()
+        } else {
+            self.candidates(request, now_ms).collect()
+        };
         slots.sort_unstable_by_key(|(_, slots)| std::cmp::Reverse(*slots));
         let total_slots: u64 = slots.iter().map(|(_, slots)| *slots).sum();
         if total_slots < waiting.len() as u64 {
@@ -170,14 +171,29 @@
         now_ms: u64,
     ) -> Option<RunnerKey> {
         let need = request.declared.reservation();
-        let admitted = &self.jobs[request.key].steps[request.step].advice;
-        self.candidates(request, now_ms)
-            .filter(|(key, _)| !is_advised || admitted.admits(*key, now_ms))
-            .max_by_key(|(key, _)| {
-                let is_other = Some(*key) != failed_at;
-                (is_other, score(&self.runners[*key], need, request.declared))
-            })
-            .map(|(key, _)| key)
+        let rank = |(key, _): &(RunnerKey, u64)| {
+            let is_other = Some(*key) != failed_at;
+            (is_other, score(&self.runners[*key], need, request.declared))
+        };
+        let best = if is_advised {
+            self.admitted_candidates(request, now_ms).max_by_key(rank)
+        } else {
+            self.candidates(request, now_ms).max_by_key(rank)
+        };
+        best.map(|(key, _)| key)
+    }
+
+    /// The candidates for which the step has a valid ticket.
+    fn admitted_candidates<'a>(
+        &'a self,
+        request: &'a PlacementRequest<'_>,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (RunnerKey, u64)> + 'a {
+        let advice = &self.jobs[request.key].steps[request.step].advice;
+        advice.valid_at(now_ms).filter_map(move |key| {
+            let slots = self.free_slots(request, self.runners.get(key)?, now_ms);
+            (slots > 0).then_some((key, slots))
+        })
     }
 
     /// Usable runners with free resources for at least one task, and for how many.
@@ -186,28 +202,29 @@
         request: &'a PlacementRequest<'_>,
         now_ms: u64,
     ) -> impl Iterator<Item = (RunnerKey, u64)> + 'a {
-        let need = request.declared.reservation();
         self.runners.iter().filter_map(move |(key, runner)| {
-            if !runner.is_usable(now_ms) || runner.service != request.service {
-                return None;
-            }
-            if !request.has_label(runner) {
-                return None;
-            }
-            let mut slots = Runner::slots(runner.free(request.reserve_millis), need);
-            let limit = u64::from(request.declared.max_per_runner);
-            if limit > 0 && slots > 0 {
-                let id = self.jobs[request.key].step_id(request.step);
-                let assigned_count =
-                    runner.assignments.keys().filter(|task| task.step == id).count() as u64;
-                slots = slots.min(limit.saturating_sub(assigned_count));
-            }
+            let slots = self.free_slots(request, runner, now_ms);
             (slots > 0).then_some((key, slots))
         })
     }
 
-    fn admits(&self, request: &PlacementRequest<'_>, runner: RunnerKey, now_ms: u64) -> bool {
-        self.jobs[request.key].steps[request.step].advice.admits(runner, now_ms)
+    /// Number of tasks of the step that may be started on the runner now.
+    fn free_slots(&self, request: &PlacementRequest<'_>, runner: &Runner, now_ms: u64) -> u64 {
+        if !runner.is_usable(now_ms)
+            || runner.service != request.service
+            || !request.has_label(runner)
+        {
+            return 0;
+        }
+        let need = request.declared.reservation();
+        let slots = Runner::slots(runner.free(request.reserve_millis), need);
+        let limit = u64::from(request.declared.max_per_runner);
+        if limit == 0 || slots == 0 {
+            return slots;
+        }
+        let id = self.jobs[request.key].step_id(request.step);
+        let assigned = runner.assignments.keys().filter(|task| task.step == id).count() as u64;
+        slots.min(limit.saturating_sub(assigned))
     }
 
     fn start_task(
@@ -248,7 +265,7 @@
     ) {
         let job = &self.jobs[request.key];
         let advice = &job.steps[request.step].advice;
-        if advice.is_in_flight || now_ms < advice.retry_ms {
+        if advice.is_in_flight || now_ms < advice.retry_ms || !self.has_idle_advice_host() {
             return;
         }
         let share = self.admitted_share(&job.submission.queue);
