fix(queue): ends are acknowledged as soon as their own job is stored

Cause: ends were acknowledged only by a write that covered all changed jobs. A write holds 15, so that with some hundred jobs that change within its answer time no end was ever acknowledged, and a runner with unacknowledged ends is asked only every 800 ms: later ends went unnoticed for as long. Change: each end waits for the change of its own job; up to eight writes are in flight, each of other jobs, the oldest change first. While writes fail, one at a time probes the store. Test: ends_are_acknowledged_while_more_jobs_change_than_one_write_holds (1,000 ends a second at 250 runners) needs more than 250 ms before.

--- a/src/queue/leader.rs
+++ b/src/queue/leader.rs
@@ -15,7 +15,7 @@
 use crate::queue::peer;
 use crate::queue::record::{self, Progress, RosterEntry};
 use crate::queue::scheduler::{
-    Action, Event, OrderResult, ProgressWrite, RenewalOrder, RunnerKey, StartOrder,
+    Action, Event, OrderResult, ProgressWrite, RenewalOrder, RunnerKey, StartOrder, WriteKey,
 };
 use crate::queue::takeover::RecoveredState;
 use crate::queue::watch;
@@ -112,7 +112,9 @@
                         .await;
                 }));
             }
-            Action::SaveProgress(records) => drop(task::spawn(save_progress(context, records))),
+            Action::SaveProgress { write, records } => {
+                drop(task::spawn(save_progress(context, write, records)));
+            }
             Action::RemoveRecords(jobs) => drop(task::spawn(delete_records(context, jobs))),
             Action::SaveRoster(entries) => drop(task::spawn(save_roster(context, entries))),
         }
@@ -216,7 +218,7 @@
     context.send_event(Event::RenewalFinished { runner: order.runner, sent_ms, result }).await;
 }
 
-async fn save_progress(context: Arc<Context>, records: Vec<ProgressWrite>) {
+async fn save_progress(context: Arc<Context>, write: WriteKey, records: Vec<ProgressWrite>) {
     let is_stored = match progress_commit(&context, &records) {
         Some(commit) => {
             let result = store::commit(&*context.shared.store, commit, Priority::Interactive).await;
@@ -241,7 +243,7 @@
             context.shared.record_final_state(write.job, write.progress.state);
         }
     }
-    context.send_event(Event::ProgressSaved { is_stored }).await;
+    context.send_event(Event::ProgressSaved { write, is_stored }).await;
 }
 
 /// Updates the known revisions from the entries of a conflict: an earlier write may have taken
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -28,6 +28,7 @@
 pub use advice::AdviceHost;
 pub use event::{Action, Event, OrderResult, ProgressWrite, RenewalOrder, StartOrder};
 pub use job::{Job, JobKey};
+pub use persistence::WriteKey;
 pub use runner::{RunPhase, Runner, RunnerKey};
 
 /// Size of the range of run numbers of a term. Runs are numbered from the term's fencing token
@@ -111,7 +112,9 @@
             Event::JobSubmitted(submission) if now_ms >= self.confirmed_until_ms => {
                 self.deferred.push(submission);
             }
-            Event::JobSubmitted(submission) => self.submit(submission, now_ms),
+            Event::JobSubmitted(submission) | Event::JobLoaded(submission) => {
+                self.submit(submission, now_ms);
+            }
             Event::ProgressLoaded(id, progress) => self.restore(id, &progress, now_ms),
             Event::JobCanceled(id) => self.cancel(id, now_ms),
             Event::RunnerListed(report) => self.list_runner(report, now_ms),
@@ -126,7 +129,9 @@
                 self.advice_finished(step, &advice_host, &asked, sent_ms, result, now_ms);
             }
             Event::AdviceHostSeen { address } => self.record_advice_host(address, now_ms),
-            Event::ProgressSaved { is_stored } => self.progress_saved(is_stored, now_ms),
+            Event::ProgressSaved { write, is_stored } => {
+                self.progress_saved(write, is_stored, now_ms);
+            }
             Event::RecordsRemoved { is_removed } => self.records_removed(is_removed),
             Event::RosterSaved { is_stored } => self.roster_saved(is_stored),
             Event::LeaderLeaseConfirmed { until_ms } => self.confirm_leader_lease(until_ms, now_ms),
@@ -251,7 +256,7 @@
             .with("queue", &job.submission.queue)
             .with("age_ms", now_ms.saturating_sub(job.known_ms))
             .end();
-        self.persistence.mark_final(key);
+        self.mark_dirty(key);
         for runner in self.runners.values_mut() {
             for (task, assignment) in &mut runner.assignments {
                 if task.step.job == id {
--- a/src/queue/scheduler/event.rs
+++ b/src/queue/scheduler/event.rs
@@ -9,6 +9,7 @@
     Submission, TaskId,
 };
 use crate::queue::record::{Progress, RosterEntry};
+use crate::queue::scheduler::persistence::WriteKey;
 use crate::queue::scheduler::runner::RunnerKey;
 
 /// Input of the scheduler.
@@ -18,6 +19,8 @@
     DirectoryUpdated(Arc<QueueDirectory>),
     /// A submission is in the store.
     JobSubmitted(Submission),
+    /// A submission was read from the store when the term began.
+    JobLoaded(Submission),
     /// Progress of a job that a previous leader stored.
     ProgressLoaded(JobId, Progress),
     /// A cancellation is in the store.
@@ -66,6 +69,8 @@
     },
     /// The write of an [`Action::SaveProgress`] has finished.
     ProgressSaved {
+        /// Write of the action.
+        write: WriteKey,
         /// Whether the records are in the store.
         is_stored: bool,
     },
@@ -148,7 +153,12 @@
         expected_ms: u64,
     },
     /// Write the progress of jobs to the store; answered by [`Event::ProgressSaved`].
-    SaveProgress(Vec<ProgressWrite>),
+    SaveProgress {
+        /// Identifies the write; several may be in flight.
+        write: WriteKey,
+        /// Records to write, each of another job.
+        records: Vec<ProgressWrite>,
+    },
     /// Remove all records of these jobs, whose retention time is over; answered by
     /// [`Event::RecordsRemoved`].
     RemoveRecords(Vec<JobId>),
--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -5,6 +5,7 @@
 use crate::queue::model::{JobState, Queue, StepId, Submission, TaskId};
 use crate::queue::record::Progress;
 use crate::queue::scheduler::advice::StepAdvice;
+use crate::queue::scheduler::persistence::JobChanges;
 use crate::queue::scheduler::runner::RunnerKey;
 
 slotmap::new_key_type! {
@@ -30,6 +31,7 @@
     pub(crate) known_ms: u64,
     /// Time at which the job should be completed by the latency objective of its queue.
     pub(crate) due_ms: u64,
+    pub(crate) changes: JobChanges,
 }
 
 /// Progress of a step.
@@ -97,6 +99,7 @@
             service: queue.map(|queue| queue.service.clone()).unwrap_or_default(),
             known_ms: now_ms,
             due_ms: now_ms + allowed_ms,
+            changes: JobChanges::default(),
             submission,
         }
     }
--- a/src/queue/scheduler/lease.rs
+++ b/src/queue/scheduler/lease.rs
@@ -3,7 +3,7 @@
 use crate::decision_log;
 use crate::queue::model::TaskId;
 use crate::queue::scheduler::event::{Action, RenewalOrder};
-use crate::queue::scheduler::runner::RunnerKey;
+use crate::queue::scheduler::runner::{Runner, RunnerKey};
 use crate::queue::scheduler::Scheduler;
 
 /// Maximum wait of a renewal while runs are being stopped, in milliseconds. It is short because a
@@ -107,15 +107,17 @@
     /// Renews the leases of runners that have assignments, and reads the status of runners that have
     /// not answered yet.
     pub(super) fn renew_leases(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        let config = &self.config;
-        let may_renew = self.may_send_orders(now_ms);
-        if !may_renew {
+        if !self.may_send_orders(now_ms) {
             return;
         }
-        for (key, runner) in &mut self.runners {
-            if runner.renewal.is_in_flight || now_ms < runner.renewal.next_ms {
-                continue;
-            }
+        let due =
+            |runner: &Runner| !runner.renewal.is_in_flight && now_ms >= runner.renewal.next_ms;
+        let due: Vec<RunnerKey> =
+            self.runners.iter().filter(|(_, runner)| due(runner)).map(|(key, _)| key).collect();
+        for key in due {
+            self.update_acknowledged_end(key);
+            let config = &self.config;
+            let runner = &mut self.runners[key];
             let is_new = !runner.is_fenced
                 || runner.started_unix_ms != Some(runner.listed_started_unix_ms)
                     && runner.is_listed
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -1,8 +1,11 @@
 //! State of a runner as the leader knows it: its incarnation, leases, assignments and resources.
 
+use std::collections::VecDeque;
+
 use crate::collections::{HashMap, HashSet};
 use crate::place::spec::Resources;
 use crate::queue::model::{RunnerId, RunnerReport, Step, TaskId};
+use crate::queue::scheduler::job::JobKey;
 
 slotmap::new_key_type! {
     /// Key of a runner in the scheduler's slot map.
@@ -49,6 +52,8 @@
     pub(crate) last_seen_end: u64,
     /// Number of the last ended run whose outcome is stored, so that the runner may discard it.
     pub(crate) acknowledged_end: u64,
+    /// Processed ends whose outcome is not stored yet, in the order of their numbers.
+    pub(crate) unsaved_ends: VecDeque<UnsavedEnd>,
     /// Number of the first ended run that must not be acknowledged: its task has been started
     /// elsewhere in the meantime, and nothing shows that the lease expired in between.
     pub(crate) withheld_end: Option<u64>,
@@ -64,6 +69,16 @@
     pub(crate) failed_jobs: Vec<u64>,
 }
 
+/// An ended run whose outcome is part of a job's progress that is not stored yet.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UnsavedEnd {
+    /// Sequence number of the end.
+    pub(crate) number: u64,
+    pub(crate) job: JobKey,
+    /// Number of the change of the job that covers the outcome.
+    pub(crate) change: u64,
+}
+
 /// State of the lease renewals of a runner.
 #[derive(Debug, Default)]
 pub(crate) struct RenewalState {
@@ -197,6 +212,7 @@
             lease_sent_until_ms: 0,
             last_seen_end: 0,
             acknowledged_end: 0,
+            unsaved_ends: VecDeque::new(),
             withheld_end: None,
             lost_runs: HashSet::default(),
             assignments: HashMap::default(),
@@ -287,6 +303,7 @@
         self.lease_sent_until_ms = 0;
         self.last_seen_end = 0;
         self.acknowledged_end = 0;
+        self.unsaved_ends.clear();
         self.withheld_end = None;
         self.lost_runs.clear();
     }
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -8,7 +8,7 @@
     Step, TaskId,
 };
 use crate::queue::scheduler::job::TaskState;
-use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey};
+use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey, UnsavedEnd};
 use crate::queue::scheduler::Scheduler;
 
 /// Maximum number of ended runs in one status report; a report with as many may be incomplete.
@@ -155,8 +155,6 @@
         let runner = &mut self.runners[key];
         let former = runner.started_unix_ms;
         runner.begin_incarnation(started_unix_ms);
-        self.persistence.drop_runner_ends(key);
-        let runner = &mut self.runners[key];
         if former.is_none() {
             return;
         }
@@ -225,6 +223,16 @@
             _ => {}
         }
         self.apply_end(key, ended, is_current, now_ms);
+        self.await_stored_outcome(key, ended);
+    }
+
+    /// Withholds the acknowledgement of an end until the changes of its job are stored.
+    fn await_stored_outcome(&mut self, key: RunnerKey, ended: &EndedRun) {
+        let Some(job_key) = self.job_keys.get(&ended.task.step.job).copied() else { return };
+        if let Some(change) = self.jobs[job_key].changes.unsaved() {
+            let unsaved = UnsavedEnd { number: ended.number, job: job_key, change };
+            self.runners[key].unsaved_ends.push_back(unsaved);
+        }
     }
 
     fn apply_end(&mut self, key: RunnerKey, ended: &EndedRun, is_current: bool, now_ms: u64) {
@@ -257,11 +265,12 @@
                 if let Some(run) = job.task_mut(task) {
                     run.failed_at = Some(key);
                 }
-                let max_attempts = job.max_attempts;
-                if job.steps[step].record_failure(task.index, ended.run) {
-                    self.persistence.mark_dirty(job_key);
+                let is_new = job.steps[step].record_failure(task.index, ended.run);
+                let has_failed = job.steps[step].failures(task.index, is_gang) >= job.max_attempts;
+                if is_new {
+                    self.mark_dirty(job_key);
                 }
-                if job.steps[step].failures(task.index, is_gang) >= max_attempts {
+                if has_failed {
                     self.finish(job_key, JobState::Failed, now_ms);
                 }
             }
@@ -291,7 +300,7 @@
             return;
         }
         let is_done = job.is_done();
-        self.persistence.mark_dirty(job_key);
+        self.mark_dirty(job_key);
         for (task, state) in completed {
             // Another run of a completed task must not go on; the members of a gang end by themselves.
             if let (Some(TaskState::Assigned(at)), false) = (state, is_gang) {
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -2,7 +2,9 @@
 
 mod queue_support;
 
-use hemlockrock::queue::model::{JobState, OrderError, RunEnd};
+use std::collections::BTreeMap;
+
+use hemlockrock::queue::model::{JobState, OrderError, RunEnd, Step};
 use hemlockrock::queue::scheduler::{Action, Event};
 use queue_support::{job, step, task, Harness};
 
@@ -378,3 +380,60 @@
     harness.advance(200);
     assert_eq!(harness.starts().len(), 1);
 }
+
+/// A thousand short jobs a second end at 250 runners, more than one write of progress holds while
+/// the store answers it. The acknowledgement of an end must not wait until no job has changes left,
+/// since a runner with unacknowledged ends is asked rarely, so that its later ends go unnoticed.
+#[test]
+fn ends_are_acknowledged_while_more_jobs_change_than_one_write_holds() {
+    const RUNNERS: u32 = 250;
+    const JOBS: u64 = 1_000;
+    const ENDS_PER_STEP: usize = 10;
+    const STEP_MS: u64 = 10;
+    const GOAL_MS: u64 = 250;
+    let mut harness = Harness::new(1);
+    harness.save_latency_ms = 20;
+    for number in 0..RUNNERS {
+        harness.add_runner(&format!("r{number}"), 5_000);
+    }
+    // A run on each runner that does not end: an idle runner is not asked again.
+    let lasting = Step { max_per_runner: 1, ..step(RUNNERS, 1_000) };
+    harness.handle(Event::JobSubmitted(job(JOBS + 1, vec![lasting])));
+    let lasting = harness.starts();
+    harness.answer_starts(&lasting);
+    for id in 1..=JOBS {
+        harness.handle(Event::JobSubmitted(job(id, vec![step(1, 1_000)])));
+    }
+    let starts = harness.starts();
+    assert_eq!(starts.len() as u64, JOBS);
+    harness.answer_starts(&starts);
+    harness.advance(1_000);
+    let mut numbers: BTreeMap<String, u64> = BTreeMap::new();
+    let mut pending: Vec<(String, u64, u64)> = Vec::new();
+    let mut slowest_ms = 0;
+    let begun_ms = harness.now_ms;
+    let mut batches = starts.chunks(ENDS_PER_STEP);
+    loop {
+        for start in batches.next().unwrap_or_default() {
+            let runner = start.target.0.to_string();
+            let number = numbers.entry(runner.clone()).or_default();
+            *number += 1;
+            harness.end_at(&runner, *number, start.task, start.run, RunEnd::Done);
+            pending.push((runner, *number, harness.now_ms));
+        }
+        harness.advance(STEP_MS);
+        let now_ms = harness.now_ms;
+        pending.retain(|(runner, number, ended_ms)| {
+            let is_pending = harness.acknowledged(runner) < *number;
+            if !is_pending {
+                slowest_ms = slowest_ms.max(now_ms - ended_ms);
+            }
+            is_pending
+        });
+        if pending.is_empty() && batches.len() == 0 {
+            break;
+        }
+        assert!(now_ms < begun_ms + 10_000, "{} ends are not acknowledged", pending.len());
+    }
+    assert!(slowest_ms <= GOAL_MS, "an end was acknowledged after {slowest_ms} ms");
+}
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -14,7 +14,7 @@
     RunnerStatus, RunningTask, Step, StepId, Submission, TaskId,
 };
 use hemlockrock::queue::scheduler::{
-    Action, Event, OrderResult, RenewalOrder, RunnerKey, Scheduler, StartOrder,
+    Action, Event, OrderResult, RenewalOrder, RunnerKey, Scheduler, StartOrder, WriteKey,
 };
 
 /// Maximum number of failed runs of a task in the test queue.
@@ -52,8 +52,13 @@
     runners: BTreeMap<RunnerId, FakeRunner>,
     starts: Vec<StartOrder>,
     stops: Vec<Stop>,
-    /// Number of progress writes that are not answered yet; `None` answers each at once.
-    delayed_saves: Option<usize>,
+    /// Progress writes that are not answered until [`Harness::complete_saves`]; `None` answers each
+    /// after `save_latency_ms`.
+    delayed_saves: Option<Vec<WriteKey>>,
+    /// Time that the store takes to answer a progress write, in milliseconds.
+    pub save_latency_ms: u64,
+    /// Progress writes in flight, with the time of their answer.
+    saves_in_flight: Vec<(u64, WriteKey)>,
     renewal_sent_ms: BTreeMap<RunnerId, u64>,
     /// Whether the leader's lease is confirmed again at each step.
     confirms_lease: bool,
@@ -93,6 +98,8 @@
             starts: Vec::new(),
             stops: Vec::new(),
             delayed_saves: None,
+            save_latency_ms: 0,
+            saves_in_flight: Vec::new(),
             renewal_sent_ms: BTreeMap::new(),
             confirms_lease: true,
         };
@@ -293,13 +300,7 @@
                 Action::Stop { runner, task, run, .. } => {
                     self.stops.push(Stop { runner, task, run });
                 }
-                Action::SaveProgress(_) if self.delayed_saves.is_some() => {
-                    self.delayed_saves = self.delayed_saves.map(|delayed| delayed + 1);
-                }
-                Action::SaveProgress(_) => {
-                    self.scheduler
-                        .handle_event(Event::ProgressSaved { is_stored: true }, self.now_ms);
-                }
+                Action::SaveProgress { write, .. } => self.save_progress(write),
                 Action::SaveRoster(_) => {
                     self.scheduler
                         .handle_event(Event::RosterSaved { is_stored: true }, self.now_ms);
@@ -313,12 +314,39 @@
         }
     }
 
+    fn save_progress(&mut self, write: WriteKey) {
+        if let Some(delayed) = &mut self.delayed_saves {
+            delayed.push(write);
+        } else if self.save_latency_ms > 0 {
+            self.saves_in_flight.push((self.now_ms + self.save_latency_ms, write));
+        } else {
+            self.answer_save(write);
+        }
+    }
+
+    fn answer_save(&mut self, write: WriteKey) {
+        let saved = Event::ProgressSaved { write, is_stored: true };
+        self.scheduler.handle_event(saved, self.now_ms);
+    }
+
+    fn answer_due_saves(&mut self) {
+        let now_ms = self.now_ms;
+        let in_flight = std::mem::take(&mut self.saves_in_flight);
+        let (due, later) = in_flight.into_iter().partition(|(due_ms, _)| *due_ms <= now_ms);
+        self.saves_in_flight = later;
+        let due: Vec<(u64, WriteKey)> = due;
+        for (_, write) in due {
+            self.answer_save(write);
+        }
+    }
+
     /// Advances the time; a renewal is answered when its wait is over or a run has ended.
     pub fn advance(&mut self, ms: u64) {
         const STEP_MS: u64 = 10;
         let end_ms = self.now_ms + ms;
         while self.now_ms < end_ms {
             self.now_ms = end_ms.min(self.now_ms + STEP_MS);
+            self.answer_due_saves();
             self.take_actions();
             let due: Vec<RenewalOrder> = self
                 .actions
@@ -358,12 +386,12 @@
     }
 
     pub fn delay_saves(&mut self) {
-        self.delayed_saves = Some(0);
+        self.delayed_saves = Some(Vec::new());
     }
 
     pub fn complete_saves(&mut self) {
-        if self.delayed_saves.take().is_some_and(|delayed| delayed > 0) {
-            self.handle(Event::ProgressSaved { is_stored: true });
+        for write in self.delayed_saves.take().unwrap_or_default() {
+            self.handle(Event::ProgressSaved { write, is_stored: true });
         }
         self.advance(100);
     }
