fix(queue): wide steps ask for advice in several calls at once; the roster drops runners that are gone

One call names 30 runners, a third of which is admitted, and takes 813 ms; the tickets of the first calls expire before enough runners are admitted. Change: a step asks through up to a quarter of the hosts at once. Small cells ask as before. - After a change of the leader, tasks of its predecessor waited up to 10.2 s for runners that had left long before, since the roster only grew. Change: it is written again, at most once a second, when a runner that it names is gone; a new leader trusts the stored one and doesn't wait for a write before its first start. The end of the wait is logged. Tests (each failed with the former rule): a_wide_gang_starts_although_one_ call_for_advice_names_few_runners, a_wide_step_does_not_occupy_all_hosts_of_ a_small_cell, a_runner_that_is_gone_is_removed_from_the_roster, a_new_leader_ starts_tasks_at_runners_of_the_stored_roster_without_writing_it_again.

--- a/src/queue/scheduler/advice.rs
+++ b/src/queue/scheduler/advice.rs
@@ -22,6 +22,11 @@
 /// Number of hosts that long calls leave free for short ones.
 const SHORT_CALL_HOSTS: usize = 2;
 
+/// Part of the hosts that may call the advice service for one step at the same time, in thousandths.
+/// The tickets of a wide step come from several calls, and all must be valid at the same time if the
+/// step is a gang.
+const STEP_HOSTS_MILLIS: usize = 250;
+
 /// Number of heartbeats that a host may miss before it gets no more calls.
 const MISSED_HEARTBEATS: u64 = 3;
 
@@ -51,7 +56,8 @@
     /// Runners that were named in an answered call.
     pub(crate) asked: HashSet<RunnerKey>,
     pub(crate) admitted: Vec<AdmittedRunner>,
-    pub(crate) is_in_flight: bool,
+    /// Number of calls that have not been answered.
+    pub(crate) calls_in_flight: usize,
     /// Time before which no call is made again after a failed one.
     pub(crate) retry_ms: u64,
 }
@@ -103,6 +109,12 @@
         }
     }
 
+    /// Number of calls that may be in flight for one step.
+    pub(super) fn max_calls_for_step(&self) -> usize {
+        const MILLI: usize = 1_000;
+        (self.advice_hosts.len() * STEP_HOSTS_MILLIS / MILLI).max(1)
+    }
+
     /// Whether any host has no call in flight.
     pub(super) fn has_idle_advice_host(&self) -> bool {
         self.advice_hosts.iter().any(|advice_host| advice_host.busy.is_none())
@@ -176,7 +188,7 @@
         let valid_ms = self.advice_policy(job_key).map_or(0, |policy| policy.valid_ms);
         let runner_keys = &self.runner_keys;
         let Some(run) = self.jobs[job_key].steps.get_mut(step.step as usize) else { return };
-        run.advice.is_in_flight = false;
+        run.advice.calls_in_flight = run.advice.calls_in_flight.saturating_sub(1);
         let Some(admissions) = result else {
             run.advice.retry_ms = now_ms + ADVICE_RETRY_MS;
             return;
--- a/src/queue/scheduler/lease.rs
+++ b/src/queue/scheduler/lease.rs
@@ -92,6 +92,7 @@
         }
         let is_inherited_wait = now_ms < self.inherited_wait_until_ms;
         let keys = &mut self.runner_keys;
+        let mut is_roster_outdated = false;
         self.runners.retain(|_, runner| {
             let is_gone = !runner.is_listed
                 && runner.assignments.is_empty()
@@ -99,9 +100,13 @@
                 && (runner.is_fenced || !is_inherited_wait);
             if is_gone {
                 keys.remove(&runner.id);
+                is_roster_outdated |= runner.is_in_roster;
             }
             !is_gone
         });
+        if is_roster_outdated {
+            self.prune_roster();
+        }
     }
 
     /// Renews the leases of runners that have assignments, and reads the status of runners that have
--- a/src/queue/scheduler/persistence.rs
+++ b/src/queue/scheduler/persistence.rs
@@ -21,6 +21,9 @@
 /// they keep up with some thousand changed jobs a second.
 const MAX_CONCURRENT_WRITES: usize = 8;
 
+/// Minimum time between two writes that only remove runners from the roster, in milliseconds.
+const ROSTER_GAP_MS: u64 = 1_000;
+
 slotmap::new_key_type! {
     /// Key of a write of progress records that has not been answered.
     pub struct WriteKey;
@@ -42,6 +45,10 @@
     /// Whether the last answered write failed; one write at a time probes the store then.
     has_failed: bool,
     is_roster_in_flight: bool,
+    /// Whether the stored roster names runners that are gone.
+    has_gone_runners: bool,
+    /// Time before which the roster is not written only to remove runners.
+    roster_next_ms: u64,
     /// Runners that the roster write in flight names.
     roster_sent: Vec<RunnerKey>,
 }
@@ -96,7 +103,7 @@
 
     /// Requests writes of the changed jobs, in as many concurrent ones as needed.
     pub(super) fn save_progress(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        self.save_roster(out);
+        self.save_roster(now_ms, out);
         if now_ms < self.persistence.retry_ms {
             return;
         }
@@ -178,11 +185,23 @@
         runner.acknowledged_end = runner.max_acknowledged_end(stored);
     }
 
-    fn save_roster(&mut self, out: &mut Vec<Action>) {
+    /// Marks the roster as outdated: a runner that it names is gone.
+    pub(super) fn prune_roster(&mut self) {
+        self.persistence.has_gone_runners = true;
+    }
+
+    /// Requests a write of the roster if it lacks a runner, or if it names one that is gone: a
+    /// successor would wait for its answer.
+    fn save_roster(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let is_missing = |runner: &super::Runner| runner.is_listed && !runner.is_in_roster;
-        if self.persistence.is_roster_in_flight || !self.runners.values().any(is_missing) {
+        let is_prunable =
+            self.persistence.has_gone_runners && now_ms >= self.persistence.roster_next_ms;
+        let is_due = is_prunable || self.runners.values().any(is_missing);
+        if self.persistence.is_roster_in_flight || !is_due {
             return;
         }
+        self.persistence.has_gone_runners = false;
+        self.persistence.roster_next_ms = now_ms + ROSTER_GAP_MS;
         self.persistence.is_roster_in_flight = true;
         self.persistence.roster_sent = self.runners.keys().collect();
         let entries = self.runners.values().map(|runner| RosterEntry {
@@ -196,6 +215,7 @@
         self.persistence.is_roster_in_flight = false;
         let sent = std::mem::take(&mut self.persistence.roster_sent);
         if !is_stored {
+            self.persistence.has_gone_runners = true;
             return;
         }
         for key in sent {
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -28,11 +28,7 @@
 impl Scheduler {
     /// Starts waiting tasks, requests advice for the others, and preempts tasks for long-running ones.
     pub(super) fn place_ready_steps(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        let is_inherited_wait_over = now_ms >= self.inherited_wait_until_ms
-            || !self.runners.is_empty() && self.runners.values().all(|runner| runner.is_fenced);
-        if is_inherited_wait_over {
-            self.inherited_wait_until_ms = 0;
-        }
+        let is_inherited_wait_over = self.check_inherited_wait(now_ms);
         let mut ready: Vec<(u32, u64, JobKey, usize)> = Vec::new();
         for (key, job) in &self.jobs {
             if job.state.is_final() {
@@ -52,6 +48,25 @@
         }
     }
 
+    /// Whether tasks that a previous leader may have started need not wait any longer: all runners
+    /// have answered, or the leases of the runs at the others have certainly expired.
+    fn check_inherited_wait(&mut self, now_ms: u64) -> bool {
+        if self.inherited_wait_until_ms == 0 {
+            return true;
+        }
+        let silent = self.runners.values().filter(|runner| !runner.is_fenced).count();
+        let is_over =
+            now_ms >= self.inherited_wait_until_ms || !self.runners.is_empty() && silent == 0;
+        if is_over {
+            decision_log::line("inherited_wait_over")
+                .with("silent_runners", silent)
+                .with("left_ms", self.inherited_wait_until_ms.saturating_sub(now_ms))
+                .end();
+            self.inherited_wait_until_ms = 0;
+        }
+        is_over
+    }
+
     /// Logs all starts of a step that were decided together in one line.
     fn log_starts(&self, key: JobKey, step: usize, actions: &[Action], now_ms: u64) {
         let mut starts = String::new();
@@ -254,7 +269,8 @@
         out.push(Action::Start(order));
     }
 
-    /// Asks which runners may run the remaining tasks, unless a call for the step is in flight.
+    /// Asks which runners may run the remaining tasks, in several calls at once if one cannot name
+    /// enough; not while calls for the step are in flight.
     fn request_advice(
         &mut self,
         request: &PlacementRequest<'_>,
@@ -265,7 +281,7 @@
     ) {
         let job = &self.jobs[request.key];
         let advice = &job.steps[request.step].advice;
-        if advice.is_in_flight || now_ms < advice.retry_ms || !self.has_idle_advice_host() {
+        if advice.calls_in_flight > 0 || now_ms < advice.retry_ms || !self.has_idle_advice_host() {
             return;
         }
         let share = self.admitted_share(&job.submission.queue);
@@ -281,14 +297,16 @@
                 unknown.push((slots, key));
             }
         }
-        let runners =
-            select_runners_to_ask(known, unknown, goal, share, self.config.advice_runners);
-        if runners.is_empty() {
-            return;
-        }
+        let limit = self.config.advice_runners * self.max_calls_for_step();
+        let runners = select_runners_to_ask(known, unknown, goal, share, limit);
         let id = job.step_id(request.step);
-        if self.send_advice_request(id, policy, &runners, now_ms, out) {
-            self.jobs[request.key].steps[request.step].advice.is_in_flight = true;
+        let calls = runners.len().div_ceil(self.config.advice_runners);
+        let named = runners.len().div_ceil(calls.max(1)).max(1);
+        for runners in runners.chunks(named) {
+            if !self.send_advice_request(id, policy, runners, now_ms, out) {
+                return;
+            }
+            self.jobs[request.key].steps[request.step].advice.calls_in_flight += 1;
         }
     }
 
@@ -404,7 +422,7 @@
     (is_near_data, is_separated, share)
 }
 
-/// Selects the runners to name in a call for advice, at most `limit`.
+/// Selects the runners to name in calls for advice, at most `limit`.
 ///
 /// Admitted runners whose ticket has expired (`known`) come first, then runners that have not been
 /// asked about (`unknown`), until the expected number of admitted tasks reaches `goal`. `share` is
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -44,6 +44,7 @@
         if runner.listed_started_unix_ms != report.started_unix_ms {
             runner.renewal.next_ms = now_ms;
         }
+        runner.is_in_roster &= runner.address == report.address;
         runner.update(report);
     }
 
@@ -59,11 +60,13 @@
     }
 
     pub(super) fn add_roster_runner(&mut self, id: RunnerId, address: String) {
-        if self.runner_keys.contains_key(&id) {
-            return;
-        }
-        let key = self.runners.insert(Runner::from_roster(id.clone(), address));
-        self.runner_keys.insert(id, key);
+        let key = self.runner_keys.get(&id).copied().unwrap_or_else(|| {
+            let key = self.runners.insert(Runner::from_roster(id.clone(), address.clone()));
+            self.runner_keys.insert(id, key);
+            key
+        });
+        let runner = &mut self.runners[key];
+        runner.is_in_roster = runner.address == address;
     }
 
     pub(super) fn renewal_finished(
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use hemlockrock::queue::model::{JobState, OrderError, RunEnd, Step};
+use hemlockrock::queue::model::{AdvicePolicy, JobState, OrderError, RunEnd, Step};
 use hemlockrock::queue::scheduler::{Action, Event};
 use queue_support::{job, step, task, Harness};
 
@@ -437,3 +437,74 @@
     }
     assert!(slowest_ms <= GOAL_MS, "an end was acknowledged after {slowest_ms} ms");
 }
+
+/// A successor waits for all runners that the roster names, up to ten seconds for those that do not
+/// answer.
+#[test]
+fn a_runner_that_is_gone_is_removed_from_the_roster() {
+    let mut harness = Harness::new(1);
+    harness.add_runner("r1", 4_000);
+    harness.add_runner("r2", 4_000);
+    harness.advance(100);
+    assert_eq!(harness.stored_roster(), ["r1", "r2"]);
+    harness.handle(Event::RunnerUnlisted("r2".into()));
+    harness.advance(1_500);
+    assert_eq!(harness.stored_roster(), ["r1"]);
+}
+
+#[test]
+fn a_new_leader_starts_tasks_at_runners_of_the_stored_roster_without_writing_it_again() {
+    let mut harness = Harness::new(2);
+    harness.scheduler.await_inherited_runs(harness.now_ms + 12_000);
+    harness.handle(Event::RosterEntryLoaded("r1".into(), "r1:1".to_owned()));
+    harness.add_runner("r1", 4_000);
+    harness.handle(Event::JobSubmitted(job(1, vec![step(1, 1_000)])));
+    assert_eq!(harness.starts().len(), 1);
+    assert!(harness.stored_roster().is_empty(), "the roster was written");
+    // The runner has moved, so that the roster no longer names its address.
+    harness.move_runner("r1", "r1:2");
+    harness.advance(100);
+    assert_eq!(harness.stored_roster(), ["r1"]);
+}
+
+/// A gang of 110 tasks needs some hundred runners, of which the policy admits a third. One call names
+/// 30 and takes most of a second, and a ticket is valid for 2.5 s: calls one after the other never
+/// give enough valid tickets at the same time.
+#[test]
+fn a_wide_gang_starts_although_one_call_for_advice_names_few_runners() {
+    const HOSTS: usize = 147;
+    const GOAL_MS: u64 = 5_000;
+    let policy = AdvicePolicy { base_ms: 572.0, per_runner_ms: 8.06, valid_ms: 2_500 };
+    let mut harness = Harness::new(1);
+    for number in 0..300 {
+        harness.add_runner(&format!("r{number}"), 20_000);
+    }
+    harness.require_advice(policy, 35, HOSTS);
+    let gang = Step { is_gang: true, ..step(110, 9_600) };
+    harness.handle(Event::JobSubmitted(job(1, vec![gang])));
+    harness.advance(GOAL_MS);
+    let starts = harness.starts();
+    assert_eq!(starts.len(), 110, "the gang has not started after {GOAL_MS} ms");
+    let until_ms = |ticket: &str| ticket.trim_start_matches("until ").parse::<u64>().unwrap();
+    let now_ms = harness.now_ms - GOAL_MS;
+    assert!(starts.iter().all(|start| until_ms(start.ticket.as_ref().unwrap()) > now_ms));
+}
+
+/// The calls of one wide step must leave hosts to the other steps of a small cell.
+#[test]
+fn a_wide_step_does_not_occupy_all_hosts_of_a_small_cell() {
+    let policy = AdvicePolicy { base_ms: 430.0, per_runner_ms: 6.0, valid_ms: 2_500 };
+    let mut harness = Harness::new(1);
+    for number in 0..100 {
+        harness.add_runner(&format!("r{number}"), 20_000);
+    }
+    harness.require_advice(policy, 35, 7);
+    harness.handle(Event::JobSubmitted(job(1, vec![step(160, 9_000)])));
+    harness.handle(Event::JobSubmitted(job(2, vec![step(4, 1_000)])));
+    harness.advance(100);
+    let asked = harness.actions.iter().filter_map(|action| match action {
+        Action::RequestAdvice { step, .. } => Some(step.job.0),
+        _ => None,
+    });
+    assert_eq!(asked.collect::<Vec<_>>(), [1, 2]);
+}
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -7,11 +7,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use hemlockrock::collections;
 use hemlockrock::configs::queue::QueueConfig;
 use hemlockrock::place::spec::Resources;
 use hemlockrock::queue::model::{
-    EndedRun, JobId, JobState, OrderError, Queue, QueueDirectory, RunEnd, RunnerId, RunnerReport,
-    RunnerStatus, RunningTask, Step, StepId, Submission, TaskId,
+    Admission, AdvicePolicy, EndedRun, JobId, JobState, OrderError, Queue, QueueDirectory, RunEnd,
+    RunnerId, RunnerReport, RunnerStatus, RunningTask, Step, StepId, Submission, TaskId,
 };
 use hemlockrock::queue::scheduler::{
     Action, Event, OrderResult, RenewalOrder, RunnerKey, Scheduler, StartOrder, WriteKey,
@@ -42,6 +43,40 @@
     capacity: u64,
 }
 
+/// An advice service whose answer about a step and a runner never changes.
+#[derive(Debug)]
+struct FakeAdvice {
+    admitted_percent: u64,
+    /// Number of hosts that can ask it.
+    hosts: usize,
+    valid_ms: u64,
+    /// Answers, with the time at which they arrive.
+    in_flight: Vec<(u64, Event)>,
+}
+
+impl FakeAdvice {
+    fn ask(
+        &mut self,
+        step: StepId,
+        advice_host: Arc<str>,
+        runners: Vec<(RunnerKey, RunnerId)>,
+        (sent_ms, expected_ms): (u64, u64),
+    ) {
+        let (asked, names): (Vec<RunnerKey>, Vec<RunnerId>) = runners.into_iter().unzip();
+        let is_admitted = |id: &RunnerId| {
+            collections::stable_hash(format!("{step} {id}")) % 100 < self.admitted_percent
+        };
+        let admitted = names.iter().filter(|id| is_admitted(id));
+        let result = admitted.map(|id| Admission {
+            runner: id.to_string(),
+            ticket: format!("until {}", sent_ms + expected_ms + self.valid_ms),
+        });
+        let result = Some(result.collect());
+        let answer = Event::AdviceFinished { step, advice_host, asked, sent_ms, result };
+        self.in_flight.push((sent_ms + expected_ms, answer));
+    }
+}
+
 /// A scheduler with simulated runners and a store that answer immediately.
 pub struct Harness {
     pub scheduler: Scheduler,
@@ -60,6 +95,8 @@
     /// Progress writes in flight, with the time of their answer.
     saves_in_flight: Vec<(u64, WriteKey)>,
     renewal_sent_ms: BTreeMap<RunnerId, u64>,
+    /// Advice service; `None` if the queue has no admission policy.
+    advice: Option<FakeAdvice>,
     /// Whether the leader's lease is confirmed again at each step.
     confirms_lease: bool,
 }
@@ -101,8 +138,14 @@
             save_latency_ms: 0,
             saves_in_flight: Vec::new(),
             renewal_sent_ms: BTreeMap::new(),
+            advice: None,
             confirms_lease: true,
         };
+        harness.declare(1, None);
+        harness
+    }
+
+    fn declare(&mut self, version: u64, advice: Option<AdvicePolicy>) {
         let queue = Queue {
             name: "q".to_owned(),
             host: "h".to_owned(),
@@ -112,11 +155,40 @@
             max_attempts: ATTEMPTS,
             stretch: 2.0,
             target_latency_ms: 1_000,
-            advice: None,
+            advice,
         };
-        let directory = QueueDirectory { version: 1, queues: vec![queue], max_body_bytes: 1 << 18 };
-        harness.handle(Event::DirectoryUpdated(Arc::new(directory)));
-        harness
+        let directory = QueueDirectory { version, queues: vec![queue], max_body_bytes: 1 << 18 };
+        self.handle(Event::DirectoryUpdated(Arc::new(directory)));
+    }
+
+    /// Gives the queue an admission policy that admits `admitted_percent` of the runners, and
+    /// `hosts` that can ask for advice.
+    pub fn require_advice(&mut self, policy: AdvicePolicy, admitted_percent: u64, hosts: usize) {
+        self.declare(2, Some(policy));
+        let valid_ms = policy.valid_ms;
+        self.advice = Some(FakeAdvice { admitted_percent, hosts, valid_ms, in_flight: Vec::new() });
+        self.send_heartbeats();
+    }
+
+    fn send_heartbeats(&mut self) {
+        let hosts = self.advice.as_ref().map_or(0, |advice| advice.hosts);
+        for host in 0..hosts {
+            let address = Arc::from(format!("host-{host}:1"));
+            self.scheduler.handle_event(Event::AdviceHostSeen { address }, self.now_ms);
+        }
+    }
+
+    fn answer_due_advice(&mut self) {
+        let now_ms = self.now_ms;
+        let Some(advice) = &mut self.advice else { return };
+        let in_flight = std::mem::take(&mut advice.in_flight);
+        let (due, later) = in_flight.into_iter().partition(|(due_ms, _)| *due_ms <= now_ms);
+        advice.in_flight = later;
+        let due: Vec<(u64, Event)> = due;
+        for (_, event) in due {
+            self.scheduler.handle_event(event, now_ms);
+        }
+        self.send_heartbeats();
     }
 
     /// Creates a harness with these runners and submits job 1; returns the resulting start orders.
@@ -181,6 +253,24 @@
         self.handle(Event::RunnerListed(report));
     }
 
+    /// Changes the address in the record of a runner.
+    pub fn move_runner(&mut self, id: &str, address: &str) {
+        let report = RunnerReport { address: address.to_owned(), ..self.report(id, false) };
+        self.handle(Event::RunnerListed(report));
+    }
+
+    /// Names of the runners in the last roster that was written.
+    pub fn stored_roster(&self) -> Vec<String> {
+        let rosters = self.actions.iter().rev().find_map(|action| match action {
+            Action::SaveRoster(entries) => Some(entries),
+            _ => None,
+        });
+        let mut names: Vec<String> =
+            rosters.into_iter().flatten().map(|entry| entry.id.clone()).collect();
+        names.sort_unstable();
+        names
+    }
+
     /// Makes a runner stop answering.
     pub fn make_silent(&mut self, id: &str) {
         self.runners.get_mut(id).unwrap().is_silent = true;
@@ -301,6 +391,10 @@
                     self.stops.push(Stop { runner, task, run });
                 }
                 Action::SaveProgress { write, .. } => self.save_progress(write),
+                Action::RequestAdvice { step, advice_host, runners, expected_ms } => {
+                    let advice = self.advice.as_mut().unwrap();
+                    advice.ask(step, advice_host, runners, (self.now_ms, expected_ms));
+                }
                 Action::SaveRoster(_) => {
                     self.scheduler
                         .handle_event(Event::RosterSaved { is_stored: true }, self.now_ms);
@@ -347,6 +441,7 @@
         while self.now_ms < end_ms {
             self.now_ms = end_ms.min(self.now_ms + STEP_MS);
             self.answer_due_saves();
+            self.answer_due_advice();
             self.take_actions();
             let due: Vec<RenewalOrder> = self
                 .actions
