fix(queue): a copy is not started on the runner that still has the first run

The entry of the second run replaced that of the first, so that the first was neither counted nor stopped. Change: a runner with an unfinished run of the task is not chosen. Test: a_copy_is_not_started_on_the_runner_that_still_has_the_first_run, which failed before.

--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -126,8 +126,14 @@
         let mut left = waiting.len();
         for index in waiting {
             let failed_at = self.jobs[key].steps[step].tasks[index].failed_at;
-            let chosen = self.choose_runner(&request, failed_at, policy.is_some(), now_ms);
-            let Some(runner) = chosen else { break };
+            let chosen = self.choose_runner(&request, index, failed_at, policy.is_some(), now_ms);
+            let Some(runner) = chosen else {
+                // Only copyable tasks may differ in the runners that they can use.
+                if declared.may_copy {
+                    continue;
+                }
+                break;
+            };
             let run = self.new_run();
             self.start_task(&request, index, runner, run, now_ms, out);
             left -= 1;
@@ -176,24 +182,31 @@
 
     /// Chooses the best runner for one more task; with `is_advised`, one that has a valid ticket.
     ///
+    /// A runner on which an earlier run of the task has not ended is not chosen: the needs of both
+    /// runs would have to be counted.
+    ///
     /// A runner that fails its tasks immediately always appears idle. A task therefore prefers any
     /// other runner to the one on which it failed last.
     fn choose_runner(
         &self,
         request: &PlacementRequest<'_>,
+        index: usize,
         failed_at: Option<RunnerKey>,
         is_advised: bool,
         now_ms: u64,
     ) -> Option<RunnerKey> {
         let need = request.declared.reservation();
+        let task = self.jobs[request.key].task_id(request.step, index);
+        let is_vacant =
+            |(key, _): &(RunnerKey, u64)| !self.runners[*key].assignments.contains_key(&task);
         let rank = |(key, _): &(RunnerKey, u64)| {
             let is_other = Some(*key) != failed_at;
             (is_other, score(&self.runners[*key], need, request.declared))
         };
         let best = if is_advised {
-            self.admitted_candidates(request, now_ms).max_by_key(rank)
+            self.admitted_candidates(request, now_ms).filter(is_vacant).max_by_key(rank)
         } else {
-            self.candidates(request, now_ms).max_by_key(rank)
+            self.candidates(request, now_ms).filter(is_vacant).max_by_key(rank)
         };
         best.map(|(key, _)| key)
     }
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -60,13 +60,15 @@
     }
 
     pub(super) fn add_roster_runner(&mut self, id: RunnerId, address: String) {
-        let key = self.runner_keys.get(&id).copied().unwrap_or_else(|| {
-            let key = self.runners.insert(Runner::from_roster(id.clone(), address.clone()));
-            self.runner_keys.insert(id, key);
-            key
-        });
-        let runner = &mut self.runners[key];
-        runner.is_in_roster = runner.address == address;
+        if let Some(key) = self.runner_keys.get(&id) {
+            let runner = &mut self.runners[*key];
+            runner.is_in_roster = runner.address == address;
+            return;
+        }
+        let mut runner = Runner::from_roster(id.clone(), address);
+        runner.is_in_roster = true;
+        let key = self.runners.insert(runner);
+        self.runner_keys.insert(id, key);
     }
 
     pub(super) fn renewal_finished(
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -508,3 +508,24 @@
     });
     assert_eq!(asked.collect::<Vec<_>>(), [1, 2]);
 }
+
+/// A runner misses one renewal and answers the next one. The copyable task that was to be started
+/// elsewhere must not be started there again while its first run has not ended: one entry for both
+/// runs would count the needs of only one.
+#[test]
+fn a_copy_is_not_started_on_the_runner_that_still_has_the_first_run() {
+    let copyable = Step { may_copy: true, ..step(1, 1_000) };
+    let (mut harness, first) = Harness::with_job(&[("r1", 2_000)], vec![copyable]);
+    harness.answer_starts(&first);
+    harness.make_silent("r1");
+    harness.advance(1_200);
+    harness.make_responsive("r1");
+    harness.advance(600);
+    assert!(harness.starts().is_empty(), "the first run has not ended");
+    harness.handle(Event::JobSubmitted(job(2, vec![step(2, 1_000)])));
+    assert_eq!(harness.starts().len(), 1, "the capacity holds two runs");
+    let stops = harness.stops();
+    harness.answer_stop(&stops[0], Ok(()));
+    harness.end(&first[0], RunEnd::Stopped);
+    assert_eq!(harness.starts().len(), 1);
+}
