fix(queue): an unknown run reserves a runner whose record comes after it

Cause: a run of an unknown job reserves the whole capacity of its runner. A new leader that knows the runner from the roster only takes that capacity for nothing, so that the run counted as needing nothing once the record came. Change: the reservation follows the capacity. Test: an_unknown_run_reserves_the_runner_whose_record_comes_later, which failed before.

--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -97,6 +97,8 @@
     /// Number of the run.
     pub(crate) run: u64,
     pub(crate) reserved: Resources,
+    /// Whether the needs of the run are unknown, so that it reserves the whole runner.
+    pub(crate) reserves_all: bool,
     pub(crate) phase: RunPhase,
     pub(crate) is_order_in_flight: bool,
     /// Time before which no order is repeated.
@@ -147,6 +149,7 @@
         Self {
             run,
             reserved: step.reservation(),
+            reserves_all: false,
             phase: RunPhase::Starting { is_unsure: false },
             is_order_in_flight: true,
             retry_ms: now_ms,
@@ -231,10 +234,24 @@
         self.zone = report.zone;
         self.service = report.service;
         self.labels = report.labels;
-        self.capacity = report.capacity;
+        if self.capacity != report.capacity {
+            self.set_capacity(report.capacity);
+        }
         self.listed_started_unix_ms = report.started_unix_ms;
     }
 
+    /// Sets the capacity, also as the reservation of runs with unknown needs.
+    fn set_capacity(&mut self, capacity: Resources) {
+        self.capacity = capacity;
+        self.used = Resources::default();
+        for assignment in self.assignments.values_mut() {
+            if assignment.reserves_all {
+                assignment.reserved = capacity;
+            }
+            self.used = self.used.plus(assignment.reserved);
+        }
+    }
+
     /// Whether the runner may get new tasks.
     pub(crate) fn is_usable(&self, now_ms: u64) -> bool {
         self.is_listed
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -357,6 +357,7 @@
         if step.is_none() {
             // The needs of an unknown task are not known: it may use all resources of the runner.
             assignment.reserved = self.runners[key].capacity;
+            assignment.reserves_all = true;
         }
         assignment.phase = RunPhase::Stopping { ordered_ms: None };
         assignment.is_order_in_flight = false;
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -529,3 +529,21 @@
     harness.end(&first[0], RunEnd::Stopped);
     assert_eq!(harness.starts().len(), 1);
 }
+
+/// The record of a runner can lapse while the store is away, so that a new leader learns what runs
+/// there before it learns the capacity.
+#[test]
+fn an_unknown_run_reserves_the_runner_whose_record_comes_later() {
+    let mut harness = Harness::new(2);
+    harness.scheduler.await_inherited_runs(harness.now_ms + 12_000);
+    harness.add_unlisted_runner("r1", 4_000, vec![(task(9, 0, 0), 5)]);
+    harness.list_runner("r1");
+    harness.advance(1_500);
+    harness.handle(Event::JobSubmitted(job(1, vec![step(1, 1_000)])));
+    assert!(harness.starts().is_empty(), "the needs of the unknown run are not known");
+    let stops = harness.stops();
+    harness.answer_stop(&stops[0], Ok(()));
+    harness.end_at("r1", 1, task(9, 0, 0), 5, RunEnd::Stopped);
+    harness.advance(100);
+    assert_eq!(harness.starts().len(), 1);
+}
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -253,6 +253,20 @@
         self.handle(Event::RunnerListed(report));
     }
 
+    /// Adds a runner that the stored roster names but that has no record yet.
+    pub fn add_unlisted_runner(&mut self, id: &str, capacity: u64, running: Vec<(TaskId, u64)>) {
+        let runner = FakeRunner { capacity, running, ..FakeRunner::default() };
+        self.runners.insert(RunnerId::from(id), runner);
+        self.handle(Event::RosterEntryLoaded(RunnerId::from(id), format!("{id}:1")));
+        self.advance(100);
+    }
+
+    /// Publishes the record of a runner.
+    pub fn list_runner(&mut self, id: &str) {
+        let report = self.report(id, false);
+        self.handle(Event::RunnerListed(report));
+    }
+
     /// Changes the address in the record of a runner.
     pub fn move_runner(&mut self, id: &str, address: &str) {
         let report = RunnerReport { address: address.to_owned(), ..self.report(id, false) };
