--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -68,7 +68,8 @@
 /// Sends one request on an open connection and reads the complete response.
 ///
 /// # Errors
-/// Never an error for which [`ExchangeError::is_not_sent`] holds, since bytes may already have been sent. This includes a
+/// Never one for which [`ExchangeError::is_not_sent`] holds, since bytes may already have been
+/// sent. This includes a
 /// body that is shorter than its declared length or larger than `max_body_bytes`.
 pub async fn exchange(
     stream: TcpStream,
