--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -69,8 +69,8 @@
 ///
 /// # Errors
 /// Never one for which [`ExchangeError::is_not_sent`] holds, since bytes may already have been
-/// sent. This includes a
-/// body that is shorter than its declared length or larger than `max_body_bytes`.
+/// sent. A body that is shorter than its declared length or larger than `max_body_bytes` is an error
+/// as well.
 pub async fn exchange(
     stream: TcpStream,
     request: Request,
