test(queue): long-running tasks of lost runners start again late after a change of leader

Two hosts and three runners as real processes and stand-ins: a runner goes for good with a long-running task, the leader is killed 0.5 s later; it starts again, or the other host leads. The users' rule: the task runs again within 9 s (LOST: 6 s after its last run, then 3 s with room for it).

--- a/tests/queue_cell/mod.rs
+++ b/tests/queue_cell/mod.rs
@@ -146,7 +146,8 @@
     /// as a runner's heartbeat does.
     pub fn renew_runner_records(&mut self) {
         for number in 0..self.runner_leases.len() {
-            if runners::lock(&self.fleet).is_down(number) {
+            let is_absent = |fleet: &RunnerFleet| fleet.is_down(number) || fleet.is_removed(number);
+            if is_absent(&runners::lock(&self.fleet)) {
                 continue;
             }
             let lease = self.runner_leases[number];
--- a/tests/queue_cell/runners.rs
+++ b/tests/queue_cell/runners.rs
@@ -125,6 +125,8 @@
     silent_until_ms: u64,
     /// Time until which nothing runs at the runner's address after a crash.
     down_until_ms: u64,
+    /// Whether the runner is gone for good.
+    is_removed: bool,
 }
 
 /// All fake runners, the submitted jobs, and the violations found so far.
@@ -178,6 +180,22 @@
         self.runners[runner].silent_until_ms = until_ms;
     }
 
+    /// Takes a runner away for good: its runs end with it, and nothing answers at its address.
+    pub fn remove(&mut self, runner: usize) {
+        self.runners[runner] = Runner { is_removed: true, ..Runner::new() };
+        self.silence(runner, u64::MAX);
+    }
+
+    /// Whether a runner was taken away.
+    pub fn is_removed(&self, runner: usize) -> bool {
+        self.runners[runner].is_removed
+    }
+
+    /// Runner at which a task is running.
+    pub fn runner_of(&self, task: TaskId) -> Option<usize> {
+        self.runners.iter().position(|runner| runner.running.contains_key(&task))
+    }
+
     /// Replaces a runner by a new instance without any state.
     pub fn restart(&mut self, runner: usize) {
         self.end_due_runs(runner);
