fix(queue): a runner that never answers no longer delays inherited tasks for the sum of all bounds

Cause: a new leader held back every task that it knew from its takeover until all runners of the roster had answered, at most for leader_ttl_ms + bridge_ms + run_lease_ms + 0.5 s = 10.2 s. One runner that is gone for good makes that the usual wait. Class: a wait that is ended only by all participants, or by the sum of the bounds of things that exclude each other.

Ruled out: isolation of suspects, the storm of configurations, a lost end.

Change: - leases that a leader asks runners for end by the confirmed time of its own lease plus bridge_ms, so that the wait is one bound, 6.3 s from the begin of the term; - the record 'terms' names all terms whose orders may still have an effect; it is written in the transaction that creates the leader key. The new leader asks their hosts, and waits 4.0 s after the last order once all of these terms have ended; - since leases are shorter while an outage is bridged, renewals of the leader's lease are hedged and runners are renewed more often as the bridge runs out.

--- a/benches/queue/cell.rs
+++ b/benches/queue/cell.rs
@@ -316,6 +316,9 @@
             Action::SaveRoster(_) => {
                 self.later(ANSWER_MS, "roster", Event::RosterSaved { is_stored: true });
             }
+            Action::SettleTerms => {
+                self.later(ANSWER_MS, "terms", Event::TermsSettled { is_stored: true });
+            }
             Action::RequestAdvice { step, advice_host, runners, expected_ms } => {
                 let (asked, names): (Vec<_>, Vec<_>) = runners.into_iter().unzip();
                 let admitted = names.into_iter().filter(|_| self.random.random::<f64>() < 0.5);
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod daemon;
 pub mod election;
+pub mod former_terms;
 pub mod host_info;
 pub mod host_state;
 pub mod leader;
--- a/src/queue/control.rs
+++ b/src/queue/control.rs
@@ -10,13 +10,15 @@
 use crate::clock;
 use crate::decision_log;
 use crate::queue::election::{self, Term};
+use crate::queue::former_terms;
 use crate::queue::host_state::HostState;
 use crate::queue::leader::Executor;
 use crate::queue::model::{JobId, JobState, QueueDirectory};
+use crate::queue::record::LeaderRecord;
 use crate::queue::scheduler::{Action, Event, Scheduler};
 use crate::queue::takeover::{self, RecordReader, RecoveredState};
 use crate::queue::watch;
-use crate::store::{Operation, Priority, StoreError};
+use crate::store::{Answer, LeaseId, Operation, Priority, StoreError};
 
 /// Longest time between two scheduler passes while there are jobs or tasks, in milliseconds.
 const BUSY_TICK_MS: u64 = 25;
@@ -40,9 +42,12 @@
 /// Pause before a failed takeover or lease renewal is retried, in milliseconds.
 const RETRY_MS: u64 = 150;
 
-/// Margin on the time that a new leader waits for runs of its predecessor, in milliseconds: covers
-/// runner clocks that run slow within one run lease, and answers that arrive late.
-const INHERITED_RUN_MARGIN_MS: u64 = 500;
+/// Time without an answer after which another renewal of the leader's lease is sent beside the open
+/// ones, in milliseconds: at the end of an outage of the store, calls from before may stay unanswered.
+const RENEWAL_HEDGE_MS: u64 = 250;
+
+/// Maximum number of open renewals of the leader's lease.
+const MAX_OPEN_RENEWALS: usize = 4;
 
 /// Shortest time that a leader serves before it yields to a larger host, in milliseconds: a few
 /// times as long as a takeover.
@@ -81,9 +86,16 @@
     let reason = match recover(shared, &term, &inputs).await {
         Ok((scheduler, recovered)) => {
             let watchers = spawn_watchers(shared, &sender, &recovered);
-            let executor = Executor::new(Arc::clone(shared), sender, term.token, recovered);
+            let former_terms = task::spawn(former_terms::await_ends(
+                Arc::clone(shared),
+                sender.clone(),
+                term.former_leaders.clone().unwrap_or_default(),
+            ));
+            let executor = Executor::new(Arc::clone(shared), sender, &term, recovered);
             let (executor, jobs, runners) = (executor, watchers.0, watchers.1);
             let reason = run_loop(shared, scheduler, executor, &inputs, &term).await;
+            shared.end_term();
+            former_terms.cancel().await;
             jobs.cancel().await;
             runners.cancel().await;
             reason
@@ -160,9 +172,9 @@
     scheduler.handle_event(confirmed, now_ms);
     let recovered = takeover::load(shared, records, &mut scheduler, now_ms);
     if recovered.has_predecessor {
-        let wait_ms =
-            config.leader_ttl_ms + config.bridge_ms + config.run_lease_ms + INHERITED_RUN_MARGIN_MS;
-        scheduler.await_inherited_runs(now_ms + wait_ms);
+        let nonces =
+            |leaders: &Vec<LeaderRecord>| leaders.iter().map(|leader| leader.nonce).collect();
+        scheduler.await_former_terms(term.former_leaders.as_ref().map(nonces), term.begun_ms);
     }
     (scheduler, recovered)
 }
@@ -260,6 +272,19 @@
     }
 }
 
+/// Sends one renewal of a lease; the answer goes to `answers` with the time of sending.
+async fn send_renewal(
+    shared: Arc<HostState>,
+    lease: LeaseId,
+    answers: async_channel::Sender<(u64, Result<Answer, StoreError>)>,
+) {
+    let sent_ms = clock::now_ms();
+    let result = shared.store.call(Operation::Renew { lease }, Priority::Control).await;
+    watch::record_store_call(&shared, "renew", &result);
+    // Fails only if the term has ended.
+    let _ = answers.send((sent_ms, result)).await;
+}
+
 /// Renews the leader's lease and ends the term once the store reports that the lease is gone.
 async fn renew_lease(
     shared: Arc<HostState>,
@@ -268,14 +293,22 @@
 ) {
     let config = &shared.config;
     let usable_ms = config.leader_ttl_ms.saturating_sub(config.leader_margin_ms);
+    let (answer, answers) = async_channel::bounded(MAX_OPEN_RENEWALS);
+    let (mut open, mut confirmed_until_ms) = (0, term.confirmed_until_ms);
     loop {
-        let sent_ms = clock::now_ms();
-        let renew = Operation::Renew { lease: term.lease };
-        let result = shared.store.call(renew, Priority::Control).await;
-        watch::record_store_call(&shared, "renew", &result);
+        if open < MAX_OPEN_RENEWALS {
+            task::spawn(send_renewal(Arc::clone(&shared), term.lease, answer.clone()));
+            open += 1;
+        }
+        let limit = Duration::from_millis(RENEWAL_HEDGE_MS);
+        let answered = async_std::future::timeout(limit, answers.recv()).await;
+        let Some((sent_ms, result)) = answered.ok().and_then(Result::ok) else { continue };
+        open -= 1;
         let pause_ms = match result {
             Ok(_) => {
-                let event = Event::LeaderLeaseConfirmed { until_ms: sent_ms + usable_ms };
+                // An answer to an earlier renewal may arrive after that to a later one.
+                confirmed_until_ms = confirmed_until_ms.max(sent_ms + usable_ms);
+                let event = Event::LeaderLeaseConfirmed { until_ms: confirmed_until_ms };
                 if inputs.send(ControlInput::Event(event)).await.is_err() {
                     return;
                 }
--- a/src/queue/daemon.rs
+++ b/src/queue/daemon.rs
@@ -113,13 +113,16 @@
             task::sleep(Duration::from_millis(CAMPAIGN_POLL_MS)).await;
             continue;
         }
-        match election::campaign(shared).await {
+        let campaign = election::campaign(shared).await;
+        let has_failed = campaign.is_err();
+        match campaign {
             Ok(Some(term)) => control::lead(shared, term).await,
             Ok(None) => {}
-            Err(error) => {
-                decision_log::line("campaign_failed").with("error", error).end();
-                task::sleep(Duration::from_millis(CAMPAIGN_RETRY_MS)).await;
-            }
+            Err(error) => decision_log::line("campaign_failed").with("error", error).end(),
+        }
+        shared.end_term();
+        if has_failed {
+            task::sleep(Duration::from_millis(CAMPAIGN_RETRY_MS)).await;
         }
     }
 }
--- a/src/queue/election.rs
+++ b/src/queue/election.rs
@@ -8,6 +8,7 @@
 use crate::clock;
 use crate::collections;
 use crate::decision_log;
+use crate::http::rpc;
 use crate::queue::host_state::{HostState, Leader};
 use crate::queue::record::{self, LeaderRecord};
 use crate::queue::watch;
@@ -32,6 +33,22 @@
     pub lease: LeaseId,
     /// Time until which the lease is guaranteed to hold, in milliseconds of [`clock::now_ms`].
     pub confirmed_until_ms: u64,
+    /// A time at which the leader key existed, in milliseconds of [`clock::now_ms`].
+    pub begun_ms: u64,
+    /// Value of the leader key.
+    pub record: LeaderRecord,
+    /// Leaders of former terms whose orders may still have an effect; `None` if the store does not
+    /// tell.
+    pub former_leaders: Option<Vec<LeaderRecord>>,
+}
+
+/// The stored terms that a campaign found.
+#[derive(Debug)]
+struct StoredTerms {
+    /// State of the record that the campaign depends on.
+    expect: Expect,
+    /// Their leaders; `None` if there is no such record or it is malformed.
+    leaders: Option<Vec<LeaderRecord>>,
 }
 
 /// Tries once to become the leader; returns `None` if another host leads.
@@ -40,6 +57,7 @@
 /// Fails when the calls to the store fail. A failed attempt either created no leader key or left
 /// one whose lease is not renewed and expires after `leader_ttl_ms`.
 pub async fn campaign(shared: &HostState) -> Result<Option<Term>, StoreError> {
+    let former = read_terms(shared).await?;
     let sent_ms = clock::now_ms();
     let granted = store::grant(&*shared.store, shared.config.leader_ttl_ms).await;
     watch::record_store_call(shared, "grant", &granted);
@@ -50,12 +68,25 @@
         address: shared.host_info.peer_address.clone(),
         nonce: collections::stable_hash(seed),
     };
-    let value =
-        record::encode(&record).map_err(|error| StoreError::Unavailable(error.to_string()))?;
+    let mut terms = former.leaders.clone().unwrap_or_default();
+    // A later term of a host shows that its earlier ones have ended.
+    terms.retain(|leader| !leader.is_same_host(&record));
+    terms.push(record.clone());
+    let encoded = record::encode(&record).and_then(|leader| Ok((leader, record::encode(&terms)?)));
+    let (leader_value, terms_value) =
+        encoded.map_err(|error| StoreError::Unavailable(error.to_string()))?;
+    shared.begin_term(record.nonce);
     for _ in 0..CAMPAIGN_ATTEMPTS {
         let commit = Commit {
-            conditions: vec![(record::LEADER.to_owned(), Expect::Absent)],
-            puts: vec![(record::LEADER.to_owned(), value.clone(), Some(lease))],
+            conditions: vec![
+                (record::LEADER.to_owned(), Expect::Absent),
+                (record::TERMS.to_owned(), former.expect),
+            ],
+            // The answer carries the revision of the last write.
+            puts: vec![
+                (record::TERMS.to_owned(), terms_value.clone(), None),
+                (record::LEADER.to_owned(), leader_value.clone(), Some(lease)),
+            ],
             deletes: Vec::new(),
         };
         let result = store::commit(&*shared.store, commit, Priority::Control).await;
@@ -63,7 +94,8 @@
         let token = match result {
             Ok(CommitOutcome::Written(token)) => token,
             Ok(CommitOutcome::Conflict(entries)) => {
-                let leader = entries.first().and_then(watch::decode_leader);
+                let leader = entries.iter().find(|entry| entry.key == record::LEADER);
+                let leader = leader.and_then(watch::decode_leader);
                 let ours = leader.clone().filter(|leader| leader.record == record);
                 let Some(ours) = ours else {
                     shared.set_leader(leader);
@@ -77,15 +109,38 @@
         };
         let usable_ms = shared.config.leader_ttl_ms.saturating_sub(shared.config.leader_margin_ms);
         let confirmed_until_ms = sent_ms + usable_ms;
+        let begun_ms = clock::now_ms();
         decision_log::line("term_begun").with("token", token.0).with("lease", lease.0).end();
-        shared.set_leader(Some(Leader { record, token }));
-        return Ok(Some(Term { token, lease, confirmed_until_ms }));
+        shared.set_leader(Some(Leader { record: record.clone(), token }));
+        let former_leaders = former.leaders;
+        return Ok(Some(Term {
+            token,
+            lease,
+            confirmed_until_ms,
+            begun_ms,
+            record,
+            former_leaders,
+        }));
     }
     Err(StoreError::Indeterminate(
         "the store answered no attempt to create the leader key".to_owned(),
     ))
 }
 
+/// Reads the terms whose orders may still have an effect.
+async fn read_terms(shared: &HostState) -> Result<StoredTerms, StoreError> {
+    let read = store::get(&*shared.store, record::TERMS, Priority::Control).await;
+    watch::record_store_call(shared, "get", &read);
+    let Some(entry) = read? else {
+        return Ok(StoredTerms { expect: Expect::Absent, leaders: None });
+    };
+    let leaders = rpc::decode::<Vec<LeaderRecord>>(&entry.value);
+    if let Err(error) = &leaders {
+        decision_log::line("terms_unreadable").with("error", error).end();
+    }
+    Ok(StoredTerms { expect: Expect::Modified(entry.modified), leaders: leaders.ok() })
+}
+
 /// Deletes the leader key that an earlier process of this host has left behind.
 ///
 /// That process no longer runs, so there is no need to wait until its lease expires.
--- a/src/queue/host_state.rs
+++ b/src/queue/host_state.rs
@@ -38,6 +38,11 @@
     pub metrics: QueueMetrics,
     directory: Mutex<Arc<QueueDirectory>>,
     leader: Mutex<Option<Leader>>,
+    /// Nonce of the term that this host leads or campaigns for.
+    own_term: Mutex<Option<u64>>,
+    /// When this host last sent an order to a runner, in milliseconds of [`clock::now_ms`]; 0 for
+    /// never, since that clock starts with the process.
+    ordered_ms: AtomicU64,
     /// Input of the control loop while this host leads.
     control_loop: Mutex<Option<async_channel::Sender<ControlInput>>>,
     /// Peer addresses of live hosts, the most recent first.
@@ -78,6 +83,8 @@
             metrics,
             directory: Mutex::default(),
             leader: Mutex::default(),
+            own_term: Mutex::default(),
+            ordered_ms: AtomicU64::new(0),
             control_loop: Mutex::default(),
             hosts: Mutex::default(),
             leader_preference: Mutex::new(leader_preference),
@@ -136,6 +143,30 @@
         record.host == self.host_info.host && record.address == self.host_info.peer_address
     }
 
+    /// Records that this host leads, or campaigns for, the term with this nonce.
+    pub fn begin_term(&self, nonce: u64) {
+        *lock(&self.own_term) = Some(nonce);
+    }
+
+    /// Records that this host neither leads nor campaigns any more.
+    pub fn end_term(&self) {
+        *lock(&self.own_term) = None;
+    }
+
+    /// Records that this host sends an order to a runner now.
+    pub fn record_order(&self) {
+        self.ordered_ms.store(clock::now_ms(), Ordering::Release);
+    }
+
+    /// Latest time at which this host may have sent an order in a term that has ended, in
+    /// milliseconds of [`clock::now_ms`]; `None` while it may send orders in that term.
+    ///
+    /// A term of an earlier process of the host ended before this one started.
+    pub fn ordered_until_ms(&self, nonce: u64) -> Option<u64> {
+        let is_over = *lock(&self.own_term) != Some(nonce);
+        is_over.then(|| self.ordered_ms.load(Ordering::Acquire))
+    }
+
     /// Peer addresses of other live hosts according to the leader; the leader comes first.
     pub fn other_hosts(&self) -> Vec<Arc<str>> {
         let leader = self.leader().map(|leader| Arc::from(leader.record.address.as_str()));
--- a/src/queue/leader.rs
+++ b/src/queue/leader.rs
@@ -10,10 +10,11 @@
 use crate::decision_log;
 use crate::platform::orders;
 use crate::queue::control::ControlInput;
+use crate::queue::election::Term;
 use crate::queue::host_state::{lock, HostState};
 use crate::queue::model::{JobId, OrderError, RunnerId, TaskId};
 use crate::queue::peer;
-use crate::queue::record::{self, Progress, RosterEntry};
+use crate::queue::record::{self, LeaderRecord, Progress, RosterEntry};
 use crate::queue::scheduler::{
     Action, CrashCounts, Event, OrderResult, ProgressWrite, RenewalOrder, RunnerKey, StartOrder,
     WriteKey,
@@ -36,6 +37,8 @@
     inputs: async_channel::Sender<ControlInput>,
     /// Revision at which the store created the leader key of the term.
     term: Revision,
+    /// Value of the leader key.
+    leader: LeaderRecord,
     /// Highest fencing token that has been sent to each runner.
     sent_tokens: Mutex<HashMap<RunnerId, u64>>,
     /// Last known revision of each progress record. Writes are conditional on it, so that a delayed
@@ -46,17 +49,18 @@
 }
 
 impl Executor {
-    /// Creates the executor for the term whose leader key the store created at this revision.
+    /// Creates the executor for a term of this host.
     pub fn new(
         shared: Arc<HostState>,
         inputs: async_channel::Sender<ControlInput>,
-        term: Revision,
+        term: &Term,
         recovered: RecoveredState,
     ) -> Self {
         let context = Context {
             shared,
             inputs,
-            term,
+            term: term.token,
+            leader: term.record.clone(),
             sent_tokens: Mutex::default(),
             progress_revisions: Mutex::new(recovered.progress_revisions),
             roster_revision: Mutex::new(recovered.roster_revision),
@@ -96,6 +100,7 @@
         let context = Arc::clone(&self.context);
         match action {
             Action::Start(order) => {
+                context.shared.record_order();
                 context.record_token(&order.target.0, order.token);
                 drop(task::spawn(start(context, order)));
             }
@@ -108,6 +113,9 @@
                 drop(task::spawn(pace(context, runner, target, token, (task, run), percent)));
             }
             Action::RenewLease(order) => {
+                if order.until_ms.is_some() {
+                    context.shared.record_order();
+                }
                 context.record_token(&order.target.0, order.token);
                 drop(task::spawn(renew_runner_lease(context, order)));
             }
@@ -146,6 +154,7 @@
             Action::ReadJobs(jobs) => drop(task::spawn(read_jobs(context, jobs))),
             Action::RemoveRecords(jobs) => drop(task::spawn(delete_records(context, jobs))),
             Action::SaveRoster(entries) => drop(task::spawn(save_roster(context, entries))),
+            Action::SettleTerms => drop(task::spawn(settle_terms(context))),
         }
     }
 }
@@ -419,3 +428,32 @@
         Err(_) => false,
     }
 }
+
+/// Leaves only this term in the stored ones.
+async fn settle_terms(context: Arc<Context>) {
+    let is_stored = match record::encode(&[&context.leader]) {
+        Ok(value) => write_terms(&context, value).await,
+        Err(error) => {
+            decision_log::line("terms_unwritable").with("error", error).end();
+            false
+        }
+    };
+    context.send_event(Event::TermsSettled { is_stored }).await;
+}
+
+/// Writes the record of the terms; returns whether it is stored.
+async fn write_terms(context: &Context, value: bytes::Bytes) -> bool {
+    // No other term can begin, and so write the record, while the leader key is that of this one.
+    let commit = Commit {
+        conditions: vec![context.leader_condition()],
+        puts: vec![(record::TERMS.to_owned(), value, None)],
+        deletes: Vec::new(),
+    };
+    let result = store::commit(&*context.shared.store, commit, Priority::Control).await;
+    watch::record_store_call(&context.shared, "terms", &result);
+    if matches!(result, Ok(CommitOutcome::Conflict(_))) {
+        let superseded = ControlInput::Superseded("the store holds another leader key");
+        let _ = context.inputs.send(superseded).await;
+    }
+    matches!(result, Ok(CommitOutcome::Written(_)))
+}
--- a/src/queue/peer.rs
+++ b/src/queue/peer.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use tide::{Request, Response};
 
+use crate::clock;
 use crate::configs::http::HttpConfig;
 use crate::decision_log;
 use crate::http::error::ApiError;
@@ -19,6 +20,7 @@
 use crate::queue::control::ControlInput;
 use crate::queue::host_state::HostState;
 use crate::queue::model::{Admission, JobId, JobState, StepId, Submission};
+use crate::queue::record::LeaderRecord;
 use crate::queue::scheduler::Event;
 
 const HEARTBEAT_PATH: &str = "/peer/hello";
@@ -28,6 +30,7 @@
 const PENDING_PATH: &str = "/peer/pending";
 const RELAY_PATH: &str = "/peer/errand";
 const ADVISE_PATH: &str = "/peer/advise";
+const TERM_PATH: &str = "/peer/term";
 
 /// Time that a request for advice may take beyond the duration that its policy declares, in
 /// milliseconds: the host that relays it may be slow.
@@ -71,6 +74,25 @@
     timeout_ms: u64,
 }
 
+/// A leader's query whether the term of a former one has ended.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+struct TermQuery {
+    /// Name of the host that led the term.
+    host: String,
+    /// Nonce of the term.
+    nonce: u64,
+}
+
+/// A host's answer to a query about one of its terms.
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize, Deserialize)]
+struct TermAnswer {
+    /// Time since the host can last have sent an order in that term, in milliseconds; `None` if the
+    /// term has not ended.
+    ordered_ms_ago: Option<u64>,
+}
+
 /// The leader's answer to a query for the state of a job.
 #[derive(Clone, Copy, Debug)]
 #[derive(Serialize, Deserialize)]
@@ -161,6 +183,7 @@
     app.at(PENDING_PATH).post(|request| async { reply(pending(request).await) });
     app.at(RELAY_PATH).post(|request| async { reply(relayed(request).await) });
     app.at(ADVISE_PATH).post(|request| async { reply(serve_advice(request).await) });
+    app.at(TERM_PATH).post(|request| async { reply(term(request).await) });
     app
 }
 
@@ -225,6 +248,37 @@
     Ok(rpc::response(&jobs.map_err(|_| not_leading())?))
 }
 
+/// Answers a query of a later leader about a term of this host. The term ends if it has not yet.
+async fn term(mut request: Request<Arc<HostState>>) -> Result<Response, ApiError> {
+    let TermQuery { host, nonce } = body(&mut request).await?;
+    let shared = request.state();
+    if host != shared.host_info.host {
+        return Err(ApiError::new(409, "other_host", "another host led the term"));
+    }
+    let ordered_ms = shared.ordered_until_ms(nonce);
+    if ordered_ms.is_none() {
+        shared.send_to_control_loop(ControlInput::Superseded("a later leader asks for the term"));
+    }
+    let ordered_ms_ago = ordered_ms.map(|at_ms| clock::now_ms().saturating_sub(at_ms));
+    Ok(rpc::response(&TermAnswer { ordered_ms_ago }))
+}
+
+/// Asks a former leader for its term; returns a time after which it has sent no order, in
+/// milliseconds of [`clock::now_ms`], or `None` if the term has not ended.
+///
+/// # Errors
+/// Fails when the host does not answer.
+pub async fn query_term(
+    shared: &HostState,
+    former: &LeaderRecord,
+) -> Result<Option<u64>, RpcError> {
+    let timeout_ms = shared.config.peer_timeout_ms;
+    let call = Call { address: &former.address, path: TERM_PATH, token: "", timeout_ms };
+    let query = TermQuery { host: former.host.clone(), nonce: former.nonce };
+    let TermAnswer { ordered_ms_ago } = rpc::call(&shared.pool, &call, &query).await?;
+    Ok(ordered_ms_ago.map(|ago_ms| clock::now_ms().saturating_sub(ago_ms)))
+}
+
 async fn serve_advice(mut request: Request<Arc<HostState>>) -> Result<Response, ApiError> {
     let asked: AdviceRequest = body(&mut request).await?;
     let step = StepId { job: asked.job, occurrence: asked.occurrence, step: asked.step };
--- a/src/queue/record.rs
+++ b/src/queue/record.rs
@@ -20,6 +20,10 @@
 /// Key of the roster, a list of [`RosterEntry`].
 pub const ROSTER: &str = "roster";
 
+/// Key of the [`LeaderRecord`]s of all terms whose orders may still have an effect, the current one
+/// last. It is written together with [`LEADER`], so that a new leader knows all leaders before it.
+pub const TERMS: &str = "terms";
+
 /// Suffix that turns the key of a submission into that of its cancellation.
 const CANCEL: &str = "/cancel";
 
@@ -120,6 +124,13 @@
     pub nonce: u64,
 }
 
+impl LeaderRecord {
+    /// Whether the record was written by the same host, in this process or another one.
+    pub fn is_same_host(&self, other: &Self) -> bool {
+        self.host == other.host && self.address == other.address
+    }
+}
+
 /// Encodes a record for the store.
 ///
 /// # Errors
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -6,6 +6,7 @@
 mod advice;
 mod crash;
 mod event;
+mod inherited;
 mod job;
 mod lease;
 mod orders;
@@ -39,6 +40,10 @@
 /// leader key times this value, so that run numbers increase from one leader to the next.
 const RUNS_PER_TERM: u64 = 4_096;
 
+/// Shortest lease with which a task is started, in milliseconds: without a confirmed lease of the
+/// leader, the run would be lost soon.
+const MIN_START_LEASE_MS: u64 = 1_000;
+
 /// Number of fencing tokens of a term. Revisions of the store stay exact in JSON numbers when they
 /// are multiplied by it.
 const TOKENS_PER_TERM: u64 = 1 << 16;
@@ -75,9 +80,7 @@
     confirmed_until_ms: u64,
     /// Whether the lease has held at any time since the records were read.
     is_term_confirmed: bool,
-    /// Time until which tasks that a previous leader may have started wait for the runners that
-    /// have not answered yet.
-    inherited_wait_until_ms: u64,
+    inherited: inherited::InheritedWait,
     crashes: crash::CrashHistory,
 }
 
@@ -107,23 +110,11 @@
             admitted_share: HashMap::default(),
             confirmed_until_ms: 0,
             is_term_confirmed: false,
-            inherited_wait_until_ms: 0,
+            inherited: inherited::InheritedWait::default(),
             crashes: crash::CrashHistory::default(),
         }
     }
 
-    /// Delays all tasks of the jobs known so far: a previous leader may have started them at runners
-    /// that have not answered this one.
-    ///
-    /// Each task waits until the runners have answered, but no longer than `until_ms`.
-    pub fn await_inherited_runs(&mut self, until_ms: u64) {
-        self.inherited_wait_until_ms = until_ms;
-        let steps = self.jobs.values_mut().flat_map(|job| &mut job.steps);
-        for task in steps.flat_map(|step| &mut step.tasks) {
-            task.may_be_inherited = true;
-        }
-    }
-
     /// Updates the state with an event.
     ///
     /// The resulting actions are returned by the next call of [`Scheduler::take_actions`].
@@ -158,6 +149,10 @@
             }
             Event::RecordsRemoved { is_removed } => self.records_removed(is_removed, now_ms),
             Event::RosterSaved { is_stored } => self.roster_saved(is_stored),
+            Event::FormerTermEnded { nonce, ordered_ms } => {
+                self.former_term_ended(nonce, ordered_ms, now_ms);
+            }
+            Event::TermsSettled { is_stored } => self.terms_settled(is_stored, now_ms),
             Event::LeaderLeaseConfirmed { until_ms } => self.confirm_leader_lease(until_ms, now_ms),
             Event::Tick => {}
         }
@@ -170,11 +165,12 @@
         self.send_due_orders(now_ms, out);
         // A term whose lease has lapsed during the takeover may have a successor already, which has
         // not read the jobs that this leader has.
-        if self.is_term_confirmed && self.may_send_orders(now_ms) {
+        if self.is_term_confirmed && self.run_lease_ms(now_ms) >= MIN_START_LEASE_MS {
             self.place_ready_steps(now_ms, out);
         }
         self.adjust_pace(now_ms, out);
         self.save_progress(now_ms, out);
+        self.settle_terms(now_ms, out);
         self.remove_expired_records(now_ms, out);
         self.read_unknown_jobs(now_ms, out);
         self.renew_leases(now_ms, out);
@@ -185,7 +181,15 @@
     /// It may while its lease holds and for `bridge_ms` after that: so long, a successor waits for
     /// the runners that have not answered it.
     pub fn may_send_orders(&self, now_ms: u64) -> bool {
-        now_ms < self.confirmed_until_ms + self.config.bridge_ms
+        self.run_lease_ms(now_ms) > 0
+    }
+
+    /// Duration of the leases that the leader may ask runners for now, in milliseconds.
+    ///
+    /// They end at most `bridge_ms` after the confirmed time of the leader's own lease.
+    fn run_lease_ms(&self, now_ms: u64) -> u64 {
+        let bridged_until_ms = self.confirmed_until_ms + self.config.bridge_ms;
+        self.config.run_lease_ms.min(bridged_until_ms.saturating_sub(now_ms))
     }
 
     /// State of a job as reported to callers; a final state is reported only once it is stored.
--- a/src/queue/scheduler/event.rs
+++ b/src/queue/scheduler/event.rs
@@ -90,6 +90,18 @@
         /// Whether the roster is in the store.
         is_stored: bool,
     },
+    /// The term of a former leader is known to have ended.
+    FormerTermEnded {
+        /// Nonce in the record of the former leader.
+        nonce: u64,
+        /// Latest time at which it may have sent an order, in milliseconds.
+        ordered_ms: u64,
+    },
+    /// The write of an [`Action::SettleTerms`] has finished.
+    TermsSettled {
+        /// Whether the store names this term only.
+        is_stored: bool,
+    },
     /// The leader's lease is known to hold until a later time.
     LeaderLeaseConfirmed {
         /// Time until which the lease certainly holds, in milliseconds.
@@ -180,6 +192,9 @@
     /// Write the roster, which names all runners that may get orders; answered by
     /// [`Event::RosterSaved`].
     SaveRoster(Vec<RosterEntry>),
+    /// Remove former terms from the stored ones, since their orders no longer have any effect;
+    /// answered by [`Event::TermsSettled`].
+    SettleTerms,
 }
 
 /// A progress record to write.
--- a/src/queue/scheduler/lease.rs
+++ b/src/queue/scheduler/lease.rs
@@ -14,6 +14,10 @@
 /// After that, the lease is renewed without acknowledging them.
 const ACKNOWLEDGE_WAIT_MS: u64 = 800;
 
+/// Minimum number of renewals within the longest lease that the leader may ask for. While its own
+/// lease is not confirmed, that becomes shorter, and a confirmation has to reach the runners in time.
+const RENEWALS_PER_LEASE: u64 = 3;
+
 impl Scheduler {
     /// Requeues the copyable tasks of a runner that does not answer, so that they start elsewhere.
     pub(super) fn restart_copyable_tasks(&mut self, key: RunnerKey, now_ms: u64) {
@@ -90,7 +94,7 @@
             self.mark_lost(key, &tasks, "lease ended", now_ms);
             self.settle_lapsed_runs(key, now_ms);
         }
-        let is_inherited_wait = now_ms < self.inherited_wait_until_ms;
+        let is_inherited_wait = self.inherited.may_have_leases(now_ms);
         let keys = &mut self.runner_keys;
         let (mut is_any_gone, mut is_roster_outdated) = (false, false);
         self.runners.retain(|_, runner| {
@@ -117,7 +121,8 @@
     /// Renews the leases of runners that have assignments, and reads the status of runners that have
     /// not answered yet.
     pub(super) fn renew_leases(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        if !self.may_send_orders(now_ms) {
+        let lease_ms = self.run_lease_ms(now_ms);
+        if lease_ms == 0 {
             return;
         }
         let due =
@@ -147,16 +152,17 @@
             let until_ms = if runner.assignments.is_empty() || runner.renewal.failures > 0 {
                 None
             } else {
-                runner.extend_lease(config.run_lease_ms, now_ms)
+                runner.extend_lease(lease_ms, now_ms)
             };
+            let max_wait_ms = config.hold_wait_ms.min(lease_ms / RENEWALS_PER_LEASE);
             let wait_ms = if is_new || is_unsaved || runner.assignments.is_empty() {
                 0
             } else if runner.is_stopping() {
-                STOP_WAIT_MS
+                STOP_WAIT_MS.min(max_wait_ms)
             } else if runner.has_latency_target() && runner.has_best_effort() {
-                config.hold_wait_ms / 2
+                max_wait_ms / 2
             } else {
-                config.hold_wait_ms
+                max_wait_ms
             };
             // A later incarnation may answer, whose ends are numbered from 1 again.
             let acknowledged =
--- a/src/queue/scheduler/orders.rs
+++ b/src/queue/scheduler/orders.rs
@@ -143,7 +143,8 @@
     /// Sends stop orders that are due and, while the leader may start runs, repeats unanswered start
     /// orders.
     pub(super) fn send_due_orders(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        let may_start = self.may_send_orders(now_ms);
+        let lease_ms = self.run_lease_ms(now_ms);
+        let may_start = lease_ms > 0;
         let answering = self.runners.iter_mut().filter(|(_, runner)| runner.renewal.failures == 0);
         for (key, runner) in answering {
             let is_over_full = runner.is_over_full();
@@ -161,9 +162,7 @@
                 .map(|(task, _)| *task)
                 .collect();
             for task in due {
-                // The lease is that of the first order: a longer one would postpone the time at
-                // which the run has certainly ended.
-                let until_ms = Some(runner.lease_sent_until_ms).filter(|until_ms| *until_ms > 0);
+                let until_ms = runner.repeated_lease_until_ms(lease_ms, now_ms);
                 let target = runner.target();
                 let Some(assignment) = runner.assignments.get_mut(&task) else { continue };
                 let run = assignment.run;
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -50,25 +50,6 @@
         self.place_suspects(is_inherited_wait_over, now_ms, out);
     }
 
-    /// Whether tasks that a previous leader may have started need not wait any longer: all runners
-    /// have answered, or the leases of the runs at the others have certainly expired.
-    fn check_inherited_wait(&mut self, now_ms: u64) -> bool {
-        if self.inherited_wait_until_ms == 0 {
-            return true;
-        }
-        let silent = self.runners.values().filter(|runner| !runner.is_fenced).count();
-        let is_over =
-            now_ms >= self.inherited_wait_until_ms || !self.runners.is_empty() && silent == 0;
-        if is_over {
-            decision_log::line("inherited_wait_over")
-                .with("silent_runners", silent)
-                .with("left_ms", self.inherited_wait_until_ms.saturating_sub(now_ms))
-                .end();
-            self.inherited_wait_until_ms = 0;
-        }
-        is_over
-    }
-
     /// Logs all starts of a step that were decided together in one line.
     pub(super) fn log_starts(&self, key: JobKey, step: usize, actions: &[Action], now_ms: u64) {
         let mut starts = String::new();
@@ -304,8 +285,9 @@
         let former_run = std::mem::replace(&mut task.last_run, run);
         let checkpoint = task.checkpoint.clone();
         let spec = job.submission.spec.clone();
+        let lease_ms = self.run_lease_ms(now_ms);
         let runner = &mut self.runners[key];
-        let until_ms = runner.extend_lease(self.config.run_lease_ms, now_ms).unwrap_or_default();
+        let until_ms = runner.extend_lease(lease_ms, now_ms).unwrap_or_default();
         let assignment = Assignment::new(run, request.declared, now_ms);
         runner.assign(id, Assignment { former_run, ..assignment });
         out.push(Action::Start(StartOrder {
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -165,6 +165,12 @@
     },
 }
 
+/// Time after which a lease of `lease_ms` has certainly expired, in milliseconds.
+pub(super) fn longest_lease_ms(lease_ms: u64) -> u64 {
+    const MILLI: u64 = 1_000;
+    lease_ms + lease_ms * CLOCK_DRIFT_MILLIS / MILLI + LEASE_SLACK_MS
+}
+
 impl Assignment {
     /// Assignment of a task of `step` whose start order is being sent now.
     pub(crate) fn new(run: u64, step: &Step, now_ms: u64) -> Self {
@@ -341,12 +347,19 @@
         Some(until_ms)
     }
 
+    /// Expiry of the lease in a repeated start order, on the runner's clock: that of the first order,
+    /// since a longer one would postpone the time at which the run has certainly ended, but no more
+    /// than `lease_ms` from now. `None` if the clock is not known.
+    pub(crate) fn repeated_lease_until_ms(&self, lease_ms: u64, now_ms: u64) -> Option<u64> {
+        let (clock_ms, at_ms) = self.clock_sample?;
+        let until_ms = clock_ms + now_ms.saturating_sub(at_ms) + lease_ms;
+        Some(until_ms.min(self.lease_sent_until_ms)).filter(|until_ms| *until_ms > 0)
+    }
+
     /// Time by which all runs on the runner have certainly ended unless the lease is renewed.
     pub(crate) fn lease_lapsed_by_ms(&self) -> u64 {
-        const MILLI: u64 = 1_000;
         let Some((clock_ms, at_ms)) = self.clock_sample else { return 0 };
-        let left_ms = self.lease_sent_until_ms.saturating_sub(clock_ms);
-        at_ms + left_ms + left_ms * CLOCK_DRIFT_MILLIS / MILLI + LEASE_SLACK_MS
+        at_ms + longest_lease_ms(self.lease_sent_until_ms.saturating_sub(clock_ms))
     }
 
     /// Resets the state that belonged to the previous incarnation.
--- a/tests/queue_explorer/agenda.rs
+++ b/tests/queue_explorer/agenda.rs
@@ -6,7 +6,7 @@
 use hemlockrock::queue::scheduler::WriteKey;
 
 use super::call::{Answer, Call};
-use super::store::{Commit, CommitOutcome, Entry, Key};
+use super::store::{Commit, CommitOutcome, Entry, Key, TermRecord};
 
 /// Records that a new leader reads, in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,7 +21,13 @@
 #[derive(Clone, Debug)]
 pub(super) enum StoreRequest {
     ReadLeader,
-    Campaign,
+    ReadTerms,
+    /// Creates the leader key for a term after these former ones, and adds it to the stored terms.
+    Campaign {
+        nonce: u64,
+        former: Vec<TermRecord>,
+        commit: Commit,
+    },
     /// Renews the lease of the term with this token.
     Renew(u64),
     Read(Stage),
@@ -36,6 +42,7 @@
     /// Reads the submissions of these jobs.
     ReadJobs(Vec<JobId>),
     SaveRoster(Commit),
+    SettleTerms(Commit),
     RemoveRecords(Commit),
 }
 
@@ -59,6 +66,8 @@
     Read(Stage),
     Runners,
     Jobs,
+    /// Asks the hosts of former terms whether these have ended.
+    FormerTerms,
 }
 
 /// Addressee of an occurrence: a process of a host, in one of its terms.
--- a/tests/queue_explorer/call.rs
+++ b/tests/queue_explorer/call.rs
@@ -47,6 +47,15 @@
         }
     }
 
+    /// Whether the order may extend the lease of a runner.
+    pub(super) fn extends_lease(&self) -> bool {
+        match self {
+            Self::Start { .. } => true,
+            Self::Stop { .. } => false,
+            Self::Hold { until_ms, .. } => until_ms.is_some(),
+        }
+    }
+
     /// Time for which the runner may hold the call open, in milliseconds.
     pub(super) fn wait_ms(&self) -> u64 {
         match self {
--- a/tests/queue_explorer/chaos.rs
+++ b/tests/queue_explorer/chaos.rs
@@ -167,6 +167,7 @@
     fn restart_host(&mut self, host: usize) {
         self.note(Subject::World, || format!("host {host} starts"));
         self.hosts[host].is_up = true;
+        self.hosts[host].ordered_ms = self.now_ms;
         if self.store.leader().is_some_and(|(leader, _)| leader == host) {
             self.store.delete(Key::Leader);
         }
--- a/tests/queue_explorer/host.rs
+++ b/tests/queue_explorer/host.rs
@@ -10,10 +10,7 @@
 
 use super::agenda::{Process, Stage};
 use super::checks;
-use super::store::{CommitOutcome, Entry, Key, Value};
-
-/// Margin on the time that a new leader waits for runs of its predecessor, in milliseconds.
-const INHERITED_RUN_MARGIN_MS: u64 = 500;
+use super::store::{CommitOutcome, Entry, Key, TermRecord, Value};
 
 /// A host, which is restarted after it was killed.
 #[derive(Debug)]
@@ -25,6 +22,10 @@
     /// Time until which the host does not reach the store.
     pub(super) cut_until_ms: u64,
     pub(super) is_campaigning: bool,
+    /// Nonce of the term that the host leads or campaigns for.
+    pub(super) own_term: Option<u64>,
+    /// Time at which the process last sent an order; that of its start before the first.
+    pub(super) ordered_ms: u64,
     /// Host that leads, as far as this host knows.
     pub(super) known_leader: Option<usize>,
     pub(super) term: Option<Term>,
@@ -39,6 +40,10 @@
     pub(super) sent_tokens: BTreeMap<usize, u64>,
     /// Time until which the lease of the leader holds, as known when the term began.
     confirmed_until_ms: u64,
+    /// A time at which the term had begun.
+    begun_ms: u64,
+    /// Former terms whose end is not known.
+    pub(super) open_terms: Vec<TermRecord>,
     /// The scheduler, once the records of former leaders are read.
     pub(super) scheduler: Option<Scheduler>,
     pub(super) inputs: Vec<Event>,
@@ -63,6 +68,8 @@
             frozen_until_ms: 0,
             cut_until_ms: 0,
             is_campaigning: false,
+            own_term: None,
+            ordered_ms: 0,
             known_leader: None,
             term: None,
         }
@@ -73,6 +80,7 @@
         self.epoch += 1;
         self.term = None;
         self.is_campaigning = false;
+        self.own_term = None;
     }
 
     pub(super) fn is_current(&self, process: Process) -> bool {
@@ -81,11 +89,18 @@
 }
 
 impl Term {
-    pub(super) fn new(revision: u64, confirmed_until_ms: u64) -> Self {
+    pub(super) fn new(
+        revision: u64,
+        confirmed_until_ms: u64,
+        begun_ms: u64,
+        former: Vec<TermRecord>,
+    ) -> Self {
         Self {
             revision,
             sent_tokens: BTreeMap::new(),
             confirmed_until_ms,
+            begun_ms,
+            open_terms: former,
             scheduler: None,
             inputs: Vec::new(),
             next_pass_ms: 0,
@@ -132,11 +147,8 @@
             }
         }
         if self.roster_revision.is_some() {
-            let wait_ms = config.leader_ttl_ms
-                + config.bridge_ms
-                + config.run_lease_ms
-                + INHERITED_RUN_MARGIN_MS;
-            scheduler.await_inherited_runs(now_ms + wait_ms);
+            let open_terms = self.open_terms.iter().map(|term| term.nonce).collect();
+            scheduler.await_former_terms(Some(open_terms), self.begun_ms);
         }
         self.scheduler = Some(scheduler);
     }
--- a/tests/queue_explorer/network.rs
+++ b/tests/queue_explorer/network.rs
@@ -40,6 +40,9 @@
         self.call_count += 1;
         let id = self.call_count;
         let epoch = self.hosts[host].epoch;
+        if order.extends_lease() {
+            self.hosts[host].ordered_ms = self.now_ms;
+        }
         let Some(term) = &mut self.hosts[host].term else { return };
         let runner = host::runner_position(name);
         term.calls.insert(id);
--- a/tests/queue_explorer/storage.rs
+++ b/tests/queue_explorer/storage.rs
@@ -8,13 +8,16 @@
 use super::agenda::{Occurrence, Process, Stage, StoreAnswer, StoreRequest, Timer};
 use super::faults::Fate;
 use super::host::{self, Term};
-use super::store::{Commit, CommitOutcome, Key, Value};
+use super::store::{Commit, CommitOutcome, Key, TermRecord, Value};
 use super::trace::Subject;
 use super::world::World;
 
 /// Pause before a failed takeover or lease renewal is retried, in milliseconds.
 const RETRY_MS: u64 = 150;
 
+/// Pause before a former leader is asked again, in milliseconds.
+const QUERY_GAP_MS: u64 = 200;
+
 impl World {
     pub(super) fn start_timer(&mut self, host: usize, timer: Timer, delay_ms: u64) {
         let process = self.process(host);
@@ -32,6 +35,10 @@
             (Timer::Read(stage), Some(_)) => StoreRequest::Read(stage),
             (Timer::Runners, Some(_)) => StoreRequest::WatchRunners,
             (Timer::Jobs, Some(term)) => StoreRequest::WatchJobs(term.jobs_revision),
+            (Timer::FormerTerms, Some(_)) => {
+                self.ask_former_leaders(process.host);
+                return;
+            }
             (_, None) => return,
         };
         self.call_store(process.host, request);
@@ -91,7 +98,7 @@
             return;
         }
         self.store.expire_leader(now_ms);
-        let answer = self.apply(process.host, &request);
+        let answer = self.apply(&request);
         let answer = if is_lost { StoreAnswer::Failed } else { answer };
         if !is_unanswered {
             let delay_ms = self.store_delay_ms();
@@ -100,10 +107,11 @@
     }
 
     /// Applies a call in the store.
-    fn apply(&mut self, host: usize, request: &StoreRequest) -> StoreAnswer {
+    fn apply(&mut self, request: &StoreRequest) -> StoreAnswer {
         let until_ms = self.now_ms + self.config.leader_ttl_ms;
         match request {
             StoreRequest::ReadLeader => self.read(|key| key == Key::Leader),
+            StoreRequest::ReadTerms => self.read(|key| key == Key::Terms),
             StoreRequest::Read(Stage::Runners) | StoreRequest::WatchRunners => {
                 self.read(|key| matches!(key, Key::Runner(_)))
             }
@@ -118,13 +126,8 @@
             StoreRequest::Renew(token) => {
                 StoreAnswer::Renewed(self.store.renew_leader(*token, until_ms))
             }
-            StoreRequest::Campaign => {
-                let commit = Commit {
-                    conditions: vec![(Key::Leader, None)],
-                    puts: vec![(Key::Leader, Value::Leader(host))],
-                    deletes: Vec::new(),
-                };
-                let outcome = self.store.commit(&commit);
+            StoreRequest::Campaign { commit, .. } => {
+                let outcome = self.store.commit(commit);
                 if matches!(outcome, CommitOutcome::Written(_)) {
                     self.store.grant_leader(until_ms);
                 }
@@ -132,6 +135,7 @@
             }
             StoreRequest::SaveProgress { commit, .. }
             | StoreRequest::SaveRoster(commit)
+            | StoreRequest::SettleTerms(commit)
             | StoreRequest::RemoveRecords(commit) => StoreAnswer::Commit(self.store.commit(commit)),
         }
     }
@@ -155,7 +159,10 @@
         }
         match (request, answer) {
             (StoreRequest::ReadLeader, answer) => self.leader_read(host, answer),
-            (StoreRequest::Campaign, answer) => self.campaign_finished(host, sent_ms, answer),
+            (StoreRequest::ReadTerms, answer) => self.terms_read(host, answer),
+            (StoreRequest::Campaign { nonce, former, .. }, answer) => {
+                self.campaign_finished(host, sent_ms, (nonce, former), answer);
+            }
             (StoreRequest::Renew(_), answer) => self.renewed(host, sent_ms, &answer),
             (StoreRequest::Read(stage), answer) => self.records_read(host, stage, answer),
             (StoreRequest::WatchRunners, answer) => self.runners_watched(host, answer),
@@ -172,6 +179,14 @@
                 let stored = term.roster_written(outcome(answer));
                 self.written(host, stored.map(|is_stored| Event::RosterSaved { is_stored }));
             }
+            (StoreRequest::SettleTerms(_), answer) => {
+                let stored = match outcome(answer) {
+                    Some(CommitOutcome::Written(_)) => Some(true),
+                    Some(CommitOutcome::Conflict(_)) => None,
+                    None => Some(false),
+                };
+                self.written(host, stored.map(|is_stored| Event::TermsSettled { is_stored }));
+            }
             (StoreRequest::RemoveRecords(_), answer) => {
                 let is_removed = matches!(answer, StoreAnswer::Commit(CommitOutcome::Written(_)));
                 self.input(host, Event::RecordsRemoved { is_removed });
@@ -203,19 +218,53 @@
             }
             None if leader.is_none() && !self.hosts[host].is_campaigning => {
                 self.hosts[host].is_campaigning = true;
-                self.call_store(host, StoreRequest::Campaign);
+                self.call_store(host, StoreRequest::ReadTerms);
             }
             _ => {}
         }
     }
 
-    fn campaign_finished(&mut self, host: usize, sent_ms: u64, answer: StoreAnswer) {
+    /// Campaigns after the terms that the store names.
+    fn terms_read(&mut self, host: usize, answer: StoreAnswer) {
+        let StoreAnswer::Entries(entries, _) = answer else {
+            self.hosts[host].is_campaigning = false;
+            return;
+        };
+        let entry = entries.into_iter().next().map(|(_, entry)| entry);
+        let known = entry.as_ref().map(|entry| entry.modified);
+        let former = match entry.map(|entry| entry.value) {
+            Some(Value::Terms(terms)) => terms,
+            _ => Vec::new(),
+        };
+        self.term_count += 1;
+        let nonce = self.term_count;
+        let mut terms = former.clone();
+        terms.retain(|term| term.host != host);
+        terms.push(TermRecord { host, nonce });
+        let commit = Commit {
+            conditions: vec![(Key::Leader, None), (Key::Terms, known)],
+            puts: vec![(Key::Leader, Value::Leader(host)), (Key::Terms, Value::Terms(terms))],
+            deletes: Vec::new(),
+        };
+        self.hosts[host].own_term = Some(nonce);
+        self.call_store(host, StoreRequest::Campaign { nonce, former, commit });
+    }
+
+    fn campaign_finished(
+        &mut self,
+        host: usize,
+        sent_ms: u64,
+        (nonce, former): (u64, Vec<TermRecord>),
+        answer: StoreAnswer,
+    ) {
         self.hosts[host].is_campaigning = false;
+        self.hosts[host].own_term = None;
         let Some(CommitOutcome::Written(token)) = outcome(answer) else { return };
+        self.hosts[host].own_term = Some(nonce);
         let confirmed_until_ms = sent_ms + self.config.leader_ttl_ms - self.config.leader_margin_ms;
         self.note(Subject::World, || format!("term {token} of host {host} begins"));
         self.hosts[host].known_leader = Some(host);
-        self.hosts[host].term = Some(Term::new(token, confirmed_until_ms));
+        self.hosts[host].term = Some(Term::new(token, confirmed_until_ms, self.now_ms, former));
         self.start_timer(host, Timer::Renew, 0);
         self.start_timer(host, Timer::Read(Stage::Runners), 0);
     }
@@ -257,6 +306,7 @@
         });
         self.start_timer(host, Timer::Runners, 0);
         self.start_timer(host, Timer::Jobs, 0);
+        self.start_timer(host, Timer::FormerTerms, 0);
         self.request_pass(host);
     }
 
@@ -331,6 +381,48 @@
         self.call_store(host, StoreRequest::SaveRoster(commit));
     }
 
+    /// Asks the hosts of the open former terms, which do not answer while they are down or frozen;
+    /// some queries are lost.
+    fn ask_former_leaders(&mut self, host: usize) {
+        let now_ms = self.now_ms;
+        let open = self.hosts[host].term.iter().flat_map(|term| term.open_terms.clone());
+        let mut left = Vec::new();
+        for former in open.collect::<Vec<_>>() {
+            let asked = &self.hosts[former.host];
+            let is_reached = asked.is_up && asked.frozen_until_ms <= now_ms;
+            let is_over = asked.own_term != Some(former.nonce);
+            let ordered_ms = asked.ordered_ms;
+            if !is_reached || self.rng.random_ratio(1, 4) {
+                left.push(former);
+            } else if is_over {
+                let nonce = former.nonce;
+                self.input(host, Event::FormerTermEnded { nonce, ordered_ms });
+            } else {
+                self.end_term(former.host, "a later leader asks for the term");
+                left.push(former);
+            }
+        }
+        let is_open = !left.is_empty();
+        if let Some(term) = &mut self.hosts[host].term {
+            term.open_terms = left;
+        }
+        if is_open {
+            self.start_timer(host, Timer::FormerTerms, QUERY_GAP_MS);
+        }
+    }
+
+    /// Leaves only the term of a host in the stored ones.
+    pub(super) fn settle_terms(&mut self, host: usize) {
+        let known = &self.hosts[host];
+        let (Some(term), Some(nonce)) = (&known.term, known.own_term) else { return };
+        let commit = Commit {
+            conditions: vec![(Key::Leader, Some(term.revision))],
+            puts: vec![(Key::Terms, Value::Terms(vec![TermRecord { host, nonce }]))],
+            deletes: Vec::new(),
+        };
+        self.call_store(host, StoreRequest::SettleTerms(commit));
+    }
+
     pub(super) fn remove_records(&mut self, host: usize, jobs: &[JobId]) {
         let Some(term) = &self.hosts[host].term else { return };
         let keys = |job: &JobId| [Key::Job(*job), Key::Cancel(*job), Key::Progress(*job)];
--- a/tests/queue_explorer/store.rs
+++ b/tests/queue_explorer/store.rs
@@ -14,9 +14,17 @@
     Progress(JobId),
     Roster,
     Leader,
+    Terms,
     Runner(usize),
 }
 
+/// A term of a host, as the store records it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct TermRecord {
+    pub(super) host: usize,
+    pub(super) nonce: u64,
+}
+
 /// Content of a record.
 #[derive(Clone, Debug)]
 pub(super) enum Value {
@@ -26,6 +34,8 @@
     Roster(Vec<RosterEntry>),
     /// Host that holds the leader key.
     Leader(usize),
+    /// Terms whose orders may still have an effect.
+    Terms(Vec<TermRecord>),
     Runner(RunnerReport),
 }
 
--- a/tests/queue_explorer/world.rs
+++ b/tests/queue_explorer/world.rs
@@ -54,6 +54,8 @@
     pub(super) checks: Checks,
     pub(super) trace: Trace,
     pub(super) call_count: u64,
+    /// Number of terms that hosts have campaigned for.
+    pub(super) term_count: u64,
 }
 
 impl World {
@@ -76,6 +78,7 @@
             checks: Checks::default(),
             trace: Trace::new(is_traced),
             call_count: 0,
+            term_count: 0,
         };
         world.add_runners(runner_count);
         world.plan_submissions();
@@ -313,6 +316,7 @@
             Action::SaveProgress { write, records } => self.save_progress(host, write, records),
             Action::ReadJobs(jobs) => self.read_jobs(host, jobs),
             Action::SaveRoster(entries) => self.save_roster(host, entries),
+            Action::SettleTerms => self.settle_terms(host),
             Action::RemoveRecords(jobs) => self.remove_records(host, &jobs),
             Action::Pace { .. } | Action::RequestAdvice { .. } => {}
         }
--- a/tests/queue_takeover.rs
+++ b/tests/queue_takeover.rs
@@ -77,7 +77,6 @@
             assert!(waited < RESTART_LIMIT, "the task does not run {waited:?} after its run ended");
             self.wait(HEARTBEAT);
         }
-        println!("started again after {:?}", ended.elapsed());
         assert_eq!(runners::lock(&self.cell.fleet).violations, Vec::<String>::new());
     }
 
