test(queue): the explorer loses runners for good and bounds how long a ready task waits

Cause: the explorer checked what starts twice and nothing that starts too late, and every runner of it came back.

Change: - Runners go for good within 1 s of a kill, freeze or cut of the leader; at least two are left. - Long-running tasks, which a done or failed end does not complete, until their job is cancelled. - Rule Late, sampled each 250 ms: a ready task has to start within 9 s of its last run, or of the time at which it became ready, if some runner that is up, listed and not cut off had room for it in the last 3 s, and no fault began, was active or ended in the last 7 s. Suspects count. - Losses and long-running jobs are drawn from a generator of their own.

--- a/tests/queue_explorer/agenda.rs
+++ b/tests/queue_explorer/agenda.rs
@@ -72,6 +72,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Fault {
     RunnerCrash(usize),
+    /// Some runner goes for good.
+    RunnerLoss,
     RunnerRestart(usize),
     RunnerCut(usize),
     /// A runner writes its record.
--- a/tests/queue_explorer/checks.rs
+++ b/tests/queue_explorer/checks.rs
@@ -27,6 +27,15 @@
     State,
     /// A job that does not end although the faults are over.
     Unfinished,
+    /// A ready task that waits although a runner has room for it.
+    ///
+    /// A task is ready if its job is accepted and neither cancelled nor ended, all tasks of the
+    /// steps before are done, and no runner that is up runs it. It has to start within 9 s of its
+    /// last run, or of the time at which it became ready, if for the last 3 s of them some runner
+    /// had room for it that is up, listed and not cut off, and if for these 3 s and the 4 s before
+    /// no fault began, was active or ended. This is the users' rule LOST at any time of the day.
+    /// Suspects of a crash are not exempt.
+    Late,
 }
 
 /// Number of runners that must have crashed under a task before its job may be given up.
@@ -153,6 +162,27 @@
         step.map_or(0, |step| step.need.cpu_millis)
     }
 
+    /// Whether a task runs until its job is cancelled, however often its runs end.
+    pub(super) fn is_long_running(&self, task: TaskId) -> bool {
+        let steps = self.jobs.get(&task.step.job).map(|job| &job.steps);
+        let step = steps.and_then(|steps| steps.get(task.step.step as usize));
+        step.is_some_and(|step| step.is_long_running)
+    }
+
+    /// Records that a ready task waits too long.
+    pub(super) fn late(&mut self, task: TaskId, now_ms: u64, text: &str) {
+        let (job, text) = (task.step.job, format!("{task} {text}"));
+        let violation = Violation {
+            rule: Rule::Late,
+            at_ms: now_ms,
+            job,
+            task: Some(task),
+            is_stray: false,
+            text,
+        };
+        self.violations.push(violation);
+    }
+
     /// Judges a start that a runner is about to carry out.
     pub(super) fn start(
         &mut self,
@@ -212,10 +242,14 @@
         }
     }
 
-    /// Records the end of a run.
+    /// Records the end of a run, unless the task is long-running: it is neither done nor given up
+    /// then.
     pub(super) fn end(&mut self, runner: usize, life: u64, ended: &Ended) {
         let position = self.next_position();
         let Ended { task, run, end, .. } = *ended;
+        if self.is_long_running(task) {
+            return;
+        }
         let end = End { position, runner, life, run, end, is_acknowledged: false, is_stray: false };
         self.tasks.entry(task).or_default().ends.push(end);
     }
--- a/tests/queue_explorer/faults.rs
+++ b/tests/queue_explorer/faults.rs
@@ -22,12 +22,16 @@
     pub(super) cut_gap_ms: u64,
     /// Kills and freezes of the leader, and cuts of it from the store.
     pub(super) leader_gap_ms: u64,
+    /// Faults of the leader near which runners go for good, in percent.
+    pub(super) loss_percent: u32,
     /// Removals of the leader key that the leader does not notice at once.
     pub(super) revocation_gap_ms: u64,
     /// Writes to the store whose answer is lost, or that take effect seconds later, in thousandths.
     pub(super) write_millis: u32,
     /// Outages of the store.
     pub(super) outage_gap_ms: u64,
+    /// Whether there are long-running tasks as well, which the faults can hit.
+    pub(super) has_long_runs: bool,
 }
 
 /// What happens to a call.
@@ -51,9 +55,11 @@
         crash_gap_ms: 0,
         cut_gap_ms: 0,
         leader_gap_ms: 0,
+        loss_percent: 0,
         revocation_gap_ms: 0,
         write_millis: 0,
         outage_gap_ms: 0,
+        has_long_runs: false,
     };
 
     /// Draws the fate of a call to a runner.
--- a/tests/queue_explorer/main.rs
+++ b/tests/queue_explorer/main.rs
@@ -17,6 +17,7 @@
 mod checks;
 mod faults;
 mod host;
+mod lateness;
 mod load;
 mod network;
 mod runner;
@@ -83,8 +84,13 @@
     }
 }
 
+/// Whether a violation is none of those that are counted by tests of their own.
 fn is_no_stray(violation: &Violation) -> bool {
-    !violation.is_stray
+    !violation.is_stray && !is_late(violation)
+}
+
+fn is_late(violation: &Violation) -> bool {
+    violation.rule == checks::Rule::Late
 }
 
 fn is_untrue_state(violation: &Violation) -> bool {
@@ -102,6 +108,10 @@
 /// Changes of the leader.
 const LEADERS: Faults = Faults { leader_gap_ms: 3_000, ..Faults::NONE };
 
+/// Changes of the leader, with runners that go for good just before or after, and calm between.
+const LOSSES: Faults =
+    Faults { leader_gap_ms: 9_000, loss_percent: 80, has_long_runs: true, ..Faults::NONE };
+
 /// Everything but a revoked leader key.
 const ALL: Faults = Faults {
     crash_gap_ms: 6_000,
@@ -124,7 +134,9 @@
 
 #[test]
 fn no_task_runs_twice_while_runners_are_cut_off() {
-    explore(Faults { cut_gap_ms: 4_000, ..Faults::NONE }, |violation| !is_unfinished(violation));
+    explore(Faults { cut_gap_ms: 4_000, ..Faults::NONE }, |violation| {
+        !is_unfinished(violation) && !is_late(violation)
+    });
 }
 
 #[test]
@@ -172,3 +184,29 @@
 fn no_task_runs_twice_when_late_orders_reach_a_new_life_first() {
     explore(Faults { crash_gap_ms: 4_000, ..ORDERS }, |violation| violation.is_stray);
 }
+
+#[test]
+fn no_task_runs_twice_while_runners_are_lost_and_the_leader_changes() {
+    explore(LOSSES, is_no_stray);
+}
+
+#[test]
+fn ready_tasks_start_soon_after_runners_are_lost_and_the_leader_changes() {
+    explore(LOSSES, is_late);
+}
+
+#[test]
+fn ready_tasks_start_soon_after_the_leader_changes() {
+    let faults = Faults { outage_gap_ms: 20_000, revocation_gap_ms: 20_000, ..LOSSES };
+    explore(Faults { loss_percent: 0, ..faults }, is_late);
+}
+
+#[test]
+fn ready_tasks_start_soon_after_runners_restart() {
+    explore(Faults { crash_gap_ms: 20_000, has_long_runs: true, ..Faults::NONE }, is_late);
+}
+
+#[test]
+fn ready_tasks_start_soon_after_runners_were_cut_off() {
+    explore(Faults { cut_gap_ms: 20_000, has_long_runs: true, ..Faults::NONE }, is_late);
+}
--- a/tests/queue_explorer/network.rs
+++ b/tests/queue_explorer/network.rs
@@ -52,6 +52,11 @@
             self.note(subject(&call), || format!("sent: {call} ({fate:?})"));
         }
         let frozen_ms = self.freeze_before_sending(host);
+        match fate {
+            Fate::Answered => {}
+            Fate::Late(late_ms) => self.disturb_for(frozen_ms + late_ms),
+            Fate::Lost | Fate::Unanswered => self.disturb_for(frozen_ms),
+        }
         let timeout_ms = frozen_ms + self.config.order_timeout_ms + order.wait_ms();
         self.plan(timeout_ms, Occurrence::CallTimeout(call));
         let delay_ms = frozen_ms + self.message_delay_ms();
@@ -84,7 +89,7 @@
 
     pub(super) fn call_arrival(&mut self, call: Call, is_unanswered: bool) {
         let runner = &self.runners[call.runner];
-        if self.now_ms < runner.cut_until_ms {
+        if self.now_ms < runner.cut_until_ms || runner.is_gone {
             return;
         }
         if !runner.is_up {
@@ -148,8 +153,9 @@
         let is_stray = self.runners[at].takes_stray(call.sent_ms);
         self.checks.start(&self.runners, at, (task, run), is_stray, now_ms);
         let cpu_millis = self.checks.cpu_millis(task);
-        let ends_ms = now_ms + self.rng.random_range(load::RUN_MS.0..=load::RUN_MS.1);
-        let end = self.draw_end(task);
+        self.lateness.start(task);
+        let (run_ms, end) = self.draw_run(task);
+        let ends_ms = now_ms + run_ms;
         self.runners[at]
             .running
             .insert((task, run), Run { cpu_millis, begun_ms: now_ms, ends_ms, end, is_stray });
@@ -158,14 +164,18 @@
         Ok(())
     }
 
-    /// Draws how a run of a task ends.
-    fn draw_end(&mut self, task: TaskId) -> RunEnd {
+    /// Draws how long a run of a task lasts, in milliseconds, and how it ends.
+    fn draw_run(&mut self, task: TaskId) -> (u64, RunEnd) {
+        if self.checks.is_long_running(task) {
+            return load::long_run(&mut self.rng);
+        }
+        let run_ms = self.rng.random_range(load::RUN_MS.0..=load::RUN_MS.1);
         let plan = self.plans.iter().find(|plan| plan.submission.id == task.step.job);
         let failed_percent = plan.map_or(0, |plan| plan.failed_percent);
         if self.rng.random_range(0..100) < failed_percent {
-            RunEnd::Failed
+            (run_ms, RunEnd::Failed)
         } else {
-            RunEnd::Done
+            (run_ms, RunEnd::Done)
         }
     }
 
--- a/tests/queue_explorer/runner.rs
+++ b/tests/queue_explorer/runner.rs
@@ -53,6 +53,8 @@
 pub(super) struct Runner {
     pub(super) capacity_millis: u64,
     pub(super) is_up: bool,
+    /// Whether the runner never starts again.
+    pub(super) is_gone: bool,
     /// Number of the life.
     pub(super) life: u64,
     pub(super) born_ms: u64,
@@ -89,6 +91,7 @@
         Self {
             capacity_millis,
             is_up: true,
+            is_gone: false,
             life,
             born_ms,
             cut_until_ms: 0,
@@ -126,6 +129,15 @@
         used + cpu_millis <= self.capacity_millis
     }
 
+    pub(super) fn runs(&self, task: TaskId) -> bool {
+        self.running.keys().any(|(running, _)| *running == task)
+    }
+
+    /// Whether the runner has a done end of the task that was not acknowledged yet.
+    pub(super) fn keeps_done_end(&self, task: TaskId) -> bool {
+        self.ended.iter().any(|ended| ended.task == task && ended.end == RunEnd::Done)
+    }
+
     /// Whether no leader can know of a stray run that is in progress.
     pub(super) fn hides_stray(&self) -> bool {
         !self.is_reached && self.running.values().any(|run| run.is_stray)
--- a/tests/queue_explorer/storage.rs
+++ b/tests/queue_explorer/storage.rs
@@ -49,6 +49,7 @@
             () => Fate::Answered,
         };
         if fate != Fate::Answered {
+            self.disturb_for(if let Fate::Late(late_ms) = fate { late_ms } else { 0 });
             let answer = StoreAnswer::Failed;
             let request = request.clone();
             self.plan(
--- a/tests/queue_explorer/world.rs
+++ b/tests/queue_explorer/world.rs
@@ -11,6 +11,7 @@
 use super::checks::Checks;
 use super::faults::Faults;
 use super::host::{self, Host, Term};
+use super::lateness::Lateness;
 use super::load::{self, Plan};
 use super::runner::Runner;
 use super::store::{Key, Store, Value};
@@ -31,6 +32,16 @@
 /// Time after the faults in which all jobs have to end, in milliseconds.
 const SETTLE_MS: u64 = 60_000;
 
+/// Time within which long-running jobs arrive, in milliseconds.
+const LONG_RUNNING_ARRIVALS_MS: u64 = 4_000;
+
+/// Time after the faults from which on and until which long-running jobs are cancelled, in
+/// milliseconds.
+const LONG_RUNNING_ENDS_MS: (u64, u64) = (11_000, LATE_CALLS_MS);
+
+/// Number of runners that a world has in addition if some go for good.
+const SPARE_RUNNERS: usize = 2;
+
 /// Longest time between two scheduler passes with and without jobs or tasks, in milliseconds.
 const TICK_MS: (u64, u64) = (25, 200);
 
@@ -42,6 +53,9 @@
 pub(super) struct World {
     pub(super) now_ms: u64,
     pub(super) rng: SmallRng,
+    /// Draws the losses of runners and the long-running jobs; worlds without them do not depend on
+    /// it.
+    pub(super) loss_rng: SmallRng,
     pub(super) faults: Faults,
     pub(super) config: QueueConfig,
     pub(super) agenda: Agenda,
@@ -52,6 +66,7 @@
     pub(super) runners: Vec<Runner>,
     pub(super) plans: Vec<Plan>,
     pub(super) checks: Checks,
+    pub(super) lateness: Lateness,
     pub(super) trace: Trace,
     pub(super) call_count: u64,
 }
@@ -60,11 +75,25 @@
     pub(super) fn new(seed: u64, faults: Faults, is_traced: bool) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let host_count = rng.random_range(2..=3);
-        let runner_count = rng.random_range(2..=4);
-        let plans = load::jobs(&mut rng, (BEGIN_MS + 300, BEGIN_MS + ARRIVALS_MS));
+        let mut runner_count = rng.random_range(2..=4);
+        let mut plans = load::jobs(&mut rng, (BEGIN_MS + 300, BEGIN_MS + ARRIVALS_MS));
+        let mut loss_rng = SmallRng::seed_from_u64(!seed);
+        if faults.loss_percent > 0 {
+            runner_count += SPARE_RUNNERS;
+        }
+        if faults.has_long_runs {
+            let from_ms = BEGIN_MS + 300;
+            let ends_ms = BEGIN_MS + FAULTS_MS;
+            plans.extend(load::long_running_jobs(
+                &mut loss_rng,
+                (from_ms, from_ms + LONG_RUNNING_ARRIVALS_MS),
+                (ends_ms + LONG_RUNNING_ENDS_MS.0, ends_ms + LONG_RUNNING_ENDS_MS.1),
+            ));
+        }
         let mut world = Self {
             now_ms: BEGIN_MS,
             rng,
+            loss_rng,
             faults,
             config: QueueConfig::default(),
             agenda: Agenda::default(),
@@ -74,6 +103,7 @@
             runners: Vec::new(),
             plans,
             checks: Checks::default(),
+            lateness: Lateness::default(),
             trace: Trace::new(is_traced),
             call_count: 0,
         };
@@ -90,6 +120,7 @@
     pub(super) fn run(&mut self) {
         let settled_ms = BEGIN_MS + FAULTS_MS + LATE_CALLS_MS;
         while let Some((at_ms, occurrence)) = self.agenda.next() {
+            self.sample_waiting_tasks(at_ms);
             self.now_ms = at_ms;
             if at_ms > BEGIN_MS + FAULTS_MS + SETTLE_MS || at_ms > settled_ms && self.has_settled()
             {
