test(queue): runners lost under one leader, and long-running tasks with all faults

Cause: the rule Late was only seen beside changes of the leader, and the mix of all faults had no task that lasts longer than a lease.

Change: losses of runners without a fault of the leader (loss_gap_ms), a test of Late with them, and two tests of all faults with long-running tasks, without and with lost runners.

--- a/tests/queue_explorer/chaos.rs
+++ b/tests/queue_explorer/chaos.rs
@@ -36,6 +36,7 @@
         self.plan_leader_fault();
         self.plan_fault(self.faults.revocation_gap_ms, Fault::Revocation);
         self.plan_fault(self.faults.outage_gap_ms, Fault::Outage);
+        self.plan_losses();
     }
 
     /// Plans a fault after about `gap_ms`; never if that is 0. Returns the time until then.
@@ -48,6 +49,16 @@
         Some(delay_ms)
     }
 
+    /// Plans the losses of runners that do not go with a fault of the leader.
+    fn plan_losses(&mut self) {
+        let gap_ms = self.faults.loss_gap_ms;
+        let mut delay_ms = 0;
+        for _ in 0..if gap_ms > 0 { self.runners.len() } else { 0 } {
+            delay_ms += self.loss_rng.random_range(gap_ms / 4..=gap_ms * 7 / 4);
+            self.plan(delay_ms, Occurrence::Fault(Fault::RunnerLoss));
+        }
+    }
+
     /// Plans the next fault of the leader, and the losses of runners just before or after it.
     fn plan_leader_fault(&mut self) {
         let delay_ms = self.plan_fault(self.faults.leader_gap_ms, Fault::Leader);
--- a/tests/queue_explorer/faults.rs
+++ b/tests/queue_explorer/faults.rs
@@ -22,7 +22,9 @@
     pub(super) cut_gap_ms: u64,
     /// Kills and freezes of the leader, and cuts of it from the store.
     pub(super) leader_gap_ms: u64,
-    /// Faults of the leader near which runners go for good, in percent.
+    /// Losses of runners, which go for good.
+    pub(super) loss_gap_ms: u64,
+    /// Faults of the leader near which runners go for good as well, in percent.
     pub(super) loss_percent: u32,
     /// Removals of the leader key that the leader does not notice at once.
     pub(super) revocation_gap_ms: u64,
@@ -55,6 +57,7 @@
         crash_gap_ms: 0,
         cut_gap_ms: 0,
         leader_gap_ms: 0,
+        loss_gap_ms: 0,
         loss_percent: 0,
         revocation_gap_ms: 0,
         write_millis: 0,
--- a/tests/queue_explorer/main.rs
+++ b/tests/queue_explorer/main.rs
@@ -210,3 +210,22 @@
 fn ready_tasks_start_soon_after_runners_were_cut_off() {
     explore(Faults { cut_gap_ms: 20_000, has_long_runs: true, ..Faults::NONE }, is_late);
 }
+
+#[test]
+fn ready_tasks_start_soon_after_runners_are_lost_under_one_leader() {
+    explore(Faults { loss_gap_ms: 5_000, has_long_runs: true, ..Faults::NONE }, is_late);
+}
+
+#[test]
+fn no_task_runs_twice_with_all_faults_and_long_running_tasks() {
+    explore(Faults { has_long_runs: true, ..ALL }, |violation| {
+        is_no_stray(violation) && !is_untrue_state(violation)
+    });
+}
+
+#[test]
+fn no_task_runs_twice_with_all_faults_and_lost_runners() {
+    explore(Faults { loss_percent: 50, has_long_runs: true, ..ALL }, |violation| {
+        is_no_stray(violation) && !is_untrue_state(violation)
+    });
+}
--- a/tests/queue_explorer/world.rs
+++ b/tests/queue_explorer/world.rs
@@ -78,7 +78,7 @@
         let mut runner_count = rng.random_range(2..=4);
         let mut plans = load::jobs(&mut rng, (BEGIN_MS + 300, BEGIN_MS + ARRIVALS_MS));
         let mut loss_rng = SmallRng::seed_from_u64(!seed);
-        if faults.loss_percent > 0 {
+        if faults.loss_percent > 0 || faults.loss_gap_ms > 0 {
             runner_count += SPARE_RUNNERS;
         }
         if faults.has_long_runs {
