fix(queue): runs under a lease of a former incarnation's clock do not outlast a successor's wait

What would happen: an idle runner restarts unnoticed and gets a start. The expiry of its lease is on the clock of the former incarnation, which was ahead, so that the new one takes it as its longest lease, up to 10 s. The leader is lost, the runner is cut off, and the successor starts the task elsewhere once the usual lease has expired: the task runs twice.

Change: a start that is answered with a clock that does not continue the known one is stopped, and the runner gets nothing new until its longest lease has become a usual one. A status of a young incarnation counts with the longest lease as well.

Test a_run_that_begins_under_a_lease_of_the_former_incarnations_clock_does_ not_go_on failed before.

--- a/src/queue/scheduler/orders.rs
+++ b/src/queue/scheduler/orders.rs
@@ -3,7 +3,7 @@
 use crate::decision_log;
 use crate::queue::model::{JobState, OrderError, TaskId};
 use crate::queue::scheduler::event::{Action, OrderResult, StartOrder};
-use crate::queue::scheduler::runner::{Assignment, RunPhase, RunnerKey};
+use crate::queue::scheduler::runner::{self, Assignment, RunPhase, RunnerKey};
 use crate::queue::scheduler::Scheduler;
 
 /// Delay before an unanswered order is repeated, in milliseconds.
@@ -30,15 +30,18 @@
                     .with("error", format_args!("{error:?}"))
                     .end();
             }
+            self.start_finished(key, task, result, now_ms);
             if let (Ok(()), Some(clock_ms)) = (result, clock_ms) {
                 self.confirm_start(key, task, clock_ms, sent_ms, now_ms);
             }
-            self.start_finished(key, task, result, now_ms);
         }
     }
 
-    /// Records which incarnation of the runner carried out a start order. If it may be another one
-    /// than the one that answered last, the runner's status is read next.
+    /// Records which incarnation of the runner carried out a start order.
+    ///
+    /// If it may be another one than the one that answered last, the expiry of the lease was given on
+    /// the clock of the former incarnation, so that the run would outlast the wait of a successor. It
+    /// is stopped, and the runner's status is read next.
     fn confirm_start(
         &mut self,
         key: RunnerKey,
@@ -47,13 +50,24 @@
         sent_ms: u64,
         now_ms: u64,
     ) {
+        let max_lease_ms = runner::longest_lease_ms(self.config.max_run_lease_ms);
         let runner = &mut self.runners[key];
         let is_confirmed = runner.is_clock_continuous(clock_ms, sent_ms);
         if !is_confirmed {
             runner.renewal.next_ms = now_ms;
+            runner.long_lease_until_ms = now_ms + max_lease_ms - self.config.run_lease_ms;
+            decision_log::line("start_on_other_incarnation")
+                .with("task", task)
+                .with("runner", &runner.id)
+                .with("clock_ms", clock_ms)
+                .end();
         }
         if let Some(assignment) = runner.assignments.get_mut(&task) {
-            assignment.is_start_confirmed |= is_confirmed;
+            if is_confirmed {
+                assignment.is_start_confirmed = true;
+            } else if !assignment.is_start_confirmed {
+                assignment.stop(now_ms);
+            }
         }
     }
 
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -79,6 +79,9 @@
     pub(crate) renewal: RenewalState,
     /// Time until which the runner gets no new tasks.
     pub(crate) paused_until_ms: u64,
+    /// Time until which the lease of the runner may last for longer than a run lease from now. It
+    /// gets no new tasks, since a successor would not wait for them that long.
+    pub(crate) long_lease_until_ms: u64,
     /// Jobs with a failed task on this runner since the last task that completed on it.
     pub(crate) failed_jobs: Vec<u64>,
     pub(crate) crash: Box<CrashState>,
@@ -257,6 +260,7 @@
             used: Resources::default(),
             renewal: RenewalState::default(),
             paused_until_ms: 0,
+            long_lease_until_ms: 0,
             failed_jobs: Vec::new(),
             crash: Box::default(),
         }
@@ -299,6 +303,7 @@
             && self.started_unix_ms == Some(self.listed_started_unix_ms)
             && self.renewal.failures == 0
             && self.paused_until_ms <= now_ms
+            && self.long_lease_until_ms <= now_ms
     }
 
     /// Whether the runs reserve more than the capacity, which has shrunk meanwhile.
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -124,15 +124,19 @@
             self.begin_incarnation(key, &status, now_ms);
         }
         self.record_answer(key);
-        let run_lease_ms = self.config.run_lease_ms;
+        let (run_lease_ms, max_run_lease_ms) =
+            (self.config.run_lease_ms, self.config.max_run_lease_ms);
         let runner = &mut self.runners[key];
         if !is_restarted {
             runner.confirm_starts_before(sent_ms);
             runner.delivered_end = runner.delivered_end.max(runner.sent_end);
         }
         if !runner.is_fenced {
-            // A previous leader may have renewed the lease just before.
-            let former_until_ms = status.clock_ms + run_lease_ms;
+            // A previous leader may have renewed the lease just before. Its orders to the former
+            // incarnation, whose clock was ahead, may reach the new one.
+            let is_young = status.clock_ms < max_run_lease_ms;
+            let former_until_ms =
+                status.clock_ms + if is_young { max_run_lease_ms } else { run_lease_ms };
             runner.lease_sent_until_ms = runner.lease_sent_until_ms.max(former_until_ms);
         }
         // This answer belongs to an order with the token of the former incarnation.
--- a/tests/queue_restarts.rs
+++ b/tests/queue_restarts.rs
@@ -266,3 +266,26 @@
     harness.advance_answering_starts(2000);
     assert_eq!(harness.acknowledged("r1"), 1);
 }
+
+#[test]
+fn a_run_that_begins_under_a_lease_of_the_former_incarnations_clock_does_not_go_on() {
+    let mut harness = Harness::new(1);
+    harness.add_runner("r1", 4_000);
+    harness.advance(12_000);
+    harness.restart_runner("r1");
+    harness.handle(Event::JobSubmitted(job(1, vec![step(1, 1_000)])));
+    let starts = harness.starts();
+    assert_eq!(starts.len(), 1);
+    harness.answer_starts(&starts);
+    harness.advance(50);
+    let stops = harness.stops();
+    assert_eq!(stops.len(), 1, "the run has a lease of up to max_run_lease_ms");
+    harness.list_runner("r1");
+    harness.answer_stop(&stops[0], Ok(()));
+    harness.end_at("r1", 1, starts[0].task, starts[0].run, RunEnd::Stopped);
+    let long_ms = harness.config.max_run_lease_ms - harness.config.run_lease_ms;
+    harness.advance(long_ms - 100);
+    assert!(harness.starts().is_empty(), "later runs would have that lease, too");
+    harness.advance(1_000);
+    assert_eq!(harness.starts().len(), 1);
+}
