fix(entry): an endpoint keeps its owner while another member does not answer

What callers saw: with a member of the zone silent, endpoints whose rank moved between two other hosts had no owner and ran nothing: until the record of the silent member lapsed (3 s), or without bound if it reached the store but not its peers.

Cause: the new owner asked its peers one after the other to release the endpoints. The former owner gave them up when it was asked, although the acquisition then waited for a peer that never answered.

Change: a round of calls begins with a trial, in which each peer says what it would release. Only endpoints that all would release are then requested. What an acquisition needs is unchanged: all other members have released it.

--- a/src/entry/control/zone.rs
+++ b/src/entry/control/zone.rs
@@ -221,11 +221,15 @@
         for name in &request.endpoints {
             let endpoint = self.catalog.endpoint_named(name);
             let was_owned = endpoint.is_some_and(|key| self.ownership.owned().contains_key(&key));
-            if !self.ownership.release(endpoint, name, &request.asker) {
+            let is_released = match request.is_trial {
+                true => self.ownership.would_release(endpoint, name, &request.asker),
+                false => self.ownership.release(endpoint, name, &request.asker),
+            };
+            if !is_released {
                 in_flight.push(None);
                 continue;
             }
-            if let Some(endpoint) = endpoint.filter(|_| was_owned) {
+            if let Some(endpoint) = endpoint.filter(|_| was_owned && !request.is_trial) {
                 self.step(route::Event::EndpointReleased { endpoint });
                 if let Some(declared) = self.catalog.endpoint(endpoint) {
                     self.deps.endpoints.close_idle(&declared.address);
@@ -310,21 +314,16 @@
 impl ReleaseTask {
     /// Repeats the calls until all endpoints are released or [`MAX_RELEASE_CALLS`] is reached;
     /// reports each released endpoint at once.
+    ///
+    /// An endpoint is requested only after a trial in which all peers would release it, so that its
+    /// owner goes on sending while another peer does not answer.
     async fn run(self) {
         let mut open: Vec<usize> = (0..self.acquire.endpoints.len()).collect();
         for _ in 0..MAX_RELEASE_CALLS {
-            let busy = self.ask_all(&open).await;
-            let ready = open
-                .iter()
-                .zip(&busy)
-                .filter_map(|(index, busy)| Some((self.acquire.endpoints[*index].0, (*busy)?)));
-            let endpoints: Vec<(EndpointKey, u32)> = ready.collect();
-            if !endpoints.is_empty() {
-                let generation = self.acquire.generation;
-                self.control.send(Input::Released { generation, endpoints });
-            }
-            let unreleased = open.iter().zip(&busy).filter(|(_, busy)| busy.is_none());
-            open = unreleased.map(|(index, _)| *index).collect();
+            let would = self.ask_all(&open, true).await;
+            let willing = open.iter().zip(would).filter_map(|(index, busy)| busy.map(|_| *index));
+            let released = self.request(&willing.collect::<Vec<usize>>()).await;
+            open.retain(|index| !released.contains(index));
             if open.is_empty() {
                 return;
             }
@@ -334,13 +333,32 @@
         self.control.send(Input::Unreleased { generation });
     }
 
+    /// Asks all peers to release the endpoints in `willing`, and reports those that all released;
+    /// returns them.
+    async fn request(&self, willing: &[usize]) -> Vec<usize> {
+        if willing.is_empty() {
+            return Vec::new();
+        }
+        let busy = self.ask_all(willing, false).await;
+        let released: Vec<(usize, u32)> =
+            willing.iter().zip(busy).filter_map(|(index, busy)| Some((*index, busy?))).collect();
+        if !released.is_empty() {
+            let key = |(index, busy): &(usize, u32)| (self.acquire.endpoints[*index].0, *busy);
+            let endpoints: Vec<(EndpointKey, u32)> = released.iter().map(key).collect();
+            let generation = self.acquire.generation;
+            self.control.send(Input::Released { generation, endpoints });
+        }
+        released.into_iter().map(|(index, _)| index).collect()
+    }
+
     /// For each endpoint in `open`: the number of requests that peers still run there if all peers
-    /// released it, else `None`.
-    async fn ask_all(&self, open: &[usize]) -> Vec<Option<u32>> {
+    /// released it, or would in a trial, else `None`.
+    async fn ask_all(&self, open: &[usize], is_trial: bool) -> Vec<Option<u32>> {
         let name = |index: &usize| self.acquire.endpoints[*index].1.clone();
         let request = ReleaseRequest {
             asker: self.asker.clone(),
             endpoints: open.iter().map(name).collect(),
+            is_trial,
         };
         let mut busy = vec![Some(0_u32); open.len()];
         for address in &self.acquire.peers {
--- a/src/entry/ownership.rs
+++ b/src/entry/ownership.rs
@@ -3,7 +3,7 @@
 //!
 //! Each endpoint belongs to the member that ranks first for it. A host acquires an endpoint only
 //! after every other member of the zone has confirmed that it released it, and sends to it only
-//! after reading its busy slots.
+//! after reading its busy slots. The owner is asked to release it only once every member would.
 
 use crate::collections::{HashMap, HashSet};
 use crate::membership::Member;
@@ -225,16 +225,25 @@
         }
     }
 
+    /// Whether [`Ownership::release`] would return true, without giving anything up.
+    pub fn would_release(&self, endpoint: Option<EndpointKey>, name: &str, asker: &str) -> bool {
+        if self.is_draining {
+            return true;
+        }
+        match self.owner(name) {
+            Some(owner) if owner == self.name => false,
+            Some(owner) if owner == asker => true,
+            _ => endpoint.is_none_or(|key| !self.owned.contains_key(&key)),
+        }
+    }
+
     /// Handles a peer's request for the endpoint `name`. Gives the endpoint up if `asker` ranks
     /// first for it or this host is draining. Returns true if this host does not own it, or no
     /// longer does.
     pub fn release(&mut self, endpoint: Option<EndpointKey>, name: &str, asker: &str) -> bool {
-        if !self.is_draining && self.owner(name) == Some(self.name.as_str()) {
+        if !self.would_release(endpoint, name, asker) {
             return false;
         }
-        if !self.is_draining && self.owner(name) != Some(asker) {
-            return endpoint.is_none_or(|key| !self.owned.contains_key(&key));
-        }
         if let Some(key) = endpoint {
             self.acquiring.remove(&key);
             self.owned.remove(&key);
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -179,6 +179,9 @@
     pub asker: String,
     /// Names of the endpoints.
     pub endpoints: Vec<String>,
+    /// Whether the host only says what it would release, and releases nothing.
+    #[serde(default)]
+    pub is_trial: bool,
 }
 
 /// Answer to a [`ReleaseRequest`].
@@ -186,7 +189,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct ReleaseAnswer {
     /// For each endpoint in the order of the request: requests still in flight there from the
-    /// released owner, or `None` if it was not released.
+    /// host that was asked, or `None` if it does not release the endpoint.
     pub in_flight: Vec<Option<u32>>,
 }
 
--- a/tests/requests_faults.rs
+++ b/tests/requests_faults.rs
@@ -9,11 +9,14 @@
 use std::time::{Duration, Instant};
 
 use async_std::task::{block_on, JoinHandle};
-use cell::{is_ready, Answer, Cell, CellPlan, TestRequest};
+use bytes::Bytes;
+use cell::{http_store, is_ready, start_entry, Answer, Cell, CellPlan, TestRequest};
+use hemlockrock::membership::{Member, Role};
 use hemlockrock::standin::proxy::{Fault, FaultKind};
 use hemlockrock::standin::runner::Mode;
 use hemlockrock::standin::store::faults::Faults;
-use support::eventually;
+use hemlockrock::store::{self, Expect, Priority, Put};
+use support::{eventually, Scratch};
 
 const SOON: Duration = Duration::from_secs(20);
 
@@ -339,3 +342,33 @@
     println!("{total} requests");
     cell.check_limits();
 }
+
+#[test]
+fn an_endpoint_keeps_its_owner_while_another_member_does_not_answer() {
+    let mut cell = Cell::start(CellPlan { runners: 8, ..CellPlan::default() });
+    let silent = Member {
+        name: "e9".to_owned(),
+        role: Role::Entry,
+        zone: "z1".to_owned(),
+        address: "127.0.0.1:9".to_owned(),
+        incarnation: 1,
+        config_revision: 1,
+        is_leaving: false,
+    };
+    let client = http_store(&cell.store.address());
+    let value = Bytes::from(serde_json::to_vec(&silent).unwrap());
+    let put = Put { key: silent.key(), value, expect: Expect::Absent, lease: None };
+    block_on(store::put(&client, put, Priority::Control)).unwrap();
+    let scratch = Scratch::new();
+    cell.entries.push(start_entry(&scratch, &cell.store.address(), 1, "z1", ""));
+    let joined = Instant::now();
+    while joined.elapsed() < Duration::from_secs(4) {
+        assert_eq!(cell.owned_by(0), 8, "after {:?}", joined.elapsed());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let gone = store::delete(&client, silent.key(), Expect::Any, Priority::Control);
+    block_on(gone).unwrap();
+    eventually("the second host owns endpoints", SOON, || {
+        cell.owned_by(1) > 0 && cell.owned() == 8
+    });
+}
--- a/tests/requests_ownership.rs
+++ b/tests/requests_ownership.rs
@@ -192,7 +192,15 @@
         };
         let answers: Vec<bool> = endpoints
             .iter()
-            .map(|(key, endpoint)| self.hosts[peer].ownership.release(Some(*key), endpoint, &asker))
+            .map(|(key, endpoint)| {
+                let ownership = &mut self.hosts[peer].ownership;
+                let owned = ownership.owned().clone();
+                let would = ownership.would_release(Some(*key), endpoint, &asker);
+                assert_eq!(*ownership.owned(), owned, "a trial gives nothing up");
+                let is_released = ownership.release(Some(*key), endpoint, &asker);
+                assert_eq!(would, is_released, "{endpoint} of {peer}");
+                is_released
+            })
             .collect();
         if answers.iter().all(|released| *released) {
             self.acquisitions[at].open.retain(|open| *open != name(peer));
