fix(place): a silent worker does not stop all jobs of a team with a quota

Cause: until all workers were read or all inherited leases had lapsed, a team with restored tasks got nothing, since these may run unseen on a worker that was not read and were not charged.

Change: such tasks can use at most the capacity of the workers that were not read, so that this much counts as used, and a team whose restored tasks were all found is not held up any more. If the capacity of a worker was lowered while tasks ran there, they may exceed the quota by the difference for that time.

--- a/src/place/assign.rs
+++ b/src/place/assign.rs
@@ -217,11 +217,12 @@
         Outcome::Blocked
     }
 
-    /// Returns whether a team's quota has room for `more`. While quotas are in force, a team whose
-    /// restored tasks may run on workers that were not yet read gets nothing.
+    /// Returns whether a team's quota has room for `more`. Restored tasks of the team that may run on
+    /// workers not yet read are taken to fill these workers.
     pub(crate) fn quota_allows(&self, team: TeamKey, more: Resources) -> bool {
         let is_unclear = self.is_locating && self.unlocated_teams.contains(&team);
-        self.queue.allows(team, more) && !(is_unclear && self.shares.is_some())
+        let unlocated = if is_unclear { self.unread_capacity } else { Resources::default() };
+        self.queue.allows(team, more.plus(unlocated))
     }
 
     /// Returns the next waiting task of a job, and drops queue entries that no longer wait.
--- a/src/place/placer.rs
+++ b/src/place/placer.rs
@@ -100,6 +100,8 @@
     pub(crate) rolling_updates: Vec<JobKey>,
     /// Teams with restored tasks that may run on workers not yet read and are not yet charged.
     pub(crate) unlocated_teams: HashSet<TeamKey>,
+    /// Sum of the capacities of the workers not yet read, while restored tasks may run there.
+    pub(crate) unread_capacity: Resources,
     /// Whether tasks of restored jobs may still run on workers that were not yet read.
     pub(crate) is_locating: bool,
     /// Whether all job records were read after the takeover.
@@ -144,6 +146,7 @@
             dirty_jobs: Vec::new(),
             rolling_updates: Vec::new(),
             unlocated_teams: HashSet::default(),
+            unread_capacity: Resources::default(),
             is_locating: false,
             is_restored: false,
             inherited_leases_end_ms: None,
@@ -239,6 +242,7 @@
             }
         }
         self.refresh_limits();
+        self.refresh_unread_capacity();
         self.triggers.add_all();
     }
 
--- a/src/place/workers.rs
+++ b/src/place/workers.rs
@@ -3,7 +3,10 @@
 use super::lifecycle::{TaskEvent, WorkerEvent, WorkerState};
 use super::message::{Action, Attempt, StopMode};
 use super::placer::Placer;
+use super::queue::TeamKey;
+use super::spec::Resources;
 use super::state::{JobKey, WorkerView};
+use crate::collections::HashSet;
 use crate::inventory::WorkerKey;
 
 impl Placer {
@@ -32,6 +35,7 @@
             }
             self.add_worker(key, now_ms);
         }
+        self.refresh_unread_capacity();
         self.call_workers(now_ms, out);
     }
 
@@ -182,6 +186,7 @@
         if !self.is_locating {
             return;
         }
+        self.refresh_unread_capacity();
         let unread = self.workers.values().filter(|view| !view.was_read).count();
         let total = self.workers.len();
         if self.inherited_leases_end_ms.is_none() && (total - unread) * 2 > total {
@@ -197,6 +202,34 @@
         }
     }
 
+    /// Recomputes the capacity of the workers that were not read yet. If it fell, teams whose
+    /// restored tasks may run there can use more.
+    pub(crate) fn refresh_unread_capacity(&mut self) {
+        let unread = self.workers.values().filter(|view| !view.was_read);
+        let capacity = unread.fold(Resources::default(), |sum, view| sum.plus(view.capacity));
+        if capacity == self.unread_capacity {
+            return;
+        }
+        self.unread_capacity = capacity;
+        if self.is_locating && self.shares.is_some() {
+            self.triggers.add_all();
+        }
+    }
+
+    /// Drops the teams of which no restored task is missing any more.
+    fn update_unlocated_teams(&mut self) {
+        if self.shares.is_none() || self.unlocated_teams.is_empty() {
+            return;
+        }
+        let missing = self.jobs.values().filter(|job| job.is_restored && job.waiting_count > 0);
+        let teams: HashSet<TeamKey> = missing.map(|job| job.team).collect();
+        let count = self.unlocated_teams.len();
+        self.unlocated_teams.retain(|team| teams.contains(team));
+        if self.unlocated_teams.len() < count {
+            self.triggers.add_all();
+        }
+    }
+
     /// Follows up on restored jobs once the search ends: ends the tasks of cancelled jobs that
     /// were found on no worker, and updates the state of the jobs.
     fn follow_up_restored(&mut self, now_ms: u64, out: &mut Vec<Action>) {
@@ -219,6 +252,9 @@
         for key in keys {
             self.check_silence(key, now_ms, out);
         }
+        if self.is_locating && self.is_restored {
+            self.update_unlocated_teams();
+        }
         self.update_locating(now_ms, out);
         self.resume_delayed(now_ms);
         self.expire_nominations(now_ms);
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -362,6 +362,41 @@
     assert_eq!((of("-a"), of("-b")), (4, 8), "each team runs eight tasks");
 }
 
+/// Successor of a zone of four workers with four cores each, of which one ran a task of team `a`
+/// with two cores. The team may use five cores. One worker is silent, all others were read: the one
+/// that ran the task, if `is_found` is false, else another one.
+fn successor_with_a_silent_worker(is_found: bool) -> Zone {
+    let mut zone = Zone::new(4, cores(4));
+    zone.submit("old", JobSpec::new("a", 1).with_resources(cores(2)));
+    zone.confirm_all();
+    let busy = zone.starts()[0].worker;
+    let silent = zone.keys().into_iter().find(|worker| (*worker == busy) != is_found);
+    let mut next = zone.successor(2);
+    next.step(Event::Quota(Arc::new(Shares { teams: [("a".to_owned(), cores(5))].into() })));
+    for worker in next.keys().into_iter().filter(|worker| Some(*worker) != silent) {
+        let mut report = zone.report_of(worker, AttemptState::Running);
+        report.barrier.epoch = next.epoch;
+        next.step(Event::Report { worker, report });
+    }
+    next.step(Event::Tick);
+    next
+}
+
+#[test]
+fn a_silent_worker_holds_up_no_job_of_a_team_whose_quota_has_room_beside_that_worker() {
+    let mut next = successor_with_a_silent_worker(false);
+    next.submit("new", JobSpec::new("a", 2).with_resources(cores(1)));
+    assert_eq!(next.starts().len(), 1, "four of five cores may be in use on the silent worker");
+    assert_eq!(&*next.starts()[0].task.job_id, "new");
+}
+
+#[test]
+fn a_silent_worker_holds_up_no_team_whose_tasks_were_all_found() {
+    let mut next = successor_with_a_silent_worker(true);
+    next.submit("new", JobSpec::new("a", 4).with_resources(cores(1)));
+    assert_eq!(next.starts().len(), 3, "two of five cores are in use");
+}
+
 #[test]
 fn ten_thousand_tasks_are_cancelled_in_one_step() {
     let mut zone = Zone::new(20, cores(100));
