--- a/tests/place.rs
+++ b/tests/place.rs
@@ -362,6 +362,24 @@
     assert_eq!((of("-a"), of("-b")), (4, 8), "each team runs eight tasks");
 }
 
+#[test]
+fn a_successor_starts_no_task_that_runs_on_a_worker_removed_before_the_takeover() {
+    let mut zone = Zone::new(2, cores(4));
+    zone.submit("j", JobSpec::new("team", 1));
+    zone.confirm_all();
+    let busy = zone.starts()[0].worker;
+    let name = zone.placer.inventory().worker(busy).expect("a worker").name.clone();
+    let mut declared = (*zone.declared).clone();
+    declared.workers.retain(|worker| worker.name != name);
+    zone.declared = Arc::new(declared);
+    zone.step(Event::Declared(Arc::clone(&zone.declared)));
+    let mut next = zone.successor(2);
+    next.report_all_empty();
+    assert_eq!(next.starts().len(), 0, "the lease on the removed worker has not lapsed");
+    next.advance(next.config.holding_window_ms, |_| true);
+    assert_eq!(next.starts().len(), 0, "the lease on the removed worker has not lapsed");
+}
+
 /// Successor of a zone of four workers with four cores each, of which one ran a task of team `a`
 /// with two cores. The team may use five cores. One worker is silent, all others were read: the one
 /// that ran the task, if `is_found` is false, else another one.
