fix(queue): suspects use idle runners while no other task waits

Suspects got a quarter of the usable runners, two of six, whether anything else waited or not, and a runner that crashed under one of them stayed in the count for the 3 s that it was away.

Change: while no other task waits and the inherited wait is over, suspects may take further runners, only ones without runs, as long as a quarter of the runners is left. Runners that crashed under suspects count among those that are used, so that suspects cannot take more than three quarters.

--- a/src/configs/queue.rs
+++ b/src/configs/queue.rs
@@ -59,7 +59,8 @@
     /// first crash alone does not tell which task has caused it.
     pub task_crash_limit: u32,
     /// Part of a service's usable runners on which tasks that may have crashed a runner are run in
-    /// isolation at the same time, in thousandths; at least one runner.
+    /// isolation at the same time, in thousandths; at least one runner. While no other task waits,
+    /// all idle runners but this part are used.
     pub suspect_runners_millis: u64,
     /// Time without progress after which a run is stopped and started elsewhere, in milliseconds:
     /// more than one percent of the longest work of the sites takes.
--- a/src/queue/scheduler/crash.rs
+++ b/src/queue/scheduler/crash.rs
@@ -121,6 +121,8 @@
     pub(super) suspect_jobs: HashSet<JobKey>,
     /// Runners with suspects on probation.
     pub(super) probed_runners: HashSet<RunnerKey>,
+    /// Whether tasks that are no suspects wait for a runner.
+    pub(super) has_other_work: bool,
     pub(super) counts: CrashCounts,
 }
 
--- a/src/queue/scheduler/probe.rs
+++ b/src/queue/scheduler/probe.rs
@@ -2,7 +2,7 @@
 //!
 //! The suspects of a job are placed together where they endanger the fewest other runs, and nothing
 //! else is placed there until they have survived their probation: a crash there is the fault of this
-//! job. Only part of the runners are used for it.
+//! job. Only part of the runners are used for it, a larger one while no other task waits.
 
 use std::cmp::Reverse;
 
@@ -10,9 +10,9 @@
 use crate::decision_log;
 use crate::queue::model::{AdvicePolicy, JobId, Step, TaskId};
 use crate::queue::scheduler::event::Action;
-use crate::queue::scheduler::job::{JobKey, StepRun, TaskState};
+use crate::queue::scheduler::job::{Job, JobKey, StepRun, TaskState};
 use crate::queue::scheduler::placement::PlacementRequest;
-use crate::queue::scheduler::runner::{Assignment, RunPhase, RunnerKey};
+use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey};
 use crate::queue::scheduler::Scheduler;
 
 /// Time for which a suspect waits for an empty runner before it may join other runs, in
@@ -48,6 +48,17 @@
     tasks: Vec<usize>,
 }
 
+/// Runners that may be reserved for suspects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reservable {
+    /// All of them.
+    Any,
+    /// Those without runs.
+    Idle,
+    /// None of them.
+    None,
+}
+
 impl Scheduler {
     /// Ends the probation of suspects that have survived it or whose runs have ended.
     pub(super) fn end_probations(&mut self, now_ms: u64) {
@@ -107,6 +118,7 @@
         out: &mut Vec<Action>,
     ) {
         self.forget_cleared_jobs();
+        self.crashes.has_other_work = self.has_other_work(is_inherited_wait_over, now_ms);
         self.reserve_ahead(now_ms, out);
         let waiting = self.waiting_suspects(is_inherited_wait_over, now_ms);
         if waiting.is_empty() {
@@ -135,6 +147,22 @@
         self.crashes.suspect_jobs.retain(has_suspect);
     }
 
+    /// Whether tasks that are no suspects wait for a runner, or may do so once the inherited wait is
+    /// over. Only determined while there are suspects.
+    fn has_other_work(&self, is_inherited_wait_over: bool, now_ms: u64) -> bool {
+        if !is_inherited_wait_over || self.crashes.suspect_jobs.is_empty() {
+            return true;
+        }
+        let is_confirmed = now_ms < self.confirmed_until_ms;
+        let waits = |job: &Job, number: usize, step: &StepRun| {
+            job.is_ready(number) && step.unsuspected(true, is_confirmed).next().is_some()
+        };
+        self.jobs
+            .values()
+            .filter(|job| !job.state.is_final())
+            .any(|job| job.steps.iter().enumerate().any(|(number, step)| waits(job, number, step)))
+    }
+
     /// Suspects that may start, once their crashes are stored.
     fn waiting_suspects(&self, is_inherited_wait_over: bool, now_ms: u64) -> Vec<WaitingSuspects> {
         let mut waiting = Vec::new();
@@ -384,7 +412,7 @@
         let id = job.submission.id;
         let advice = &job.steps[request.step].advice;
         let is_advised = self.advice_policy(request.key).is_some();
-        let may_reserve = self.may_reserve(request.service, now_ms);
+        let reservable = self.reservable(request.service, now_ms);
         let candidates = self.runners.iter().filter_map(|(key, runner)| {
             let reserved_for = runner.crash.reserved_for(now_ms);
             let is_own = reserved_for == Some(id);
@@ -392,7 +420,7 @@
                 |index: &usize| runner.assignments.contains_key(&job.task_id(request.step, *index));
             if taken.contains(&key)
                 || runner.crash.probe.is_some()
-                || !is_own && (reserved_for.is_some() || !may_reserve)
+                || !is_own && (reserved_for.is_some() || !reservable.contains(runner))
                 || is_advised && !advice.has_admitted(key)
                 || indices.iter().any(has_run)
             {
@@ -422,14 +450,37 @@
         self.least_occupied(request, indices, &expired, now_ms)
     }
 
-    /// Whether one more runner of the service may be reserved for suspects.
-    fn may_reserve(&self, service: &str, now_ms: u64) -> bool {
-        let (mut reserved, mut usable) = (0_u64, 0_u64);
+    /// Runners of the service of which one more may be reserved for suspects: they get a share of the
+    /// runners, or all idle ones but such a share while nothing else waits.
+    fn reservable(&self, service: &str, now_ms: u64) -> Reservable {
+        let (mut reserved, mut usable, mut crashed) = (0_u64, 0_u64, 0_u64);
         for runner in self.runners.values().filter(|runner| runner.service == service) {
-            reserved += u64::from(runner.crash.is_reserved(now_ms));
-            usable += u64::from(runner.is_usable(now_ms));
+            let (is_reserved, is_usable) =
+                (runner.crash.is_reserved(now_ms), runner.is_usable(now_ms));
+            reserved += u64::from(is_reserved);
+            usable += u64::from(is_usable);
+            crashed += u64::from(is_reserved && !is_usable);
+        }
+        let share_millis = self.config.suspect_runners_millis;
+        if reserved * MILLI < (usable * share_millis).max(MILLI) {
+            return Reservable::Any;
+        }
+        let known = usable + crashed;
+        let left = (known * share_millis).div_ceil(MILLI);
+        match !self.crashes.has_other_work && reserved + left < known {
+            true => Reservable::Idle,
+            false => Reservable::None,
+        }
+    }
+}
+
+impl Reservable {
+    fn contains(self, runner: &Runner) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Idle => runner.assignments.is_empty(),
+            Self::None => false,
         }
-        reserved * MILLI < (usable * self.config.suspect_runners_millis).max(MILLI)
     }
 }
 
--- a/tests/queue_crashes.rs
+++ b/tests/queue_crashes.rs
@@ -206,6 +206,77 @@
     assert_eq!(harness.scheduler.take_crash_counts().cleared_tasks, 1);
 }
 
+/// Number of runners, and of suspects, in the tests of the share of the runners for suspects.
+const FLEET: usize = 6;
+
+/// The quarter of the runners that is used for suspects, or left to other tasks, rounded up.
+const QUARTER: usize = 2;
+
+/// Lets one task each of several jobs crash its runner. All runners are back, and only the suspects
+/// have not ended, as well as `other` if it is given.
+fn fleet_with_suspects(other: Option<Step>) -> Harness {
+    const WHOLE_RUNNER: u64 = 8_000;
+    let mut harness = harness(FLEET);
+    for id in 1..=FLEET as u64 {
+        harness.handle(Event::JobSubmitted(job(id, vec![step(1, WHOLE_RUNNER)])));
+    }
+    let starts = harness.starts();
+    assert_eq!(starts.len(), FLEET);
+    for start in &starts {
+        harness.answer_start(start, Err(OrderError::Unanswered));
+        lose(&mut harness, &start.target.0);
+    }
+    if let Some(step) = other {
+        harness.handle(Event::JobSubmitted(job(9, vec![step])));
+    }
+    harness.advance(BACK_MS);
+    for start in &starts {
+        harness.replace_runner(&start.target.0, &start.target.1);
+    }
+    harness.advance(LAPSE_MS - BACK_MS);
+    harness
+}
+
+#[test]
+fn suspects_do_not_wait_for_each_other_beside_idle_runners() {
+    let mut harness = fleet_with_suspects(None);
+    let starts = harness.starts();
+    let mut runners: Vec<_> = starts.iter().map(|start| start.target.0.clone()).collect();
+    runners.sort();
+    runners.dedup();
+    assert_eq!(runners.len(), FLEET - QUARTER, "each on a runner of its own");
+}
+
+#[test]
+fn suspects_leave_a_share_of_the_runners_to_tasks_that_come_later() {
+    let mut harness = fleet_with_suspects(None);
+    for id in 10..20 {
+        harness.handle(Event::JobSubmitted(job(id, vec![step(1, 8_000)])));
+    }
+    let starts = harness.starts();
+    let later = starts.iter().filter(|start| start.task.step.job.0 >= 10).count();
+    assert_eq!(later, QUARTER);
+}
+
+#[test]
+fn suspects_that_wait_start_on_idle_runners_while_another_suspect_has_crashed_its_runner() {
+    let mut harness = fleet_with_suspects(None);
+    let starts = harness.starts();
+    harness.answer_start(&starts[0], Err(OrderError::Unanswered));
+    lose(&mut harness, &starts[0].target.0);
+    harness.answer_start(&starts[1], Ok(()));
+    harness.end(&starts[1], RunEnd::Done);
+    harness.advance(100);
+    assert_eq!(harness.starts().len(), 1);
+}
+
+#[test]
+fn suspects_use_only_their_share_of_the_runners_while_another_task_waits() {
+    let too_large = step(1, 9_000);
+    let mut harness = fleet_with_suspects(Some(too_large));
+    assert_eq!(harness.starts().len(), QUARTER);
+}
+
 #[test]
 fn runners_lost_together_without_a_common_job_delay_and_condemn_no_task() {
     let mut harness = harness(0);
