feat(demo): the report counts requests by the reason in their answer

A failed run of the demo said how many requests were not run, and not why. The report has the number of requests by reason, as text and in its JSON form. Seen in a failed run of the test of a calm cell: "reason expired: 1".

--- a/src/demo.rs
+++ b/src/demo.rs
@@ -78,6 +78,7 @@
         cell: config.name.clone(),
         seed: config.seed,
         requests: LoadReport::new(plan, results),
+        reasons: driver::reasons(results),
         jobs: jobs::reports(submitted, &workers),
         placement: jobs::placement(submitted, &workers),
         violations: violations.into_sorted(),
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -1,5 +1,6 @@
 //! The report of a demo run, as JSON and as text.
 
+use std::collections::BTreeMap;
 use std::fmt::{self, Write as _};
 
 use serde::{Deserialize, Serialize};
@@ -24,6 +25,9 @@
     pub duration_ms: u64,
     /// Outcomes and waiting times of requests, by kind.
     pub requests: LoadReport,
+    /// Number of requests by the reason in their answer; requests without a reason are left out.
+    #[serde(default)]
+    pub reasons: BTreeMap<String, u64>,
     /// Jobs, in the order of the settings.
     pub jobs: Vec<JobReport>,
     /// Placement of tasks over all jobs.
@@ -121,6 +125,9 @@
                 wait.max_ms
             )?;
         }
+        for (reason, count) in &self.reasons {
+            writeln!(text, "reason {reason}: {count}")?;
+        }
         Ok(())
     }
 
--- a/src/load/driver.rs
+++ b/src/load/driver.rs
@@ -1,5 +1,6 @@
 //! Sends the requests of a plan at their scheduled times, however slow the answers are.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -40,6 +41,15 @@
     pub answered_at_us: u64,
 }
 
+/// Number of results by the reason in the answer; those without a reason are left out.
+pub fn reasons<'a>(results: impl IntoIterator<Item = &'a CallerResult>) -> BTreeMap<String, u64> {
+    let mut reasons = BTreeMap::new();
+    for result in results.into_iter().filter(|result| !result.reason.is_empty()) {
+        *reasons.entry(result.reason.clone()).or_default() += 1;
+    }
+    reasons
+}
+
 /// Sends all requests of a plan to the entry hosts at `targets`; returns the results in the order
 /// of the plan.
 ///
--- a/src/load/results.rs
+++ b/src/load/results.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::driver::CallerResult;
+use super::driver::{self, CallerResult};
 use super::plan::Plan;
 use super::report::{KindReport, LoadReport};
 
@@ -92,10 +92,7 @@
         let span_us = span_ms.start * 1_000..span_ms.end.saturating_mul(1_000);
         let within = results.iter().filter(|result| span_us.contains(&result.arrival.at_us));
         let within: Vec<CallerResult> = within.cloned().collect();
-        let mut reasons = BTreeMap::new();
-        for result in within.iter().filter(|result| !result.reason.is_empty()) {
-            *reasons.entry(result.reason.clone()).or_default() += 1;
-        }
+        let reasons = driver::reasons(&within);
         Self { name: name.into(), kinds: LoadReport::new(plan, &within).kinds, reasons }
     }
 
