fix(route): queued requests are forwarded once a peer with endpoints is known

Cause: a host without usable endpoints that knew no peer with any queued the request. It looked for a peer again only when the wait for an endpoint was over (no_endpoint_wait_ms, 1,000 ms), which is as long as the deadline of the request.

Change: when the loads of the peers arrive, the queues of services without usable endpoints here are forwarded if a peer has some.

--- a/src/route.rs
+++ b/src/route.rs
@@ -118,7 +118,10 @@
                 self.handle_send_end(request, endpoint, result, now_ms, out);
             }
             Event::Signal { endpoint, signal } => self.handle_signal(endpoint, signal, now_ms, out),
-            Event::PeerLoads(loads) => self.peers.update(loads, now_ms),
+            Event::PeerLoads(loads) => {
+                self.peers.update(loads, now_ms);
+                self.forward_without_endpoints(now_ms, out);
+            }
             Event::Tick => {}
         }
         while let Some(timer) = self.timers.pop_due(now_ms) {
--- a/src/route/peers.rs
+++ b/src/route/peers.rs
@@ -104,6 +104,11 @@
         self.updated_at_ms = now_ms;
     }
 
+    /// Whether any peer has usable endpoints of the service.
+    pub(super) fn has_endpoints(&self, service: ServiceKey) -> bool {
+        self.loads.iter().any(|peer| usable_load(peer, service).is_some())
+    }
+
     /// Picks the peer with the shortest expected wait and counts the request as forwarded to it.
     ///
     /// `None` if no peer is expected to start the request sooner than `own_wait_ms`,
--- a/src/route/submit.rs
+++ b/src/route/submit.rs
@@ -139,6 +139,20 @@
         }
     }
 
+    /// Forwards the queues of services without usable endpoints for which a peer has some.
+    pub(super) fn forward_without_endpoints(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        if !self.is_full_policy() {
+            return;
+        }
+        for index in 0..self.services.len() {
+            let service = &self.services[index];
+            let waits = service.no_slots_since_ms.is_some() && service.queued() > 0;
+            if waits && self.peers.has_endpoints(service.key) {
+                self.forward_queued(index, now_ms, out);
+            }
+        }
+    }
+
     /// Fails the queue of a service that had no usable endpoint for `no_endpoint_wait_ms`.
     pub(super) fn fail_queued_without_endpoint(
         &mut self,
--- a/tests/route/rules.rs
+++ b/tests/route/rules.rs
@@ -305,6 +305,14 @@
     assert!(harness.end(0, FIRST, DONE).is_empty());
 }
 
+#[test]
+fn queued_requests_are_forwarded_once_a_peer_with_endpoints_is_known() {
+    let mut harness = Harness::new(RouteConfig::default());
+    assert!(harness.submit(1, false).is_empty(), "no endpoint and no peer is known");
+    let moved = harness.step(Event::PeerLoads(vec![peer(2, 0.0, 1)]));
+    assert_eq!(moved, [Action::Forward { request: RequestKey(1), peer: PeerKey(2) }]);
+}
+
 #[test]
 fn requests_of_a_service_without_endpoints_fail_after_the_wait() {
     let mut harness = Harness::new(RouteConfig::default());
