--- a/tests/queue_crashes.rs
+++ b/tests/queue_crashes.rs
@@ -206,6 +206,24 @@
     assert_eq!(harness.scheduler.take_crash_counts().cleared_tasks, 1);
 }
 
+#[test]
+fn a_suspect_has_not_survived_before_its_runner_answers_after_the_probation() {
+    const SHORTEST_PROBATION_MS: u64 = 700;
+    for silent_after_ms in (0..SHORTEST_PROBATION_MS).step_by(20) {
+        let mut harness = harness(1);
+        harness.handle(Event::JobSubmitted(job(1, vec![step(1, 1_000)])));
+        let first = harness.starts().remove(0);
+        crash(&mut harness, &first);
+        let second = harness.starts().remove(0);
+        harness.answer_start(&second, Ok(()));
+        harness.advance(silent_after_ms);
+        harness.make_silent(&second.target.0);
+        harness.advance(PROBATION_MS);
+        let cleared = harness.scheduler.take_crash_counts().cleared_tasks;
+        assert_eq!(cleared, 0, "silent after {silent_after_ms} ms");
+    }
+}
+
 /// Number of runners, and of suspects, in the tests of the share of the runners for suspects.
 const FLEET: usize = 6;
 
