fix(queue): services share the hosts that call for advice evenly

Cause: idle hosts were given to waiting steps in the order of placement, priority and due time of all services together. Steps of a saturated service are at its front for as long as its backlog lasts; each asks, for half a second, about the one runner that has just got room, and all of them about the same one. Class: a shared resource is given by an urgency that has no meaning across those who share it.

Steps now say what they need during the pass; at its end, each idle host goes to the service with the fewest calls in flight. The steps of one service keep their order.

--- a/src/queue/scheduler/advice.rs
+++ b/src/queue/scheduler/advice.rs
@@ -1,14 +1,18 @@
 //! Distributes calls to the advice service over the hosts of the cell.
 //!
 //! The advice service decides which runners may run a step. It answers each host one call at a
-//! time, so that more hosts allow more concurrent calls.
+//! time, so that more hosts allow more concurrent calls. Services share the hosts evenly; the steps
+//! of one service get theirs in the order in which they are placed.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use crate::collections::HashSet;
 use crate::decision_log;
-use crate::queue::model::{Admission, AdvicePolicy, StepId};
+use crate::queue::model::{Admission, AdvicePolicy, Step, StepId};
 use crate::queue::scheduler::event::Action;
+use crate::queue::scheduler::job::JobKey;
+use crate::queue::scheduler::placement::PlacementRequest;
 use crate::queue::scheduler::runner::RunnerKey;
 use crate::queue::scheduler::Scheduler;
 
@@ -46,8 +50,43 @@
 pub struct AdviceHost {
     address: Arc<str>,
     seen_ms: u64,
-    /// Expected duration of the call in flight, in milliseconds; `None` if the host is idle.
-    busy: Option<u64>,
+    /// The call in flight; `None` if the host is idle.
+    call: Option<AdviceCall>,
+}
+
+/// A call to the advice service that has not been answered.
+#[derive(Debug)]
+struct AdviceCall {
+    /// Service whose runners the call names.
+    service: String,
+    expected_ms: u64,
+}
+
+impl AdviceCall {
+    fn is_long(&self) -> bool {
+        self.expected_ms > LONG_CALL_MS
+    }
+}
+
+/// A step that waits for a host to call the advice service.
+#[derive(Debug)]
+pub(super) struct AdviceWish {
+    key: JobKey,
+    step: usize,
+    declared: Step,
+    service: String,
+    reserve_millis: u64,
+    policy: AdvicePolicy,
+    subject: AdviceSubject,
+}
+
+/// What a call to the advice service is to find out.
+#[derive(Debug)]
+pub(super) enum AdviceSubject {
+    /// Which runners may run this number of tasks.
+    Tasks(usize),
+    /// Whether these runners may run the step.
+    Runners(Vec<RunnerKey>),
 }
 
 /// Answers of the advice service about one step.
@@ -105,7 +144,7 @@
     pub(super) fn record_advice_host(&mut self, address: Arc<str>, now_ms: u64) {
         match self.advice_hosts.iter_mut().find(|advice_host| advice_host.address == address) {
             Some(advice_host) => advice_host.seen_ms = now_ms,
-            None => self.advice_hosts.push(AdviceHost { address, seen_ms: now_ms, busy: None }),
+            None => self.advice_hosts.push(AdviceHost { address, seen_ms: now_ms, call: None }),
         }
     }
 
@@ -116,32 +155,111 @@
     }
 
     /// Whether any host has no call in flight.
-    pub(super) fn has_idle_advice_host(&self) -> bool {
-        self.advice_hosts.iter().any(|advice_host| advice_host.busy.is_none())
+    fn has_idle_advice_host(&self) -> bool {
+        self.advice_hosts.iter().any(|advice_host| advice_host.call.is_none())
     }
 
-    /// Finds an idle host for a call of this expected duration.
-    fn free_advice_host(&mut self, expected_ms: u64, now_ms: u64) -> Option<&mut AdviceHost> {
+    /// Takes note of a step that needs advice; the call is made at the end of the placement pass, and
+    /// not while other calls for the step are in flight.
+    pub(super) fn request_advice(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        policy: AdvicePolicy,
+        subject: AdviceSubject,
+        now_ms: u64,
+    ) {
+        let advice = &self.jobs[request.key].steps[request.step].advice;
+        if advice.calls_in_flight > 0 || now_ms < advice.retry_ms || !self.has_idle_advice_host() {
+            return;
+        }
+        self.advice_wishes.push(AdviceWish {
+            key: request.key,
+            step: request.step,
+            declared: request.declared.clone(),
+            service: request.service.to_owned(),
+            reserve_millis: request.reserve_millis,
+            policy,
+            subject,
+        });
+    }
+
+    /// Makes the calls that steps wait for, as far as hosts are idle.
+    ///
+    /// Each idle host goes to the service with the fewest calls in flight: steps of different services
+    /// need different runners, so that a backlog of one must not hold up the others.
+    pub(super) fn send_advice_requests(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let mut services: Vec<(String, VecDeque<AdviceWish>)> = Vec::new();
+        for wish in std::mem::take(&mut self.advice_wishes) {
+            match services.iter_mut().find(|(service, _)| *service == wish.service) {
+                Some((_, wishes)) => wishes.push_back(wish),
+                None => services.push((wish.service.clone(), VecDeque::from([wish]))),
+            }
+        }
+        while self.has_idle_advice_host() {
+            let calls_in_flight = |service: &str| {
+                let calls = self.advice_hosts.iter().filter_map(|known| known.call.as_ref());
+                calls.filter(|call| call.service == service).count()
+            };
+            let next = services
+                .iter_mut()
+                .filter(|(_, wishes)| !wishes.is_empty())
+                .min_by_key(|(service, _)| calls_in_flight(service));
+            let Some(wish) = next.and_then(|(_, wishes)| wishes.pop_front()) else { return };
+            self.grant_wish(&wish, now_ms, out);
+        }
+    }
+
+    fn grant_wish(&mut self, wish: &AdviceWish, now_ms: u64, out: &mut Vec<Action>) {
+        let request = PlacementRequest {
+            key: wish.key,
+            step: wish.step,
+            declared: &wish.declared,
+            service: &wish.service,
+            reserve_millis: wish.reserve_millis,
+        };
+        // Another wish of the same step may have been granted in this pass.
+        if self.jobs[wish.key].steps[wish.step].advice.calls_in_flight > 0 {
+            return;
+        }
+        let selected;
+        let runners = match &wish.subject {
+            AdviceSubject::Runners(runners) => runners,
+            AdviceSubject::Tasks(count) => {
+                selected = self.runners_to_ask(&request, *count, now_ms);
+                &selected
+            }
+        };
+        let calls = runners.len().div_ceil(self.config.advice_runners);
+        let named = runners.len().div_ceil(calls.max(1)).max(1);
+        for runners in runners.chunks(named) {
+            if !self.send_advice_request(&request, wish.policy, runners, now_ms, out) {
+                return;
+            }
+            self.jobs[wish.key].steps[wish.step].advice.calls_in_flight += 1;
+        }
+    }
+
+    /// Finds an idle host for a call.
+    fn free_advice_host(&mut self, call: &AdviceCall, now_ms: u64) -> Option<&mut AdviceHost> {
         let oldest_ms = now_ms.saturating_sub(self.config.hello_ms * MISSED_HEARTBEATS);
         self.advice_hosts
-            .retain(|advice_host| advice_host.seen_ms >= oldest_ms || advice_host.busy.is_some());
-        if expected_ms > LONG_CALL_MS {
-            let long =
-                |advice_host: &&AdviceHost| advice_host.busy.is_some_and(|ms| ms > LONG_CALL_MS);
+            .retain(|advice_host| advice_host.seen_ms >= oldest_ms || advice_host.call.is_some());
+        if call.is_long() {
+            let calls = self.advice_hosts.iter().filter_map(|known| known.call.as_ref());
             let most = self.advice_hosts.len().saturating_sub(SHORT_CALL_HOSTS).max(1);
-            if self.advice_hosts.iter().filter(long).count() >= most {
+            if calls.filter(|call| call.is_long()).count() >= most {
                 return None;
             }
         }
         self.advice_hosts
             .iter_mut()
-            .find(|advice_host| advice_host.busy.is_none() && advice_host.seen_ms >= oldest_ms)
+            .find(|advice_host| advice_host.call.is_none() && advice_host.seen_ms >= oldest_ms)
     }
 
     /// Asks the advice service about these runners; returns false if no host is free for the call.
-    pub(super) fn send_advice_request(
+    fn send_advice_request(
         &mut self,
-        step: StepId,
+        request: &PlacementRequest<'_>,
         policy: AdvicePolicy,
         runners: &[RunnerKey],
         now_ms: u64,
@@ -154,9 +272,11 @@
             reason = "a duration in milliseconds"
         )]
         let expected_ms = (policy.base_ms + policy.per_runner_ms * runners.len() as f64) as u64;
-        let Some(advice_host) = self.free_advice_host(expected_ms, now_ms) else { return false };
-        advice_host.busy = Some(expected_ms);
+        let call = AdviceCall { service: request.service.to_owned(), expected_ms };
+        let Some(advice_host) = self.free_advice_host(&call, now_ms) else { return false };
+        advice_host.call = Some(call);
         let address = Arc::clone(&advice_host.address);
+        let step = self.jobs[request.key].step_id(request.step);
         let named = runners.iter().map(|key| (*key, self.runners[*key].id.clone())).collect();
         out.push(Action::RequestAdvice { step, advice_host: address, runners: named, expected_ms });
         true
@@ -174,7 +294,7 @@
         if let Some(advice_host) =
             self.advice_hosts.iter_mut().find(|known| known.address == *advice_host)
         {
-            advice_host.busy = None;
+            advice_host.call = None;
         }
         decision_log::line("advised")
             .with("step", step)
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -9,6 +9,7 @@
 use crate::decision_log;
 use crate::place::spec::Resources;
 use crate::queue::model::{AdvicePolicy, Step, TaskId};
+use crate::queue::scheduler::advice::AdviceSubject;
 use crate::queue::scheduler::event::{Action, StartOrder};
 use crate::queue::scheduler::job::{JobKey, TaskState};
 use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey};
@@ -48,6 +49,7 @@
             self.log_starts(key, step, &out[first..], now_ms);
         }
         self.place_suspects(is_inherited_wait_over, now_ms, out);
+        self.send_advice_requests(now_ms, out);
     }
 
     /// Whether tasks that a previous leader may have started need not wait any longer: all runners
@@ -141,7 +143,7 @@
             return;
         }
         if let Some(policy) = policy {
-            self.request_advice(&request, policy, left, now_ms, out);
+            self.request_advice(&request, policy, AdviceSubject::Tasks(left), now_ms);
         }
         if declared.is_long_running {
             self.preempt(&request, now_ms);
@@ -182,7 +184,8 @@
         let total_slots: u64 = slots.iter().map(|(_, slots)| *slots).sum();
         if total_slots < waiting.len() as u64 {
             if let Some(policy) = policy {
-                self.request_advice(request, policy, waiting.len(), now_ms, out);
+                let subject = AdviceSubject::Tasks(waiting.len());
+                self.request_advice(request, policy, subject, now_ms);
             }
             return;
         }
@@ -321,21 +324,16 @@
         }));
     }
 
-    /// Asks which runners may run the remaining tasks, in several calls at once if one cannot name
-    /// enough; not while calls for the step are in flight.
-    pub(super) fn request_advice(
-        &mut self,
+    /// Selects the runners to ask the advice service about for `left` waiting tasks, more than one
+    /// call can name if need be.
+    pub(super) fn runners_to_ask(
+        &self,
         request: &PlacementRequest<'_>,
-        policy: AdvicePolicy,
         left: usize,
         now_ms: u64,
-        out: &mut Vec<Action>,
-    ) {
+    ) -> Vec<RunnerKey> {
         let job = &self.jobs[request.key];
         let advice = &job.steps[request.step].advice;
-        if advice.calls_in_flight > 0 || now_ms < advice.retry_ms || !self.has_idle_advice_host() {
-            return;
-        }
         let share = self.admitted_share(&job.submission.queue);
         let goal = (left as u64 * ADVICE_OVERBOOK_MILLIS).div_ceil(1_000);
         let mut known = Vec::new();
@@ -350,16 +348,7 @@
             }
         }
         let limit = self.config.advice_runners * self.max_calls_for_step();
-        let runners = select_runners_to_ask(known, unknown, goal, share, limit);
-        let id = job.step_id(request.step);
-        let calls = runners.len().div_ceil(self.config.advice_runners);
-        let named = runners.len().div_ceil(calls.max(1)).max(1);
-        for runners in runners.chunks(named) {
-            if !self.send_advice_request(id, policy, runners, now_ms, out) {
-                return;
-            }
-            self.jobs[request.key].steps[request.step].advice.calls_in_flight += 1;
-        }
+        select_runners_to_ask(known, unknown, goal, share, limit)
     }
 
     /// Stops tasks of a lower priority on one runner if a long-running task has waited too long.
--- a/src/queue/scheduler/probe.rs
+++ b/src/queue/scheduler/probe.rs
@@ -9,6 +9,7 @@
 use crate::collections::HashSet;
 use crate::decision_log;
 use crate::queue::model::{AdvicePolicy, JobId, Step, TaskId};
+use crate::queue::scheduler::advice::AdviceSubject;
 use crate::queue::scheduler::event::Action;
 use crate::queue::scheduler::job::{JobKey, StepRun, TaskState};
 use crate::queue::scheduler::placement::PlacementRequest;
@@ -107,7 +108,7 @@
         out: &mut Vec<Action>,
     ) {
         self.forget_cleared_jobs();
-        self.reserve_ahead(now_ms, out);
+        self.reserve_ahead(now_ms);
         let waiting = self.waiting_suspects(is_inherited_wait_over, now_ms);
         if waiting.is_empty() {
             return;
@@ -175,7 +176,7 @@
 
     /// Reserves runners for the tasks that lost runners were starting, so that these are empty when
     /// the leases lapse.
-    fn reserve_ahead(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+    fn reserve_ahead(&mut self, now_ms: u64) {
         let mut expected: HashSet<(JobKey, usize)> = HashSet::default();
         let lost = self.crashes.lost_runners();
         for runner in lost.filter_map(|key| self.runners.get(key)) {
@@ -200,18 +201,13 @@
                 self.reserve(runner, key, now_ms);
             }
             if place.is_none_or(|(_, others)| others > 0) {
-                self.request_probe_advice(&request, now_ms, out);
+                self.request_probe_advice(&request, now_ms);
             }
         }
     }
 
     /// Asks which of the emptiest runners may run suspects of the step.
-    fn request_probe_advice(
-        &mut self,
-        request: &PlacementRequest<'_>,
-        now_ms: u64,
-        out: &mut Vec<Action>,
-    ) {
+    fn request_probe_advice(&mut self, request: &PlacementRequest<'_>, now_ms: u64) {
         let Some(policy) = self.advice_policy(request.key) else { return };
         let advice = &self.jobs[request.key].steps[request.step].advice;
         let mut unknown: Vec<(usize, RunnerKey)> = self
@@ -227,7 +223,7 @@
         unknown.sort_unstable();
         unknown.truncate(self.config.advice_runners);
         let runners: Vec<RunnerKey> = unknown.into_iter().map(|(_, key)| key).collect();
-        self.request_tickets(request, policy, &runners, now_ms, out);
+        self.request_tickets(request, policy, runners, now_ms);
     }
 
     fn reserve(&mut self, runner: RunnerKey, key: JobKey, now_ms: u64) {
@@ -257,16 +253,17 @@
         let place = if is_late { self.ticketed_place(&request, tasks, now_ms) } else { None };
         let place = place.or_else(|| self.least_occupied(&request, tasks, &[], now_ms));
         let Some((runner, others)) = place else {
-            self.request_probe_advice(&request, now_ms, out);
+            self.request_probe_advice(&request, now_ms);
             return;
         };
         self.reserve(runner, key, now_ms);
         if let Some(policy) = policy {
             if !self.jobs[key].steps[step].advice.admits(runner, now_ms) {
                 if is_late {
-                    self.request_advice(&request, policy, tasks.len(), now_ms, out);
+                    let subject = AdviceSubject::Tasks(tasks.len());
+                    self.request_advice(&request, policy, subject, now_ms);
                 }
-                self.request_tickets(&request, policy, &[runner], now_ms, out);
+                self.request_tickets(&request, policy, vec![runner], now_ms);
                 return;
             }
         }
@@ -288,18 +285,11 @@
         &mut self,
         request: &PlacementRequest<'_>,
         policy: AdvicePolicy,
-        runners: &[RunnerKey],
+        runners: Vec<RunnerKey>,
         now_ms: u64,
-        out: &mut Vec<Action>,
     ) {
-        let job = &self.jobs[request.key];
-        let advice = &job.steps[request.step].advice;
-        if runners.is_empty() || advice.calls_in_flight > 0 || now_ms < advice.retry_ms {
-            return;
-        }
-        let id = job.step_id(request.step);
-        if self.send_advice_request(id, policy, runners, now_ms, out) {
-            self.jobs[request.key].steps[request.step].advice.calls_in_flight += 1;
+        if !runners.is_empty() {
+            self.request_advice(request, policy, AdviceSubject::Runners(runners), now_ms);
         }
     }
 
@@ -336,7 +326,7 @@
             .collect();
         if chosen.len() < suspects.len() || slots.len() < others.len() {
             if let Some(policy) = self.advice_policy(request.key) {
-                self.request_advice(request, policy, count, now_ms, out);
+                self.request_advice(request, policy, AdviceSubject::Tasks(count), now_ms);
             }
             return;
         }
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -24,6 +24,13 @@
 /// Name of a queue with a lower priority than the test queue `q`.
 pub const LESS_URGENT_QUEUE: &str = "less-urgent";
 
+/// Name of a queue with a lower priority than the test queue `q`, the admission policy of that queue
+/// and the service [`OTHER_SERVICE`].
+pub const OTHER_SERVICE_QUEUE: &str = "other-service";
+
+/// Name of a service beside that of the test queue.
+pub const OTHER_SERVICE: &str = "t";
+
 const BORN_MS: u64 = 1_000;
 const LEASE_MS: u64 = 1_000;
 
@@ -46,6 +53,8 @@
     capacity: u64,
     /// Time at which the current incarnation of the runner started, which is 0 on its clock.
     started_ms: u64,
+    /// Whether the runner is one of [`OTHER_SERVICE`].
+    is_of_other_service: bool,
 }
 
 /// An advice service whose answer about a step and a runner never changes.
@@ -181,7 +190,14 @@
             advice: None,
             ..queue.clone()
         };
-        let queues = vec![queue, less_urgent];
+        let other_service = Queue {
+            name: OTHER_SERVICE_QUEUE.to_owned(),
+            prefix: "/other-service/".to_owned(),
+            service: OTHER_SERVICE.to_owned(),
+            priority: 1,
+            ..queue.clone()
+        };
+        let queues = vec![queue, less_urgent, other_service];
         let directory = QueueDirectory { version, queues, max_body_bytes: 1 << 18 };
         self.handle(Event::DirectoryUpdated(Arc::new(directory)));
     }
@@ -228,11 +244,12 @@
     }
 
     fn report(&self, id: &str, is_draining: bool) -> RunnerReport {
+        let service = if self.runners[id].is_of_other_service { OTHER_SERVICE } else { "s" };
         RunnerReport {
             id: RunnerId::from(id),
             address: format!("{id}:1"),
             zone: "z".to_owned(),
-            service: "s".to_owned(),
+            service: service.to_owned(),
             is_draining,
             leaves_in_ms: None,
             labels: Vec::new(),
@@ -245,6 +262,16 @@
         self.add_runner_with_runs(id, capacity, Vec::new());
     }
 
+    /// Adds a runner of [`OTHER_SERVICE`].
+    pub fn add_runner_of_other_service(&mut self, id: &str, capacity: u64) {
+        let is_of_other_service = true;
+        let runner = FakeRunner { capacity, is_of_other_service, ..FakeRunner::default() };
+        self.runners.insert(RunnerId::from(id), runner);
+        let report = self.report(id, false);
+        self.handle(Event::RunnerListed(report));
+        self.advance(20);
+    }
+
     /// Adds a runner with runs that a previous leader started.
     pub fn add_runner_with_runs(&mut self, id: &str, capacity: u64, running: Vec<(TaskId, u64)>) {
         self.add_runner_with_ended_runs(id, capacity, running, Vec::new());
