fix(queue): an answer of the advice service is for one life of a runner

Callers would see a step that waits although runners have room: a runner that was refused was never asked about again after it had restarted, and runners that had been admitted and were refused after a restart were asked about first in each pass; two of them were enough to hide all others.

Cause: the restart marked the ticket as expired and kept the answer itself, and an answer without a runner did not replace the earlier admission. Class: knowledge about one life of a runner outlives it.

A restart now forgets the answer. An answer to a call that was in flight when the restart was noticed does not count for that runner, and a refusal replaces an admission.

--- a/src/queue/scheduler/advice.rs
+++ b/src/queue/scheduler/advice.rs
@@ -89,12 +89,14 @@
     Runners(Vec<RunnerKey>),
 }
 
-/// Answers of the advice service about one step.
+/// Answers of the advice service about one step, each for the life of a runner.
 #[derive(Debug, Default)]
 pub(crate) struct StepAdvice {
     /// Runners that were named in an answered call.
     pub(crate) asked: HashSet<RunnerKey>,
     pub(crate) admitted: Vec<AdmittedRunner>,
+    /// Runners that have restarted since the first of the calls in flight was sent.
+    restarted: HashSet<RunnerKey>,
     /// Number of calls that have not been answered.
     pub(crate) calls_in_flight: usize,
     /// Time before which no call is made again after a failed one.
@@ -132,6 +134,33 @@
         admitted.map(|known| known.ticket.clone())
     }
 
+    /// Records an answer about the runners of `asked` that have not restarted meanwhile.
+    fn record_answer(&mut self, asked: &[RunnerKey], admitted: Vec<AdmittedRunner>) {
+        let restarted = &self.restarted;
+        let is_valid = |key: &RunnerKey| !restarted.contains(key);
+        self.asked.extend(asked.iter().copied().filter(is_valid));
+        self.admitted.retain(|known| !asked.contains(&known.runner));
+        self.admitted.extend(admitted.into_iter().filter(|known| is_valid(&known.runner)));
+    }
+
+    /// Forgets what is known about a runner that has restarted: the answer about its new life may
+    /// differ.
+    pub(crate) fn forget_runner(&mut self, runner: RunnerKey) {
+        self.asked.remove(&runner);
+        self.admitted.retain(|known| known.runner != runner);
+        if self.calls_in_flight > 0 {
+            self.restarted.insert(runner);
+        }
+    }
+
+    /// Takes note that a call was answered or has failed.
+    fn end_call(&mut self) {
+        self.calls_in_flight = self.calls_in_flight.saturating_sub(1);
+        if self.calls_in_flight == 0 {
+            self.restarted.clear();
+        }
+    }
+
     /// Marks the runner's ticket as expired, so that a new one is requested.
     pub(crate) fn expire_ticket(&mut self, runner: RunnerKey) {
         if let Some(known) = self.admitted.iter_mut().find(|known| known.runner == runner) {
@@ -308,21 +337,21 @@
         let valid_ms = self.advice_policy(job_key).map_or(0, |policy| policy.valid_ms);
         let runner_keys = &self.runner_keys;
         let Some(run) = self.jobs[job_key].steps.get_mut(step.step as usize) else { return };
-        run.advice.calls_in_flight = run.advice.calls_in_flight.saturating_sub(1);
         let Some(admissions) = result else {
+            run.advice.end_call();
             run.advice.retry_ms = now_ms + ADVICE_RETRY_MS;
             return;
         };
         #[allow(clippy::cast_precision_loss, reason = "a share")]
         let share = admissions.len() as f64 / asked.len().max(1) as f64;
         let is_first = asked.iter().all(|key| !run.advice.has_admitted(*key));
-        run.advice.asked.extend(asked.iter().copied());
         let valid_until_ms = now_ms + valid_ms.saturating_sub(TICKET_MARGIN_MS);
-        for Admission { runner, ticket } in admissions {
-            let Some(key) = runner_keys.get(runner.as_str()).copied() else { continue };
-            run.advice.admitted.retain(|known| known.runner != key);
-            run.advice.admitted.push(AdmittedRunner { runner: key, ticket, valid_until_ms });
-        }
+        let admitted = admissions.into_iter().filter_map(|Admission { runner, ticket }| {
+            let runner = runner_keys.get(runner.as_str()).copied()?;
+            Some(AdmittedRunner { runner, ticket, valid_until_ms })
+        });
+        run.advice.record_answer(asked, admitted.collect());
+        run.advice.end_call();
         if is_first {
             let known = self.admitted_share.entry(queue).or_insert(INITIAL_SHARE);
             *known += (share - *known) * SHARE_WEIGHT;
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -219,7 +219,7 @@
         self.mark_lost(key, &lost, "reborn", now_ms);
         for job in self.jobs.values_mut() {
             for step in &mut job.steps {
-                step.advice.expire_ticket(key);
+                step.advice.forget_runner(key);
             }
         }
     }
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, missing_docs, unreachable_pub, reason = "support module for tests")]
 #![allow(clippy::unwrap_used, reason = "tests panic on unexpected values")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -64,6 +64,8 @@
     /// Number of hosts that can ask it.
     hosts: usize,
     valid_ms: u64,
+    /// Runners that may not run anything, whatever the share of admitted ones.
+    refused: BTreeSet<RunnerId>,
     /// Answers, with the time at which they arrive.
     in_flight: Vec<(u64, Event)>,
 }
@@ -78,7 +80,8 @@
     ) {
         let (asked, names): (Vec<RunnerKey>, Vec<RunnerId>) = runners.into_iter().unzip();
         let is_admitted = |id: &RunnerId| {
-            collections::stable_hash(format!("{step} {id}")) % 100 < self.admitted_percent
+            let percent = collections::stable_hash(format!("{step} {id}")) % 100;
+            percent < self.admitted_percent && !self.refused.contains(id)
         };
         let admitted = names.iter().filter(|id| is_admitted(id));
         let result = admitted.map(|id| Admission {
@@ -207,10 +210,21 @@
     pub fn require_advice(&mut self, policy: AdvicePolicy, admitted_percent: u64, hosts: usize) {
         self.declare(2, Some(policy));
         let valid_ms = policy.valid_ms;
-        self.advice = Some(FakeAdvice { admitted_percent, hosts, valid_ms, in_flight: Vec::new() });
+        let (refused, in_flight) = (BTreeSet::new(), Vec::new());
+        self.advice = Some(FakeAdvice { admitted_percent, hosts, valid_ms, refused, in_flight });
         self.send_heartbeats();
     }
 
+    /// Makes the advice service refuse the runner in its answers to later calls, or no longer.
+    pub fn refuse_runner(&mut self, id: &str, is_refused: bool) {
+        let refused = &mut self.advice.as_mut().unwrap().refused;
+        if is_refused {
+            refused.insert(RunnerId::from(id));
+        } else {
+            refused.remove(id);
+        }
+    }
+
     fn send_heartbeats(&mut self) {
         let hosts = self.advice.as_ref().map_or(0, |advice| advice.hosts);
         for host in 0..hosts {
