fix(queue): progress records name lost runs, so that later leaders withhold their ends

Runner i-2 fell silent, its eight runs were given up at 9.03 s and seven of them started at i-4 from 9.57 s on; the leader resigned at 10.38 s, and its successor read the ends of i-2 at 10.95 s. Only the end whose job was still known was withheld.

Cause: that a task has started again was known only to the leader that started it, and to a successor only while the later run went on and its job was not stored as ended.

Change: a progress record names the tasks of which a run was given up before its end was read, with the number below which done ends are withheld; so does the final record, if the task was started again. The task starts again only once that is stored. Records without lost runs are as long as before apart from an empty list. The ends of a job that becomes known late are judged as well (no test). The list of lost runs of each runner, which grew without bound, is gone; an end of a cancelled job whose task was not started again is acknowledged now. Older records decode, and older hosts read newer ones.

Not chosen: to withhold all done ends of jobs that had ended before the term; that is most of what a successor reads, and two of the five jobs had not.

--- a/src/queue/record.rs
+++ b/src/queue/record.rs
@@ -76,6 +76,10 @@
     /// has ended.
     #[serde(default)]
     pub crashed: Vec<CrashRecord>,
+    /// Tasks of which a run was given up before its end was read and that have been started again, or
+    /// may be as long as neither they nor the job have ended.
+    #[serde(default)]
+    pub lost: Vec<LostRunRecord>,
 }
 
 /// A run during which its runner crashed.
@@ -94,6 +98,18 @@
     pub is_certain: bool,
 }
 
+/// A task that was started again after a run whose end had not been read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct LostRunRecord {
+    /// Number of the step in the job.
+    pub step: u32,
+    /// Index of the task in the step.
+    pub index: u32,
+    /// Number of the run below which done ends must not be acknowledged.
+    pub run: u64,
+}
+
 /// A runner to which the leader may have sent orders.
 ///
 /// After a change of the leader, tasks that may still run at such a runner are not started
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -8,6 +8,7 @@
 mod event;
 mod job;
 mod lease;
+mod lost_runs;
 mod orders;
 mod pace;
 mod persistence;
@@ -255,6 +256,7 @@
         if progress.state.is_final() {
             if let Some(job) = self.jobs.remove(key) {
                 self.job_keys.remove(&job.submission.id);
+                self.retention.keep_lost_runs(job.submission.id, &progress.lost);
                 self.ended.insert(job.submission.id, (progress.state, now_ms));
             }
             return;
--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -33,6 +33,8 @@
     /// Time at which the job should be completed by the latency objective of its queue.
     pub(crate) due_ms: u64,
     pub(crate) changes: JobChanges,
+    /// Number of the change that covers the last lost run.
+    pub(crate) lost_run_change: u64,
 }
 
 /// Progress of a step.
@@ -57,8 +59,10 @@
     pub(crate) failed_at: Option<RunnerKey>,
     /// Number of the last known run of the task; 0 before the first.
     pub(crate) last_run: u64,
-    /// Whether a run of the task was lost: its runner has not reported how it ended.
+    /// Whether a run of the task was lost and the task has not been started again since.
     pub(crate) has_lost_run: bool,
+    /// Number of the first run that was lost: its runner had not reported how it ended; 0 for none.
+    pub(crate) first_lost_run: u64,
     pub(crate) suspicion: Suspicion,
 }
 
@@ -104,6 +108,7 @@
             known_ms: now_ms,
             due_ms: now_ms + allowed_ms,
             changes: JobChanges::default(),
+            lost_run_change: 0,
             submission,
         }
     }
@@ -120,6 +125,7 @@
             }
         }
         self.restore_crashes(&progress.crashed);
+        self.restore_lost_runs(&progress.lost);
     }
 
     /// Builds the progress record to store.
@@ -139,7 +145,7 @@
             failed.clear();
             crashed.clear();
         }
-        Progress { state: self.state, ended_unix_ms, done, failed, crashed }
+        Progress { state: self.state, ended_unix_ms, done, failed, crashed, lost: self.lost_runs() }
     }
 
     /// Marks a task as done; returns whether it was not done before.
@@ -214,17 +220,17 @@
     /// Indices of the waiting tasks that may start now.
     ///
     /// A task that a previous leader may have started must wait until `is_inherited_wait_over`. A
-    /// task with a lost run may only start while the leader's lease `is_confirmed`, since a
-    /// successor may know how that run ended.
+    /// task with a lost run may only start if that `may_follow_lost_runs`: while the leader's lease is
+    /// confirmed, since a successor may know how that run ended, and once the lost run is stored.
     pub(crate) fn startable(
         &self,
         is_inherited_wait_over: bool,
-        is_confirmed: bool,
+        may_follow_lost_runs: bool,
     ) -> impl Iterator<Item = usize> + '_ {
         self.waiting().filter(move |index| {
             let task = &self.tasks[*index];
             (is_inherited_wait_over || !task.may_be_inherited)
-                && (is_confirmed || !task.has_lost_run)
+                && (may_follow_lost_runs || !task.has_lost_run)
         })
     }
 
@@ -232,9 +238,9 @@
     pub(crate) fn unsuspected(
         &self,
         is_inherited_wait_over: bool,
-        is_confirmed: bool,
+        may_follow_lost_runs: bool,
     ) -> impl Iterator<Item = usize> + '_ {
-        let startable = self.startable(is_inherited_wait_over, is_confirmed);
+        let startable = self.startable(is_inherited_wait_over, may_follow_lost_runs);
         startable.filter(|index| !self.tasks[*index].suspicion.is_suspect)
     }
 
@@ -276,6 +282,7 @@
             failed_at: None,
             last_run: 0,
             has_lost_run: false,
+            first_lost_run: 0,
             suspicion: Suspicion::default(),
         }
     }
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -100,9 +100,9 @@
         out: &mut Vec<Action>,
     ) {
         let job = &self.jobs[key];
-        let is_confirmed = now_ms < self.confirmed_until_ms;
+        let may_follow_lost_runs = now_ms < self.confirmed_until_ms && job.are_lost_runs_stored();
         let waiting: Vec<usize> =
-            job.steps[step].unsuspected(is_inherited_wait_over, is_confirmed).collect();
+            job.steps[step].unsuspected(is_inherited_wait_over, may_follow_lost_runs).collect();
         if waiting.is_empty() {
             return;
         }
--- a/src/queue/scheduler/probe.rs
+++ b/src/queue/scheduler/probe.rs
@@ -143,12 +143,13 @@
             let Some(job) = self.jobs.get(key).filter(|job| !job.state.is_final()) else {
                 continue;
             };
+            let may_follow_lost_runs = is_confirmed && job.are_lost_runs_stored();
             for (number, step) in job.steps.iter().enumerate() {
                 if !step.has_suspect() || !job.is_ready(number) {
                     continue;
                 }
                 let startable: Vec<usize> =
-                    step.startable(is_inherited_wait_over, is_confirmed).collect();
+                    step.startable(is_inherited_wait_over, may_follow_lost_runs).collect();
                 if job.submission.steps[number].is_gang && startable.len() < step.tasks.len() {
                     continue;
                 }
--- a/src/queue/scheduler/retention.rs
+++ b/src/queue/scheduler/retention.rs
@@ -1,7 +1,8 @@
 //! Removes the records of ended jobs from the store after their retention time.
 
 use crate::collections::HashMap;
-use crate::queue::model::JobId;
+use crate::queue::model::{JobId, TaskId};
+use crate::queue::record::LostRunRecord;
 use crate::queue::scheduler::event::Action;
 use crate::queue::scheduler::Scheduler;
 
@@ -23,6 +24,8 @@
     /// Jobs whose records were removed, with the time of the removal: a submission that was read
     /// before may arrive after it.
     removed: HashMap<JobId, u64>,
+    /// Lost runs of ended jobs, as in their progress records; only of jobs that have any.
+    lost_runs: HashMap<JobId, Box<[LostRunRecord]>>,
 }
 
 impl Retention {
@@ -30,6 +33,19 @@
     pub(super) fn is_removed(&self, id: JobId) -> bool {
         self.removed.contains_key(&id)
     }
+
+    /// Keeps the lost runs of a job that has ended until its records are removed.
+    pub(super) fn keep_lost_runs(&mut self, id: JobId, lost: &[LostRunRecord]) {
+        if !lost.is_empty() {
+            self.lost_runs.insert(id, lost.into());
+        }
+    }
+
+    /// Whether a task of an ended job was started again after this run, which was lost.
+    pub(super) fn has_later_run(&self, task: TaskId, run: u64) -> bool {
+        let mut lost = self.lost_runs.get(&task.step.job).into_iter().flatten();
+        lost.any(|lost| (lost.step, lost.index) == (task.step.step, task.index) && run < lost.run)
+    }
 }
 
 impl Scheduler {
@@ -54,6 +70,7 @@
         for id in std::mem::take(&mut self.retention.in_flight) {
             if is_removed {
                 self.ended.remove(&id);
+                self.retention.lost_runs.remove(&id);
                 self.retention.removed.insert(id, now_ms);
             }
         }
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashMap;
 use crate::place::spec::Resources;
 use crate::queue::model::{RunnerId, RunnerReport, Step, TaskId};
 use crate::queue::scheduler::crash::CrashState;
@@ -71,8 +71,6 @@
     /// Number of the first ended run that must not be acknowledged: its task has been started
     /// elsewhere in the meantime, and nothing shows that the lease expired in between.
     pub(crate) withheld_end: Option<u64>,
-    /// Runs that were lost on this runner: released without a report of their end.
-    pub(crate) lost_runs: HashSet<(TaskId, u64)>,
     pub(crate) assignments: HashMap<TaskId, Assignment>,
     /// Sum of the resources that the assignments reserve.
     pub(crate) used: Resources,
@@ -246,7 +244,6 @@
             unsaved_ends: VecDeque::new(),
             unclaimed_ends: BTreeSet::new(),
             withheld_end: None,
-            lost_runs: HashSet::default(),
             assignments: HashMap::default(),
             used: Resources::default(),
             renewal: RenewalState::default(),
@@ -360,7 +357,6 @@
         self.unsaved_ends.clear();
         self.unclaimed_ends.clear();
         self.withheld_end = None;
-        self.lost_runs.clear();
     }
 
     /// Whether a start order may take effect in a later incarnation than the one that answered last.
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -146,7 +146,9 @@
         let lapsed = ends.iter().filter(|ended| ended.end == RunEnd::Lapsed);
         let lapsed_number = lapsed.map(|ended| ended.number).max().unwrap_or_default();
         for ended in ends {
-            self.withhold_end(key, ended, lapsed_number);
+            if ended.number > self.runners[key].last_seen_end.max(lapsed_number) {
+                self.withhold_end(key, ended);
+            }
             self.process_end(key, ended, now_ms);
         }
         let listed: Vec<(TaskId, u64)> =
@@ -224,45 +226,6 @@
         }
     }
 
-    /// Withholds the acknowledgement of a late end whose task has since been started elsewhere.
-    ///
-    /// If nothing else runs on the runner, no lease need expire there between the end and the later
-    /// start. Acknowledging the end would then confirm that the task was done before it was started
-    /// again.
-    fn withhold_end(&mut self, key: RunnerKey, ended: &EndedRun, lapsed_number: u64) {
-        let runner = &self.runners[key];
-        let is_new = ended.end == RunEnd::Done
-            && ended.number > runner.last_seen_end
-            && ended.number > lapsed_number;
-        let is_lost = runner.lost_runs.contains(&(ended.task, ended.run));
-        let is_forgotten = !self.job_keys.contains_key(&ended.task.step.job);
-        let may_have_later_run = self.has_later_run(ended) || is_lost && is_forgotten;
-        if !is_new || runner.withheld_end.is_some() || !may_have_later_run {
-            return;
-        }
-        self.runners[key].withheld_end = Some(ended.number);
-        decision_log::line("end_withheld")
-            .with("task", ended.task)
-            .with("run", ended.run)
-            .with("runner", &self.runners[key].id)
-            .end();
-    }
-
-    /// Whether the task of an ended run has been started again since, although it should not be: copies
-    /// and long-running tasks may.
-    fn has_later_run(&self, ended: &EndedRun) -> bool {
-        let task = ended.task;
-        let Some(job) = self.job_keys.get(&task.step.job).and_then(|key| self.jobs.get(*key))
-        else {
-            return false;
-        };
-        let step = task.step.step as usize;
-        let may_repeat = |step: &Step| step.may_copy || step.is_long_running;
-        let is_repeatable = job.submission.steps.get(step).is_some_and(may_repeat);
-        let known = job.steps.get(step).and_then(|step| step.tasks.get(task.index as usize));
-        !is_repeatable && known.is_some_and(|known| known.last_run > ended.run)
-    }
-
     fn process_end(&mut self, key: RunnerKey, ended: &EndedRun, now_ms: u64) {
         let runner = &mut self.runners[key];
         if ended.number <= runner.last_seen_end {
@@ -492,7 +455,6 @@
     ) {
         for task in tasks {
             let Some(assignment) = self.runners[key].release(*task) else { continue };
-            self.runners[key].lost_runs.insert((*task, assignment.run));
             decision_log::line("run_lost")
                 .with("task", task)
                 .with("run", assignment.run)
@@ -500,20 +462,7 @@
                 .with("reason", reason)
                 .end();
             self.requeue_task(key, *task, now_ms);
-            self.record_lost_run(*task);
-        }
-    }
-
-    /// Records that the end of a run of the task was not reported; for a gang, on all its members,
-    /// which share their runs.
-    fn record_lost_run(&mut self, task: TaskId) {
-        let Some(job_key) = self.job_keys.get(&task.step.job).copied() else { return };
-        let job = &mut self.jobs[job_key];
-        let number = task.step.step as usize;
-        if job.submission.steps.get(number).is_some_and(|step| step.is_gang) {
-            job.steps[number].tasks.iter_mut().for_each(|task| task.has_lost_run = true);
-        } else if let Some(task) = job.task_mut(task) {
-            task.has_lost_run = true;
+            self.record_lost_run(*task, assignment.run);
         }
     }
 
--- a/src/queue/scheduler/unclaimed.rs
+++ b/src/queue/scheduler/unclaimed.rs
@@ -96,6 +96,7 @@
             return;
         }
         if progress.state.is_final() {
+            self.retention.keep_lost_runs(id, &progress.lost);
             self.ended.insert(id, (progress.state, now_ms));
             self.claim(id, now_ms);
             return;
@@ -193,6 +194,7 @@
         if runner.started_unix_ms == kept.started_unix_ms
             && runner.unclaimed_ends.remove(&kept.ended.number)
         {
+            self.withhold_end(kept.runner, &kept.ended);
             self.await_stored_outcome(kept.runner, &kept.ended);
         }
     }
--- a/tests/queue_crashes.rs
+++ b/tests/queue_crashes.rs
@@ -6,7 +6,7 @@
 
 use hemlockrock::http::rpc;
 use hemlockrock::queue::model::{JobId, JobState, OrderError, RunEnd, RunnerId, Step, TaskId};
-use hemlockrock::queue::record::{self, CrashRecord, Progress};
+use hemlockrock::queue::record::{self, CrashRecord, LostRunRecord, Progress};
 use hemlockrock::queue::scheduler::{Action, Event, StartOrder};
 use queue_support::{job, step, task, Harness};
 use serde::{Deserialize, Serialize};
@@ -380,6 +380,7 @@
             was_starting: true,
             is_certain: true,
         }],
+        lost: vec![LostRunRecord { step: 0, index: 3, run: 9 }],
     };
     let bytes = record::encode(&progress).unwrap();
     assert_eq!(rpc::decode::<Progress>(&bytes).unwrap(), progress);
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -593,6 +593,7 @@
         done: vec![(0, 0)],
         failed: Vec::new(),
         crashed: Vec::new(),
+        lost: Vec::new(),
     };
     harness.handle(Event::ProgressLoaded(JobId(1), progress));
     harness.add_runner("r1", 4_000);
--- a/tests/queue_unclaimed.rs
+++ b/tests/queue_unclaimed.rs
@@ -19,6 +19,7 @@
         done: vec![(0, 0)],
         failed: Vec::new(),
         crashed: Vec::new(),
+        lost: Vec::new(),
     }
 }
 
