fix(queue): a withheld end is withheld by the next leader as well

Cause: the leader had read the end of the later run itself; no run was lost, so that the record named none.

Change: the run of a withheld end is recorded as lost.

Evidence: the test failed on the commit before.

--- a/src/queue/scheduler/lost_runs.rs
+++ b/src/queue/scheduler/lost_runs.rs
@@ -100,6 +100,7 @@
         if ended.end != RunEnd::Done || !self.has_later_run(ended) {
             return;
         }
+        self.record_withheld_run(ended);
         let runner = &mut self.runners[key];
         let is_first = runner.withheld_end.is_none_or(|withheld| ended.number < withheld);
         if !is_first {
@@ -113,6 +114,16 @@
             .end();
     }
 
+    /// Records the run of a withheld end as lost, so that a successor withholds it as well.
+    fn record_withheld_run(&mut self, ended: &EndedRun) {
+        let Some(job_key) = self.job_keys.get(&ended.task.step.job).copied() else { return };
+        let Some(task) = self.jobs[job_key].task_mut(ended.task) else { return };
+        if task.first_lost_run == 0 || ended.run < task.first_lost_run {
+            task.record_lost_run(ended.run);
+            self.mark_dirty(job_key);
+        }
+    }
+
     /// Whether the task of an ended run has been started again since, although it should not be: copies
     /// and long-running tasks may.
     fn has_later_run(&self, ended: &EndedRun) -> bool {
--- a/tests/queue_lost_runs.rs
+++ b/tests/queue_lost_runs.rs
@@ -5,7 +5,7 @@
 use hemlockrock::queue::model::{JobId, JobState, RunEnd, RunnerId};
 use hemlockrock::queue::record::Progress;
 use hemlockrock::queue::scheduler::{Action, Event, StartOrder};
-use queue_support::{job, step, Harness};
+use queue_support::{job, step, task, Harness};
 
 /// Longest time for which a new leader waits for runners that do not answer, in milliseconds.
 const INHERITED_WAIT_MS: u64 = 12_000;
@@ -105,6 +105,22 @@
     assert_eq!(harness.acknowledged(&first.target.0), 0);
 }
 
+#[test]
+fn a_done_end_that_was_withheld_is_not_acknowledged_by_a_successor() {
+    let mut former = Harness::new(9);
+    former.handle(Event::JobLoaded(job(1, vec![step(1, 1_000)])));
+    former.scheduler.await_inherited_runs(former.now_ms + INHERITED_WAIT_MS);
+    let (newer, older) = (vec![(task(1, 0, 0), 6)], vec![(task(1, 0, 0), 5)]);
+    former.delay_saves();
+    former.add_runner_with_ended_runs("r1", 4_000, Vec::new(), newer);
+    former.add_runner_with_ended_runs("r2", 4_000, Vec::new(), older.clone());
+    former.complete_saves();
+    let mut successor = successor_of(&former, 12);
+    successor.add_runner_with_ended_runs("r2", 4_000, Vec::new(), older);
+    successor.advance(3_000);
+    assert_eq!(successor.acknowledged("r2"), 0);
+}
+
 #[test]
 fn a_task_with_a_lost_run_starts_again_once_its_record_names_that_run() {
     let runners = [("r1", 4_000), ("r2", 4_000)];
