fix(queue): tasks started although a silent runner may have them count as having a lost run

What callers could see: a new leader waits for silent runners and then starts their tasks; once those had ended and a further leader read the runner's list, it acknowledged the done end of the first run. Found by reading.

Cause: the leader that starts the task does not know the run, and so recorded none.

Change: when the wait ends with silent runners, the waiting tasks of ready steps that may be inherited are recorded as having lost a run of an earlier term.

--- a/src/queue/scheduler/lost_runs.rs
+++ b/src/queue/scheduler/lost_runs.rs
@@ -65,6 +65,33 @@
 }
 
 impl Scheduler {
+    /// Records that runs of former leaders may be lost: tasks that can start are about to, although
+    /// some runners have not answered.
+    pub(super) fn record_inherited_losses(&mut self) {
+        let last_run = self.last_run;
+        let mut changed = Vec::new();
+        for (key, job) in &mut self.jobs {
+            if job.state.is_final() {
+                continue;
+            }
+            for step in 0..job.steps.len() {
+                if may_repeat(&job.submission.steps[step]) || !job.is_ready(step) {
+                    continue;
+                }
+                let is_inherited =
+                    |task: &&mut Task| task.may_be_inherited && task.state == TaskState::Waiting;
+                for task in job.steps[step].tasks.iter_mut().filter(is_inherited) {
+                    task.record_lost_run(last_run);
+                    changed.push(key);
+                }
+            }
+        }
+        changed.dedup();
+        for key in changed {
+            self.mark_dirty(key);
+        }
+    }
+
     /// Records that the end of a run was not reported; for a gang, on all its members, which share
     /// their runs.
     pub(super) fn record_lost_run(&mut self, task: TaskId, run: u64) {
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -65,6 +65,9 @@
                 .with("left_ms", self.inherited_wait_until_ms.saturating_sub(now_ms))
                 .end();
             self.inherited_wait_until_ms = 0;
+            if silent > 0 {
+                self.record_inherited_losses();
+            }
         }
         is_over
     }
--- a/tests/queue_lost_runs.rs
+++ b/tests/queue_lost_runs.rs
@@ -121,6 +121,24 @@
     assert_eq!(successor.acknowledged("r2"), 0);
 }
 
+#[test]
+fn a_done_end_that_a_former_leader_did_not_wait_for_is_not_acknowledged() {
+    let mut former = Harness::new(9);
+    former.handle(Event::JobLoaded(job(1, vec![step(1, 1_000)])));
+    former.scheduler.await_inherited_runs(former.now_ms + INHERITED_WAIT_MS);
+    former.add_silent_runner("r1", 4_000);
+    former.add_runner("r2", 4_000);
+    former.advance(INHERITED_WAIT_MS);
+    let start = former.starts().remove(0);
+    former.answer_start(&start, Ok(()));
+    former.end(&start, RunEnd::Done);
+    assert_eq!(former.state(1), Some(JobState::Completed));
+    let mut successor = successor_of(&former, 12);
+    successor.add_runner_with_ended_runs("r1", 4_000, Vec::new(), vec![(start.task, 5)]);
+    successor.advance(3_000);
+    assert_eq!(successor.acknowledged("r1"), 0);
+}
+
 #[test]
 fn a_task_with_a_lost_run_starts_again_once_its_record_names_that_run() {
     let runners = [("r1", 4_000), ("r2", 4_000)];
