fix(queue): runners whose done end is withheld get tasks again

Cause: kept such runners idle. No rule asks for it: ends after the withheld one are read, but as they are not acknowledged, they pile up, and an answer lists 500.

Change: such a runner gets tasks if no other one has room, as long as at most 400 ends follow. Once a run that ended later has lapsed, the withheld end counts for nothing and is released. Not chosen: to acknowledge it once the lease must have expired.

--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -169,7 +169,8 @@
         } else {
             self.candidates(request, now_ms).collect()
         };
-        slots.sort_unstable_by_key(|(_, slots)| std::cmp::Reverse(*slots));
+        let is_withheld = |key: RunnerKey| self.runners[key].withheld_end.is_some();
+        slots.sort_unstable_by_key(|(key, slots)| (is_withheld(*key), std::cmp::Reverse(*slots)));
         slots
     }
 
@@ -205,7 +206,8 @@
     /// runs would have to be counted.
     ///
     /// A runner that fails its tasks immediately always appears idle. A task therefore prefers any
-    /// other runner to the one on which it failed last.
+    /// other runner to the one on which it failed last. Runners with a withheld end come last, since
+    /// later ends there are not acknowledged either.
     fn choose_runner(
         &self,
         request: &PlacementRequest<'_>,
@@ -220,7 +222,8 @@
             |(key, _): &(RunnerKey, u64)| !self.runners[*key].assignments.contains_key(&task);
         let rank = |(key, _): &(RunnerKey, u64)| {
             let is_other = Some(*key) != failed_at;
-            (is_other, score(&self.runners[*key], need, request.declared))
+            let runner = &self.runners[*key];
+            (is_other, runner.withheld_end.is_none(), score(runner, need, request.declared))
         };
         let best = if is_advised {
             self.admitted_candidates(request, now_ms).filter(is_vacant).max_by_key(rank)
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -28,6 +28,10 @@
 /// milliseconds.
 const LEASE_SLACK_MS: u64 = 300;
 
+/// Maximum number of ends from a withheld one on, listed or to come from runs in progress. An answer
+/// lists at most 500 ends, so that later ones would not be seen.
+const MAX_ENDS_FROM_WITHHELD: u64 = 400;
+
 /// A runner that is listed in the store or to which orders may have been sent.
 #[derive(Debug)]
 pub struct Runner {
@@ -286,12 +290,25 @@
             && !self.is_draining
             && self.is_fenced
             && self.is_in_roster
-            && self.withheld_end.is_none()
+            && !self.has_full_end_list()
             && self.started_unix_ms == Some(self.listed_started_unix_ms)
             && self.renewal.failures == 0
             && self.paused_until_ms <= now_ms
     }
 
+    /// Whether the runner might soon list more ends after a withheld one than fit into an answer.
+    fn has_full_end_list(&self) -> bool {
+        let Some(withheld) = self.withheld_end else { return false };
+        let listed = self.last_seen_end.saturating_sub(withheld) + 1;
+        listed + self.assignments.len() as u64 >= MAX_ENDS_FROM_WITHHELD
+    }
+
+    /// Releases a withheld end if the last end of a lapsed run, `lapsed_number`, comes after it: an end
+    /// does not count once the lease has lapsed.
+    pub(crate) fn release_withheld_end(&mut self, lapsed_number: u64) {
+        self.withheld_end = self.withheld_end.filter(|withheld| *withheld > lapsed_number);
+    }
+
     /// Whether the runs reserve more than the capacity, which has shrunk meanwhile.
     pub(crate) fn is_over_full(&self) -> bool {
         !self.used.fits(self.capacity)
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -145,6 +145,7 @@
         self.log_ends(key, ends, now_ms.saturating_sub(sent_ms));
         let lapsed = ends.iter().filter(|ended| ended.end == RunEnd::Lapsed);
         let lapsed_number = lapsed.map(|ended| ended.number).max().unwrap_or_default();
+        self.runners[key].release_withheld_end(lapsed_number);
         for ended in ends {
             if ended.number > self.runners[key].last_seen_end.max(lapsed_number) {
                 self.withhold_end(key, ended);
--- a/tests/queue_lost_runs.rs
+++ b/tests/queue_lost_runs.rs
@@ -152,6 +152,66 @@
     assert!(harness.has_started(starts[0].task));
 }
 
+/// A harness in which the end of a lost run of job 1 is withheld at the returned runner; the other one
+/// is gone.
+fn with_withheld_end() -> (Harness, RunnerId) {
+    let mut restart = Restart::new();
+    let second = restart.second.clone();
+    restart.harness.end(&second, RunEnd::Done);
+    let mut successor = successor_of(&restart.harness, 9);
+    restart.list_first_done(&mut successor);
+    (successor, restart.first_runner().clone())
+}
+
+#[test]
+fn jobs_go_on_at_a_runner_whose_done_end_is_withheld() {
+    let (mut harness, id) = with_withheld_end();
+    harness.handle(Event::JobSubmitted(job(2, vec![step(1, 1_000)])));
+    let start = harness.starts().remove(0);
+    harness.answer_start(&start, Ok(()));
+    harness.end(&start, RunEnd::Done);
+    harness.advance(3_000);
+    assert_eq!(harness.state(2), Some(JobState::Completed));
+    assert_eq!(harness.acknowledged(&id), 0);
+}
+
+#[test]
+fn a_runner_whose_done_end_is_withheld_gets_tasks_only_if_no_other_has_room() {
+    let (mut harness, id) = with_withheld_end();
+    harness.add_runner("r3", 2_000);
+    harness.handle(Event::JobSubmitted(job(2, vec![step(3, 1_000)])));
+    let starts = harness.starts();
+    let names: Vec<&str> = starts.iter().map(|start| &*start.target.0).collect();
+    assert_eq!(names, ["r3", "r3", &*id]);
+}
+
+#[test]
+fn a_withheld_end_is_acknowledged_once_a_later_run_has_lapsed() {
+    let (mut harness, id) = with_withheld_end();
+    harness.handle(Event::JobSubmitted(job(2, vec![step(2, 1_000)])));
+    let starts = harness.starts();
+    harness.answer_starts(&starts);
+    harness.end(&starts[0], RunEnd::Lapsed);
+    harness.advance_answering_starts(3_000);
+    assert_eq!(harness.acknowledged(&id), 2);
+}
+
+#[test]
+fn a_runner_gets_no_tasks_whose_ends_might_not_fit_after_a_withheld_one() {
+    let (mut harness, _) = with_withheld_end();
+    for number in 0..450 {
+        harness.handle(Event::JobSubmitted(job(2 + number, vec![step(1, 1_000)])));
+        let Some(start) = harness.starts().pop() else {
+            assert_eq!(number, 399);
+            return;
+        };
+        harness.answer_start(&start, Ok(()));
+        harness.end(&start, RunEnd::Done);
+        harness.advance(1_000);
+    }
+    panic!("an answer lists at most 500 ends");
+}
+
 #[test]
 fn a_done_end_of_a_cancelled_job_whose_task_was_not_started_again_is_acknowledged() {
     let (mut harness, starts) = Harness::with_job(&[("r1", 4_000)], vec![step(1, 1_000)]);
