--- a/src/queue/scheduler/inherited.rs
+++ b/src/queue/scheduler/inherited.rs
@@ -130,6 +130,9 @@
             .with("left_ms", self.inherited.until_ms.unwrap_or(now_ms).saturating_sub(now_ms))
             .end();
         self.inherited.is_waiting = false;
+        if silent > 0 {
+            self.record_inherited_losses();
+        }
         true
     }
 
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashMap;
 use crate::place::spec::Resources;
 use crate::queue::model::{RunnerId, RunnerReport, Step, TaskId};
 use crate::queue::scheduler::crash::CrashState;
@@ -28,6 +28,10 @@
 /// milliseconds.
 const LEASE_SLACK_MS: u64 = 300;
 
+/// Maximum number of ends from a withheld one on, listed or to come from runs in progress. An answer
+/// lists at most 500 ends, so that later ones would not be seen.
+const MAX_ENDS_FROM_WITHHELD: u64 = 400;
+
 /// A runner that is listed in the store or to which orders may have been sent.
 #[derive(Debug)]
 pub struct Runner {
@@ -71,8 +75,6 @@
     /// Number of the first ended run that must not be acknowledged: its task has been started
     /// elsewhere in the meantime, and nothing shows that the lease expired in between.
     pub(crate) withheld_end: Option<u64>,
-    /// Runs that were lost on this runner: released without a report of their end.
-    pub(crate) lost_runs: HashSet<(TaskId, u64)>,
     pub(crate) assignments: HashMap<TaskId, Assignment>,
     /// Sum of the resources that the assignments reserve.
     pub(crate) used: Resources,
@@ -255,7 +257,6 @@
             unsaved_ends: VecDeque::new(),
             unclaimed_ends: BTreeSet::new(),
             withheld_end: None,
-            lost_runs: HashSet::default(),
             assignments: HashMap::default(),
             used: Resources::default(),
             renewal: RenewalState::default(),
@@ -299,13 +300,26 @@
             && !self.is_draining
             && self.is_fenced
             && self.is_in_roster
-            && self.withheld_end.is_none()
+            && !self.has_full_end_list()
             && self.started_unix_ms == Some(self.listed_started_unix_ms)
             && self.renewal.failures == 0
             && self.paused_until_ms <= now_ms
             && self.long_lease_until_ms <= now_ms
     }
 
+    /// Whether the runner might soon list more ends after a withheld one than fit into an answer.
+    fn has_full_end_list(&self) -> bool {
+        let Some(withheld) = self.withheld_end else { return false };
+        let listed = self.last_seen_end.saturating_sub(withheld) + 1;
+        listed + self.assignments.len() as u64 >= MAX_ENDS_FROM_WITHHELD
+    }
+
+    /// Releases a withheld end if the last end of a lapsed run, `lapsed_number`, comes after it: an end
+    /// does not count once the lease has lapsed.
+    pub(crate) fn release_withheld_end(&mut self, lapsed_number: u64) {
+        self.withheld_end = self.withheld_end.filter(|withheld| *withheld > lapsed_number);
+    }
+
     /// Whether the runs reserve more than the capacity, which has shrunk meanwhile.
     pub(crate) fn is_over_full(&self) -> bool {
         !self.used.fits(self.capacity)
@@ -378,7 +392,6 @@
         self.unsaved_ends.clear();
         self.unclaimed_ends.clear();
         self.withheld_end = None;
-        self.lost_runs.clear();
     }
 
     /// Whether a start order may take effect in a later incarnation than the one that answered last.
