fix(queue): leases at runners that were idle for long end as early as a successor reckons

What would happen: a runner has been idle for 40 s, its clock is 2% slow, the leader starts a task there and stops; the runner is cut off from the successor, and the task runs until 4,489 ms after the order, but is started again after 4,010 ms.

Cause: the expiry of a lease was given on the runner's clock as if it had run exactly since its last sample, which is as old as the runner has been idle. The leader itself counted that error, its successor can not.

Change: the expiry counts from the earliest time that the clock may show; the clock of an idle runner is read again after 20 s, so that the first lease stays useful.

--- a/src/queue/scheduler/lease.rs
+++ b/src/queue/scheduler/lease.rs
@@ -14,6 +14,10 @@
 /// After that, the lease is renewed without acknowledging them.
 const ACKNOWLEDGE_WAIT_MS: u64 = 800;
 
+/// Age from which the clock of an idle runner is read again, in milliseconds: the first lease of its
+/// next run is shortened by the error that the clock may have by then.
+const MAX_CLOCK_AGE_MS: u64 = 20_000;
+
 /// Minimum number of renewals within the longest lease that the leader may ask for. While its own
 /// lease is not confirmed, that becomes shorter, and a confirmation has to reach the runners in time.
 const RENEWALS_PER_LEASE: u64 = 3;
@@ -141,7 +145,10 @@
             // once instead of waiting, so that it is asked less often.
             let is_unsaved = runner.last_seen_end > runner.acknowledged_end;
             let is_undelivered = runner.acknowledged_end > runner.delivered_end;
-            if !is_new && runner.assignments.is_empty() && !is_unsaved && !is_undelivered {
+            let is_idle = runner.assignments.is_empty() && !is_unsaved && !is_undelivered;
+            let is_clock_outdated =
+                runner.clock_sample.is_some_and(|(_, at_ms)| now_ms > at_ms + MAX_CLOCK_AGE_MS);
+            if !is_new && is_idle && !is_clock_outdated {
                 continue;
             }
             if is_unsaved && now_ms < runner.renewal.answered_ms + ACKNOWLEDGE_WAIT_MS {
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -357,21 +357,35 @@
         Some(assignment)
     }
 
-    /// Computes the expiry of a lease of `lease_ms` from now, on the runner's clock, and records it as
-    /// sent; `None` if the clock is not known.
-    pub(crate) fn extend_lease(&mut self, lease_ms: u64, now_ms: u64) -> Option<u64> {
+    /// Earliest time that the runner's clock may show now, in milliseconds; `None` if no sample of the
+    /// clock is known.
+    fn earliest_clock_ms(&self, now_ms: u64) -> Option<u64> {
+        const MILLI: u64 = 1_000;
         let (clock_ms, at_ms) = self.clock_sample?;
-        let until_ms = clock_ms + now_ms.saturating_sub(at_ms) + lease_ms;
+        let elapsed_ms = now_ms.saturating_sub(at_ms);
+        Some(clock_ms + elapsed_ms - elapsed_ms * CLOCK_DRIFT_MILLIS / MILLI)
+    }
+
+    /// Computes the expiry of a lease of at most `lease_ms` from now, on the runner's clock, and records
+    /// it as sent; `None` if the clock is not known.
+    pub(crate) fn extend_lease(&mut self, lease_ms: u64, now_ms: u64) -> Option<u64> {
+        let until_ms = self.earliest_clock_ms(now_ms)? + lease_ms;
         self.lease_sent_until_ms = self.lease_sent_until_ms.max(until_ms);
         Some(until_ms)
     }
 
+    /// Records that the runner may have been given a lease of `max_lease_ms` just before, rather than
+    /// of `lease_ms`.
+    pub(crate) fn expect_long_lease(&mut self, max_lease_ms: u64, lease_ms: u64, now_ms: u64) {
+        let usual_from_ms = now_ms + longest_lease_ms(max_lease_ms).saturating_sub(lease_ms);
+        self.long_lease_until_ms = self.long_lease_until_ms.max(usual_from_ms);
+    }
+
     /// Expiry of the lease in a repeated start order, on the runner's clock: that of the first order,
     /// since a longer one would postpone the time at which the run has certainly ended, but no more
     /// than `lease_ms` from now. `None` if the clock is not known.
     pub(crate) fn repeated_lease_until_ms(&self, lease_ms: u64, now_ms: u64) -> Option<u64> {
-        let (clock_ms, at_ms) = self.clock_sample?;
-        let until_ms = clock_ms + now_ms.saturating_sub(at_ms) + lease_ms;
+        let until_ms = self.earliest_clock_ms(now_ms)? + lease_ms;
         Some(until_ms.min(self.lease_sent_until_ms)).filter(|until_ms| *until_ms > 0)
     }
 
@@ -416,9 +430,10 @@
     pub(crate) fn is_clock_continuous(&self, clock_ms: u64, sent_ms: u64) -> bool {
         const MILLI: u64 = 1_000;
         let Some((sample_ms, at_ms)) = self.clock_sample else { return false };
-        let elapsed_ms = sent_ms.saturating_sub(at_ms);
-        let tolerance_ms = elapsed_ms * CLOCK_DRIFT_MILLIS / MILLI + CLOCK_TOLERANCE_MS;
-        clock_ms + tolerance_ms >= sample_ms + elapsed_ms
+        let tolerance_ms =
+            sent_ms.abs_diff(at_ms) * CLOCK_DRIFT_MILLIS / MILLI + CLOCK_TOLERANCE_MS;
+        // The answer to a later order may have arrived first.
+        clock_ms + at_ms + tolerance_ms >= sample_ms + sent_ms
     }
 
     /// Number of the last end that may be acknowledged once all up to `seen` are stored.
--- a/tests/queue_restarts.rs
+++ b/tests/queue_restarts.rs
@@ -3,7 +3,7 @@
 mod queue_support;
 
 use hemlockrock::queue::model::{JobState, OrderError, RunEnd};
-use hemlockrock::queue::scheduler::{Action, Event, StartOrder};
+use hemlockrock::queue::scheduler::{Action, Event, OrderResult, StartOrder};
 use queue_support::{job, step, task, Harness};
 
 /// A harness in which an end with number 1 of runner r1 is acknowledged, and a start order of job 2
@@ -289,3 +289,21 @@
     harness.advance(1_000);
     assert_eq!(harness.starts().len(), 1);
 }
+
+#[test]
+fn a_run_whose_start_is_answered_after_a_later_status_goes_on() {
+    let (mut harness, first) = Harness::with_job(&[("r1", 4_000)], vec![step(1, 1_000)]);
+    harness.answer_starts(&first);
+    harness.handle(Event::JobSubmitted(job(2, vec![step(1, 1_000)])));
+    let starts = harness.starts();
+    let StartOrder { runner, task, run, .. } = starts[0];
+    let sent_ms = harness.now_ms;
+    let clock_ms = harness.status("r1").clock_ms;
+    harness.advance(1_200);
+    let (is_stop, result) = (false, Ok(()));
+    let clock_ms = Some(clock_ms);
+    let finished = OrderResult { runner, task, run, is_stop, sent_ms, clock_ms, result };
+    harness.handle(Event::OrderFinished(finished));
+    harness.advance(50);
+    assert!(harness.stops().is_empty());
+}
