--- a/src/queue/former_terms.rs
+++ b/src/queue/former_terms.rs
@@ -8,6 +8,7 @@
 
 use async_std::task;
 
+use crate::clock;
 use crate::queue::control::ControlInput;
 use crate::queue::host_state::HostState;
 use crate::queue::peer;
@@ -17,6 +18,10 @@
 /// Pause before a former leader is asked again, in milliseconds.
 const QUERY_GAP_MS: u64 = 200;
 
+/// Time for which a former leader is asked, in milliseconds. Its orders have certainly lost their
+/// effect by then.
+const QUERY_MS: u64 = 12_000;
+
 /// Asks all former leaders at once; each end of a term is sent to the control loop.
 pub async fn await_ends(
     shared: Arc<HostState>,
@@ -38,7 +43,8 @@
     inputs: async_channel::Sender<ControlInput>,
     former: LeaderRecord,
 ) {
-    while !inputs.is_closed() {
+    let ends_ms = clock::now_ms() + QUERY_MS;
+    while !inputs.is_closed() && clock::now_ms() < ends_ms {
         let ordered_ms = if shared.is_this_host(&former) {
             shared.ordered_until_ms(former.nonce)
         } else {
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -180,17 +180,11 @@
         self.renew_leases(now_ms, out);
     }
 
-    /// Whether the leader may send orders to runners.
+    /// Duration of the leases that the leader may ask runners for now, in milliseconds; 0 if it may
+    /// send no more orders.
     ///
-    /// It may while its lease holds and for `bridge_ms` after that: so long, a successor waits for
-    /// the runners that have not answered it.
-    pub fn may_send_orders(&self, now_ms: u64) -> bool {
-        self.run_lease_ms(now_ms) > 0
-    }
-
-    /// Duration of the leases that the leader may ask runners for now, in milliseconds.
-    ///
-    /// They end at most `bridge_ms` after the confirmed time of the leader's own lease.
+    /// They end at most `bridge_ms` after the confirmed time of the leader's own lease: so long, a
+    /// successor waits for the runners that have not answered it.
     fn run_lease_ms(&self, now_ms: u64) -> u64 {
         let bridged_until_ms = self.confirmed_until_ms + self.config.bridge_ms;
         self.config.run_lease_ms.min(bridged_until_ms.saturating_sub(now_ms))
--- a/src/queue/scheduler/inherited.rs
+++ b/src/queue/scheduler/inherited.rs
@@ -37,10 +37,10 @@
     settlement: Settlement,
 }
 
-/// Whether the store names this term alone as one that may send orders.
+/// Whether the store has to be told that this term alone may send orders.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Settlement {
-    /// Leases of former terms may still hold, or there were no former terms.
+    /// Not now: leases of former terms may still hold, or the store knows.
     #[default]
     NotDue,
     /// To be written from this time on, in milliseconds.
@@ -78,7 +78,9 @@
         let config = &self.config;
         // A former leader may have confirmed its lease just before its key was removed.
         let confirmed_ms = config.leader_ttl_ms.saturating_sub(config.leader_margin_ms);
-        let wait_ms = confirmed_ms + config.bridge_ms + BRIDGED_LEASE_MARGIN_MS;
+        // Versions that store no terms ask for whole leases until their bridge is over.
+        let last_lease_ms = if open_terms.is_some() { 0 } else { config.run_lease_ms };
+        let wait_ms = confirmed_ms + config.bridge_ms + last_lease_ms + BRIDGED_LEASE_MARGIN_MS;
         decision_log::line("inherited_wait_begun")
             .with("open_terms", open_terms.as_ref().map_or(-1, |terms| terms.len() as i64))
             .with("up_to_ms", wait_ms)
--- a/src/queue/scheduler/orders.rs
+++ b/src/queue/scheduler/orders.rs
@@ -3,7 +3,7 @@
 use crate::decision_log;
 use crate::queue::model::{JobState, OrderError, TaskId};
 use crate::queue::scheduler::event::{Action, OrderResult, StartOrder};
-use crate::queue::scheduler::runner::{self, Assignment, RunPhase, RunnerKey};
+use crate::queue::scheduler::runner::{Assignment, RunPhase, RunnerKey};
 use crate::queue::scheduler::Scheduler;
 
 /// Delay before an unanswered order is repeated, in milliseconds.
@@ -50,12 +50,12 @@
         sent_ms: u64,
         now_ms: u64,
     ) {
-        let max_lease_ms = runner::longest_lease_ms(self.config.max_run_lease_ms);
+        let config = &self.config;
         let runner = &mut self.runners[key];
         let is_confirmed = runner.is_clock_continuous(clock_ms, sent_ms);
         if !is_confirmed {
             runner.renewal.next_ms = now_ms;
-            runner.long_lease_until_ms = now_ms + max_lease_ms - self.config.run_lease_ms;
+            runner.expect_long_lease(config.max_run_lease_ms, config.run_lease_ms, now_ms);
             decision_log::line("start_on_other_incarnation")
                 .with("task", task)
                 .with("runner", &runner.id)
