--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -9,6 +9,7 @@
 mod inherited;
 mod job;
 mod lease;
+mod lost_runs;
 mod orders;
 mod pace;
 mod persistence;
@@ -73,6 +74,8 @@
     runners: SlotMap<RunnerKey, Runner>,
     runner_keys: HashMap<RunnerId, RunnerKey>,
     advice_hosts: Vec<AdviceHost>,
+    /// Steps that wait for advice, during a placement pass.
+    advice_wishes: Vec<advice::AdviceWish>,
     persistence: persistence::Persistence,
     /// Estimated share of runners that the policy of each queue admits, by queue name.
     admitted_share: HashMap<String, f64>,
@@ -106,6 +109,7 @@
             runners: SlotMap::with_key(),
             runner_keys: HashMap::default(),
             advice_hosts: Vec::new(),
+            advice_wishes: Vec::new(),
             persistence: persistence::Persistence::default(),
             admitted_share: HashMap::default(),
             confirmed_until_ms: 0,
@@ -176,17 +180,11 @@
         self.renew_leases(now_ms, out);
     }
 
-    /// Whether the leader may send orders to runners.
+    /// Duration of the leases that the leader may ask runners for now, in milliseconds; 0 if it may
+    /// send no more orders.
     ///
-    /// It may while its lease holds and for `bridge_ms` after that: so long, a successor waits for
-    /// the runners that have not answered it.
-    pub fn may_send_orders(&self, now_ms: u64) -> bool {
-        self.run_lease_ms(now_ms) > 0
-    }
-
-    /// Duration of the leases that the leader may ask runners for now, in milliseconds.
-    ///
-    /// They end at most `bridge_ms` after the confirmed time of the leader's own lease.
+    /// They end at most `bridge_ms` after the confirmed time of the leader's own lease: so long, a
+    /// successor waits for the runners that have not answered it.
     fn run_lease_ms(&self, now_ms: u64) -> u64 {
         let bridged_until_ms = self.confirmed_until_ms + self.config.bridge_ms;
         self.config.run_lease_ms.min(bridged_until_ms.saturating_sub(now_ms))
@@ -259,6 +257,7 @@
         if progress.state.is_final() {
             if let Some(job) = self.jobs.remove(key) {
                 self.job_keys.remove(&job.submission.id);
+                self.retention.keep_lost_runs(job.submission.id, &progress.lost);
                 self.ended.insert(job.submission.id, (progress.state, now_ms));
             }
             return;
--- a/src/queue/scheduler/orders.rs
+++ b/src/queue/scheduler/orders.rs
@@ -30,15 +30,18 @@
                     .with("error", format_args!("{error:?}"))
                     .end();
             }
+            self.start_finished(key, task, result, now_ms);
             if let (Ok(()), Some(clock_ms)) = (result, clock_ms) {
                 self.confirm_start(key, task, clock_ms, sent_ms, now_ms);
             }
-            self.start_finished(key, task, result, now_ms);
         }
     }
 
-    /// Records which incarnation of the runner carried out a start order. If it may be another one
-    /// than the one that answered last, the runner's status is read next.
+    /// Records which incarnation of the runner carried out a start order.
+    ///
+    /// If it may be another one than the one that answered last, the expiry of the lease was given on
+    /// the clock of the former incarnation, so that the run would outlast the wait of a successor. It
+    /// is stopped, and the runner's status is read next.
     fn confirm_start(
         &mut self,
         key: RunnerKey,
@@ -47,13 +50,24 @@
         sent_ms: u64,
         now_ms: u64,
     ) {
+        let config = &self.config;
         let runner = &mut self.runners[key];
         let is_confirmed = runner.is_clock_continuous(clock_ms, sent_ms);
         if !is_confirmed {
             runner.renewal.next_ms = now_ms;
+            runner.expect_long_lease(config.max_run_lease_ms, config.run_lease_ms, now_ms);
+            decision_log::line("start_on_other_incarnation")
+                .with("task", task)
+                .with("runner", &runner.id)
+                .with("clock_ms", clock_ms)
+                .end();
         }
         if let Some(assignment) = runner.assignments.get_mut(&task) {
-            assignment.is_start_confirmed |= is_confirmed;
+            if is_confirmed {
+                assignment.is_start_confirmed = true;
+            } else if !assignment.is_start_confirmed {
+                assignment.stop(now_ms);
+            }
         }
     }
 
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -9,6 +9,7 @@
 use crate::decision_log;
 use crate::place::spec::Resources;
 use crate::queue::model::{AdvicePolicy, Step, TaskId};
+use crate::queue::scheduler::advice::AdviceSubject;
 use crate::queue::scheduler::event::{Action, StartOrder};
 use crate::queue::scheduler::job::{JobKey, TaskState};
 use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey};
@@ -48,6 +49,7 @@
             self.log_starts(key, step, &out[first..], now_ms);
         }
         self.place_suspects(is_inherited_wait_over, now_ms, out);
+        self.send_advice_requests(now_ms, out);
     }
 
     /// Logs all starts of a step that were decided together in one line.
@@ -81,9 +83,9 @@
         out: &mut Vec<Action>,
     ) {
         let job = &self.jobs[key];
-        let is_confirmed = now_ms < self.confirmed_until_ms;
+        let may_follow_lost_runs = now_ms < self.confirmed_until_ms && job.are_lost_runs_stored();
         let waiting: Vec<usize> =
-            job.steps[step].unsuspected(is_inherited_wait_over, is_confirmed).collect();
+            job.steps[step].unsuspected(is_inherited_wait_over, may_follow_lost_runs).collect();
         if waiting.is_empty() {
             return;
         }
@@ -122,7 +124,7 @@
             return;
         }
         if let Some(policy) = policy {
-            self.request_advice(&request, policy, left, now_ms, out);
+            self.request_advice(&request, policy, AdviceSubject::Tasks(left), now_ms);
         }
         if declared.is_long_running {
             self.preempt(&request, now_ms);
@@ -147,7 +149,8 @@
         } else {
             self.candidates(request, now_ms).collect()
         };
-        slots.sort_unstable_by_key(|(_, slots)| std::cmp::Reverse(*slots));
+        let is_withheld = |key: RunnerKey| self.runners[key].withheld_end.is_some();
+        slots.sort_unstable_by_key(|(key, slots)| (is_withheld(*key), std::cmp::Reverse(*slots)));
         slots
     }
 
@@ -163,7 +166,8 @@
         let total_slots: u64 = slots.iter().map(|(_, slots)| *slots).sum();
         if total_slots < waiting.len() as u64 {
             if let Some(policy) = policy {
-                self.request_advice(request, policy, waiting.len(), now_ms, out);
+                let subject = AdviceSubject::Tasks(waiting.len());
+                self.request_advice(request, policy, subject, now_ms);
             }
             return;
         }
@@ -183,7 +187,8 @@
     /// runs would have to be counted.
     ///
     /// A runner that fails its tasks immediately always appears idle. A task therefore prefers any
-    /// other runner to the one on which it failed last.
+    /// other runner to the one on which it failed last. Runners with a withheld end come last, since
+    /// later ends there are not acknowledged either.
     fn choose_runner(
         &self,
         request: &PlacementRequest<'_>,
@@ -198,7 +203,8 @@
             |(key, _): &(RunnerKey, u64)| !self.runners[*key].assignments.contains_key(&task);
         let rank = |(key, _): &(RunnerKey, u64)| {
             let is_other = Some(*key) != failed_at;
-            (is_other, score(&self.runners[*key], need, request.declared))
+            let runner = &self.runners[*key];
+            (is_other, runner.withheld_end.is_none(), score(runner, need, request.declared))
         };
         let best = if is_advised {
             self.admitted_candidates(request, now_ms).filter(is_vacant).max_by_key(rank)
@@ -303,21 +309,16 @@
         }));
     }
 
-    /// Asks which runners may run the remaining tasks, in several calls at once if one cannot name
-    /// enough; not while calls for the step are in flight.
-    pub(super) fn request_advice(
-        &mut self,
+    /// Selects the runners to ask the advice service about for `left` waiting tasks, more than one
+    /// call can name if need be.
+    pub(super) fn runners_to_ask(
+        &self,
         request: &PlacementRequest<'_>,
-        policy: AdvicePolicy,
         left: usize,
         now_ms: u64,
-        out: &mut Vec<Action>,
-    ) {
+    ) -> Vec<RunnerKey> {
         let job = &self.jobs[request.key];
         let advice = &job.steps[request.step].advice;
-        if advice.calls_in_flight > 0 || now_ms < advice.retry_ms || !self.has_idle_advice_host() {
-            return;
-        }
         let share = self.admitted_share(&job.submission.queue);
         let goal = (left as u64 * ADVICE_OVERBOOK_MILLIS).div_ceil(1_000);
         let mut known = Vec::new();
@@ -332,16 +333,7 @@
             }
         }
         let limit = self.config.advice_runners * self.max_calls_for_step();
-        let runners = select_runners_to_ask(known, unknown, goal, share, limit);
-        let id = job.step_id(request.step);
-        let calls = runners.len().div_ceil(self.config.advice_runners);
-        let named = runners.len().div_ceil(calls.max(1)).max(1);
-        for runners in runners.chunks(named) {
-            if !self.send_advice_request(id, policy, runners, now_ms, out) {
-                return;
-            }
-            self.jobs[request.key].steps[request.step].advice.calls_in_flight += 1;
-        }
+        select_runners_to_ask(known, unknown, goal, share, limit)
     }
 
     /// Stops tasks of a lower priority on one runner if a long-running task has waited too long.
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashMap;
 use crate::place::spec::Resources;
 use crate::queue::model::{RunnerId, RunnerReport, Step, TaskId};
 use crate::queue::scheduler::crash::CrashState;
@@ -28,6 +28,10 @@
 /// milliseconds.
 const LEASE_SLACK_MS: u64 = 300;
 
+/// Maximum number of ends from a withheld one on, listed or to come from runs in progress. An answer
+/// lists at most 500 ends, so that later ones would not be seen.
+const MAX_ENDS_FROM_WITHHELD: u64 = 400;
+
 /// A runner that is listed in the store or to which orders may have been sent.
 #[derive(Debug)]
 pub struct Runner {
@@ -71,14 +75,15 @@
     /// Number of the first ended run that must not be acknowledged: its task has been started
     /// elsewhere in the meantime, and nothing shows that the lease expired in between.
     pub(crate) withheld_end: Option<u64>,
-    /// Runs that were lost on this runner: released without a report of their end.
-    pub(crate) lost_runs: HashSet<(TaskId, u64)>,
     pub(crate) assignments: HashMap<TaskId, Assignment>,
     /// Sum of the resources that the assignments reserve.
     pub(crate) used: Resources,
     pub(crate) renewal: RenewalState,
     /// Time until which the runner gets no new tasks.
     pub(crate) paused_until_ms: u64,
+    /// Time until which the lease of the runner may last for longer than a run lease from now. It
+    /// gets no new tasks, since a successor would not wait for them that long.
+    pub(crate) long_lease_until_ms: u64,
     /// Jobs with a failed task on this runner since the last task that completed on it.
     pub(crate) failed_jobs: Vec<u64>,
     pub(crate) crash: Box<CrashState>,
@@ -252,11 +257,11 @@
             unsaved_ends: VecDeque::new(),
             unclaimed_ends: BTreeSet::new(),
             withheld_end: None,
-            lost_runs: HashSet::default(),
             assignments: HashMap::default(),
             used: Resources::default(),
             renewal: RenewalState::default(),
             paused_until_ms: 0,
+            long_lease_until_ms: 0,
             failed_jobs: Vec::new(),
             crash: Box::default(),
         }
@@ -295,10 +300,24 @@
             && !self.is_draining
             && self.is_fenced
             && self.is_in_roster
-            && self.withheld_end.is_none()
+            && !self.has_full_end_list()
             && self.started_unix_ms == Some(self.listed_started_unix_ms)
             && self.renewal.failures == 0
             && self.paused_until_ms <= now_ms
+            && self.long_lease_until_ms <= now_ms
+    }
+
+    /// Whether the runner might soon list more ends after a withheld one than fit into an answer.
+    fn has_full_end_list(&self) -> bool {
+        let Some(withheld) = self.withheld_end else { return false };
+        let listed = self.last_seen_end.saturating_sub(withheld) + 1;
+        listed + self.assignments.len() as u64 >= MAX_ENDS_FROM_WITHHELD
+    }
+
+    /// Releases a withheld end if the last end of a lapsed run, `lapsed_number`, comes after it: an end
+    /// does not count once the lease has lapsed.
+    pub(crate) fn release_withheld_end(&mut self, lapsed_number: u64) {
+        self.withheld_end = self.withheld_end.filter(|withheld| *withheld > lapsed_number);
     }
 
     /// Whether the runs reserve more than the capacity, which has shrunk meanwhile.
@@ -338,21 +357,35 @@
         Some(assignment)
     }
 
-    /// Computes the expiry of a lease of `lease_ms` from now, on the runner's clock, and records it as
-    /// sent; `None` if the clock is not known.
-    pub(crate) fn extend_lease(&mut self, lease_ms: u64, now_ms: u64) -> Option<u64> {
+    /// Earliest time that the runner's clock may show now, in milliseconds; `None` if no sample of the
+    /// clock is known.
+    fn earliest_clock_ms(&self, now_ms: u64) -> Option<u64> {
+        const MILLI: u64 = 1_000;
         let (clock_ms, at_ms) = self.clock_sample?;
-        let until_ms = clock_ms + now_ms.saturating_sub(at_ms) + lease_ms;
+        let elapsed_ms = now_ms.saturating_sub(at_ms);
+        Some(clock_ms + elapsed_ms - elapsed_ms * CLOCK_DRIFT_MILLIS / MILLI)
+    }
+
+    /// Computes the expiry of a lease of at most `lease_ms` from now, on the runner's clock, and records
+    /// it as sent; `None` if the clock is not known.
+    pub(crate) fn extend_lease(&mut self, lease_ms: u64, now_ms: u64) -> Option<u64> {
+        let until_ms = self.earliest_clock_ms(now_ms)? + lease_ms;
         self.lease_sent_until_ms = self.lease_sent_until_ms.max(until_ms);
         Some(until_ms)
     }
 
+    /// Records that the runner may have been given a lease of `max_lease_ms` just before, rather than
+    /// of `lease_ms`.
+    pub(crate) fn expect_long_lease(&mut self, max_lease_ms: u64, lease_ms: u64, now_ms: u64) {
+        let usual_from_ms = now_ms + longest_lease_ms(max_lease_ms).saturating_sub(lease_ms);
+        self.long_lease_until_ms = self.long_lease_until_ms.max(usual_from_ms);
+    }
+
     /// Expiry of the lease in a repeated start order, on the runner's clock: that of the first order,
     /// since a longer one would postpone the time at which the run has certainly ended, but no more
     /// than `lease_ms` from now. `None` if the clock is not known.
     pub(crate) fn repeated_lease_until_ms(&self, lease_ms: u64, now_ms: u64) -> Option<u64> {
-        let (clock_ms, at_ms) = self.clock_sample?;
-        let until_ms = clock_ms + now_ms.saturating_sub(at_ms) + lease_ms;
+        let until_ms = self.earliest_clock_ms(now_ms)? + lease_ms;
         Some(until_ms.min(self.lease_sent_until_ms)).filter(|until_ms| *until_ms > 0)
     }
 
@@ -373,7 +406,6 @@
         self.unsaved_ends.clear();
         self.unclaimed_ends.clear();
         self.withheld_end = None;
-        self.lost_runs.clear();
     }
 
     /// Whether a start order may take effect in a later incarnation than the one that answered last.
@@ -398,9 +430,10 @@
     pub(crate) fn is_clock_continuous(&self, clock_ms: u64, sent_ms: u64) -> bool {
         const MILLI: u64 = 1_000;
         let Some((sample_ms, at_ms)) = self.clock_sample else { return false };
-        let elapsed_ms = sent_ms.saturating_sub(at_ms);
-        let tolerance_ms = elapsed_ms * CLOCK_DRIFT_MILLIS / MILLI + CLOCK_TOLERANCE_MS;
-        clock_ms + tolerance_ms >= sample_ms + elapsed_ms
+        let tolerance_ms =
+            sent_ms.abs_diff(at_ms) * CLOCK_DRIFT_MILLIS / MILLI + CLOCK_TOLERANCE_MS;
+        // The answer to a later order may have arrived first.
+        clock_ms + at_ms + tolerance_ms >= sample_ms + sent_ms
     }
 
     /// Number of the last end that may be acknowledged once all up to `seen` are stored.
--- a/tests/queue_explorer/main.rs
+++ b/tests/queue_explorer/main.rs
@@ -17,6 +17,7 @@
 mod checks;
 mod faults;
 mod host;
+mod lateness;
 mod load;
 mod network;
 mod runner;
@@ -83,8 +84,13 @@
     }
 }
 
+/// Whether a violation is none of those that are counted by tests of their own.
 fn is_no_stray(violation: &Violation) -> bool {
-    !violation.is_stray
+    !violation.is_stray && !is_late(violation)
+}
+
+fn is_late(violation: &Violation) -> bool {
+    violation.rule == checks::Rule::Late
 }
 
 fn is_untrue_state(violation: &Violation) -> bool {
@@ -102,6 +108,10 @@
 /// Changes of the leader.
 const LEADERS: Faults = Faults { leader_gap_ms: 3_000, ..Faults::NONE };
 
+/// Changes of the leader, with runners that go for good just before or after, and calm between.
+const LOSSES: Faults =
+    Faults { leader_gap_ms: 9_000, loss_percent: 80, has_long_runs: true, ..Faults::NONE };
+
 /// Everything but a revoked leader key.
 const ALL: Faults = Faults {
     crash_gap_ms: 6_000,
@@ -124,7 +134,9 @@
 
 #[test]
 fn no_task_runs_twice_while_runners_are_cut_off() {
-    explore(Faults { cut_gap_ms: 4_000, ..Faults::NONE }, |violation| !is_unfinished(violation));
+    explore(Faults { cut_gap_ms: 4_000, ..Faults::NONE }, |violation| {
+        !is_unfinished(violation) && !is_late(violation)
+    });
 }
 
 #[test]
@@ -149,7 +161,13 @@
 
 #[test]
 fn no_task_runs_twice_while_runners_restart() {
-    explore(Faults { crash_gap_ms: 4_000, ..Faults::NONE }, is_no_stray);
+    let is_counted = |violation: &Violation| is_no_stray(violation) && !is_untrue_state(violation);
+    explore(Faults { crash_gap_ms: 4_000, ..Faults::NONE }, is_counted);
+}
+
+#[test]
+fn jobs_are_given_up_only_after_two_crashes_under_a_task_while_runners_restart() {
+    explore(Faults { crash_gap_ms: 4_000, ..Faults::NONE }, is_untrue_state);
 }
 
 #[test]
@@ -165,10 +183,60 @@
 
 #[test]
 fn no_task_runs_twice_with_all_faults() {
-    explore(ALL, is_no_stray);
+    explore(ALL, |violation| is_no_stray(violation) && !is_untrue_state(violation));
+}
+
+#[test]
+fn jobs_are_given_up_only_after_two_crashes_under_a_task_with_all_faults() {
+    explore(ALL, is_untrue_state);
 }
 
 #[test]
 fn no_task_runs_twice_when_late_orders_reach_a_new_life_first() {
     explore(Faults { crash_gap_ms: 4_000, ..ORDERS }, |violation| violation.is_stray);
 }
+
+#[test]
+fn no_task_runs_twice_while_runners_are_lost_and_the_leader_changes() {
+    explore(LOSSES, is_no_stray);
+}
+
+#[test]
+fn ready_tasks_start_soon_after_runners_are_lost_and_the_leader_changes() {
+    explore(LOSSES, is_late);
+}
+
+#[test]
+fn ready_tasks_start_soon_after_the_leader_changes() {
+    let faults = Faults { outage_gap_ms: 20_000, revocation_gap_ms: 20_000, ..LOSSES };
+    explore(Faults { loss_percent: 0, ..faults }, is_late);
+}
+
+#[test]
+fn ready_tasks_start_soon_after_runners_restart() {
+    explore(Faults { crash_gap_ms: 20_000, has_long_runs: true, ..Faults::NONE }, is_late);
+}
+
+#[test]
+fn ready_tasks_start_soon_after_runners_were_cut_off() {
+    explore(Faults { cut_gap_ms: 20_000, has_long_runs: true, ..Faults::NONE }, is_late);
+}
+
+#[test]
+fn ready_tasks_start_soon_after_runners_are_lost_under_one_leader() {
+    explore(Faults { loss_gap_ms: 5_000, has_long_runs: true, ..Faults::NONE }, is_late);
+}
+
+#[test]
+fn no_task_runs_twice_with_all_faults_and_long_running_tasks() {
+    explore(Faults { has_long_runs: true, ..ALL }, |violation| {
+        is_no_stray(violation) && !is_untrue_state(violation)
+    });
+}
+
+#[test]
+fn no_task_runs_twice_with_all_faults_and_lost_runners() {
+    explore(Faults { loss_percent: 50, has_long_runs: true, ..ALL }, |violation| {
+        is_no_stray(violation) && !is_untrue_state(violation)
+    });
+}
--- a/tests/queue_restarts.rs
+++ b/tests/queue_restarts.rs
@@ -3,7 +3,7 @@
 mod queue_support;
 
 use hemlockrock::queue::model::{JobState, OrderError, RunEnd};
-use hemlockrock::queue::scheduler::{Action, Event, StartOrder};
+use hemlockrock::queue::scheduler::{Action, Event, OrderResult, StartOrder};
 use queue_support::{job, step, task, Harness};
 
 /// A harness in which an end with number 1 of runner r1 is acknowledged, and a start order of job 2
@@ -266,3 +266,44 @@
     harness.advance_answering_starts(2000);
     assert_eq!(harness.acknowledged("r1"), 1);
 }
+
+#[test]
+fn a_run_that_begins_under_a_lease_of_the_former_incarnations_clock_does_not_go_on() {
+    let mut harness = Harness::new(1);
+    harness.add_runner("r1", 4_000);
+    harness.advance(12_000);
+    harness.restart_runner("r1");
+    harness.handle(Event::JobSubmitted(job(1, vec![step(1, 1_000)])));
+    let starts = harness.starts();
+    assert_eq!(starts.len(), 1);
+    harness.answer_starts(&starts);
+    harness.advance(50);
+    let stops = harness.stops();
+    assert_eq!(stops.len(), 1, "the run has a lease of up to max_run_lease_ms");
+    harness.list_runner("r1");
+    harness.answer_stop(&stops[0], Ok(()));
+    harness.end_at("r1", 1, starts[0].task, starts[0].run, RunEnd::Stopped);
+    let long_ms = harness.config.max_run_lease_ms - harness.config.run_lease_ms;
+    harness.advance(long_ms - 100);
+    assert!(harness.starts().is_empty(), "later runs would have that lease, too");
+    harness.advance(1_000);
+    assert_eq!(harness.starts().len(), 1);
+}
+
+#[test]
+fn a_run_whose_start_is_answered_after_a_later_status_goes_on() {
+    let (mut harness, first) = Harness::with_job(&[("r1", 4_000)], vec![step(1, 1_000)]);
+    harness.answer_starts(&first);
+    harness.handle(Event::JobSubmitted(job(2, vec![step(1, 1_000)])));
+    let starts = harness.starts();
+    let StartOrder { runner, task, run, .. } = starts[0];
+    let sent_ms = harness.now_ms;
+    let clock_ms = harness.status("r1").clock_ms;
+    harness.advance(1_200);
+    let (is_stop, result) = (false, Ok(()));
+    let clock_ms = Some(clock_ms);
+    let finished = OrderResult { runner, task, run, is_stop, sent_ms, clock_ms, result };
+    harness.handle(Event::OrderFinished(finished));
+    harness.advance(50);
+    assert!(harness.stops().is_empty());
+}
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, missing_docs, unreachable_pub, reason = "support module for tests")]
 #![allow(clippy::unwrap_used, reason = "tests panic on unexpected values")]
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -24,6 +24,13 @@
 /// Name of a queue with a lower priority than the test queue `q`.
 pub const LESS_URGENT_QUEUE: &str = "less-urgent";
 
+/// Name of a queue with a lower priority than the test queue `q`, the admission policy of that queue
+/// and the service [`OTHER_SERVICE`].
+pub const OTHER_SERVICE_QUEUE: &str = "other-service";
+
+/// Name of a service beside that of the test queue.
+pub const OTHER_SERVICE: &str = "t";
+
 const BORN_MS: u64 = 1_000;
 const LEASE_MS: u64 = 1_000;
 
@@ -46,6 +53,8 @@
     capacity: u64,
     /// Time at which the current incarnation of the runner started, which is 0 on its clock.
     started_ms: u64,
+    /// Whether the runner is one of [`OTHER_SERVICE`].
+    is_of_other_service: bool,
 }
 
 /// An advice service whose answer about a step and a runner never changes.
@@ -55,6 +64,8 @@
     /// Number of hosts that can ask it.
     hosts: usize,
     valid_ms: u64,
+    /// Runners that may not run anything, whatever the share of admitted ones.
+    refused: BTreeSet<RunnerId>,
     /// Answers, with the time at which they arrive.
     in_flight: Vec<(u64, Event)>,
 }
@@ -69,7 +80,8 @@
     ) {
         let (asked, names): (Vec<RunnerKey>, Vec<RunnerId>) = runners.into_iter().unzip();
         let is_admitted = |id: &RunnerId| {
-            collections::stable_hash(format!("{step} {id}")) % 100 < self.admitted_percent
+            let percent = collections::stable_hash(format!("{step} {id}")) % 100;
+            percent < self.admitted_percent && !self.refused.contains(id)
         };
         let admitted = names.iter().filter(|id| is_admitted(id));
         let result = admitted.map(|id| Admission {
@@ -181,7 +193,14 @@
             advice: None,
             ..queue.clone()
         };
-        let queues = vec![queue, less_urgent];
+        let other_service = Queue {
+            name: OTHER_SERVICE_QUEUE.to_owned(),
+            prefix: "/other-service/".to_owned(),
+            service: OTHER_SERVICE.to_owned(),
+            priority: 1,
+            ..queue.clone()
+        };
+        let queues = vec![queue, less_urgent, other_service];
         let directory = QueueDirectory { version, queues, max_body_bytes: 1 << 18 };
         self.handle(Event::DirectoryUpdated(Arc::new(directory)));
     }
@@ -191,10 +210,21 @@
     pub fn require_advice(&mut self, policy: AdvicePolicy, admitted_percent: u64, hosts: usize) {
         self.declare(2, Some(policy));
         let valid_ms = policy.valid_ms;
-        self.advice = Some(FakeAdvice { admitted_percent, hosts, valid_ms, in_flight: Vec::new() });
+        let (refused, in_flight) = (BTreeSet::new(), Vec::new());
+        self.advice = Some(FakeAdvice { admitted_percent, hosts, valid_ms, refused, in_flight });
         self.send_heartbeats();
     }
 
+    /// Makes the advice service refuse the runner in its answers to later calls, or no longer.
+    pub fn refuse_runner(&mut self, id: &str, is_refused: bool) {
+        let refused = &mut self.advice.as_mut().unwrap().refused;
+        if is_refused {
+            refused.insert(RunnerId::from(id));
+        } else {
+            refused.remove(id);
+        }
+    }
+
     fn send_heartbeats(&mut self) {
         let hosts = self.advice.as_ref().map_or(0, |advice| advice.hosts);
         for host in 0..hosts {
@@ -228,11 +258,12 @@
     }
 
     fn report(&self, id: &str, is_draining: bool) -> RunnerReport {
+        let service = if self.runners[id].is_of_other_service { OTHER_SERVICE } else { "s" };
         RunnerReport {
             id: RunnerId::from(id),
             address: format!("{id}:1"),
             zone: "z".to_owned(),
-            service: "s".to_owned(),
+            service: service.to_owned(),
             is_draining,
             leaves_in_ms: None,
             labels: Vec::new(),
@@ -245,6 +276,16 @@
         self.add_runner_with_runs(id, capacity, Vec::new());
     }
 
+    /// Adds a runner of [`OTHER_SERVICE`].
+    pub fn add_runner_of_other_service(&mut self, id: &str, capacity: u64) {
+        let is_of_other_service = true;
+        let runner = FakeRunner { capacity, is_of_other_service, ..FakeRunner::default() };
+        self.runners.insert(RunnerId::from(id), runner);
+        let report = self.report(id, false);
+        self.handle(Event::RunnerListed(report));
+        self.advance(20);
+    }
+
     /// Adds a runner with runs that a previous leader started.
     pub fn add_runner_with_runs(&mut self, id: &str, capacity: u64, running: Vec<(TaskId, u64)>) {
         self.add_runner_with_ended_runs(id, capacity, running, Vec::new());
