--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -75,7 +75,7 @@
     runner_keys: HashMap<RunnerId, RunnerKey>,
     advice_hosts: Vec<AdviceHost>,
     /// Steps that wait for advice, during a placement pass.
-    advice_wishes: Vec<advice::AdviceWish>,
+    pending_advice: Vec<advice::PendingAdvice>,
     persistence: persistence::Persistence,
     /// Estimated share of runners that the policy of each queue admits, by queue name.
     admitted_share: HashMap<String, f64>,
@@ -109,7 +109,7 @@
             runners: SlotMap::with_key(),
             runner_keys: HashMap::default(),
             advice_hosts: Vec::new(),
-            advice_wishes: Vec::new(),
+            pending_advice: Vec::new(),
             persistence: persistence::Persistence::default(),
             admitted_share: HashMap::default(),
             confirmed_until_ms: 0,
--- a/src/queue/scheduler/advice.rs
+++ b/src/queue/scheduler/advice.rs
@@ -70,7 +70,7 @@
 
 /// A step that waits for a host to call the advice service.
 #[derive(Debug)]
-pub(super) struct AdviceWish {
+pub(super) struct PendingAdvice {
     key: JobKey,
     step: usize,
     declared: Step,
@@ -201,7 +201,7 @@
         if advice.calls_in_flight > 0 || now_ms < advice.retry_ms || !self.has_idle_advice_host() {
             return;
         }
-        self.advice_wishes.push(AdviceWish {
+        self.pending_advice.push(PendingAdvice {
             key: request.key,
             step: request.step,
             declared: request.declared.clone(),
@@ -217,11 +217,11 @@
     /// Each idle host goes to the service with the fewest calls in flight: steps of different services
     /// need different runners, so that a backlog of one must not hold up the others.
     pub(super) fn send_advice_requests(&mut self, now_ms: u64, out: &mut Vec<Action>) {
-        let mut services: Vec<(String, VecDeque<AdviceWish>)> = Vec::new();
-        for wish in std::mem::take(&mut self.advice_wishes) {
-            match services.iter_mut().find(|(service, _)| *service == wish.service) {
-                Some((_, wishes)) => wishes.push_back(wish),
-                None => services.push((wish.service.clone(), VecDeque::from([wish]))),
+        let mut services: Vec<(String, VecDeque<PendingAdvice>)> = Vec::new();
+        for pending in std::mem::take(&mut self.pending_advice) {
+            match services.iter_mut().find(|(service, _)| *service == pending.service) {
+                Some((_, queue)) => queue.push_back(pending),
+                None => services.push((pending.service.clone(), VecDeque::from([pending]))),
             }
         }
         while self.has_idle_advice_host() {
@@ -231,27 +231,27 @@
             };
             let next = services
                 .iter_mut()
-                .filter(|(_, wishes)| !wishes.is_empty())
+                .filter(|(_, queue)| !queue.is_empty())
                 .min_by_key(|(service, _)| calls_in_flight(service));
-            let Some(wish) = next.and_then(|(_, wishes)| wishes.pop_front()) else { return };
-            self.grant_wish(&wish, now_ms, out);
+            let Some(pending) = next.and_then(|(_, queue)| queue.pop_front()) else { return };
+            self.send_calls(&pending, now_ms, out);
         }
     }
 
-    fn grant_wish(&mut self, wish: &AdviceWish, now_ms: u64, out: &mut Vec<Action>) {
+    fn send_calls(&mut self, pending: &PendingAdvice, now_ms: u64, out: &mut Vec<Action>) {
         let request = PlacementRequest {
-            key: wish.key,
-            step: wish.step,
-            declared: &wish.declared,
-            service: &wish.service,
-            reserve_millis: wish.reserve_millis,
+            key: pending.key,
+            step: pending.step,
+            declared: &pending.declared,
+            service: &pending.service,
+            reserve_millis: pending.reserve_millis,
         };
-        // Another wish of the same step may have been granted in this pass.
-        if self.jobs[wish.key].steps[wish.step].advice.calls_in_flight > 0 {
+        // A call for the step may have been sent earlier in this pass.
+        if self.jobs[pending.key].steps[pending.step].advice.calls_in_flight > 0 {
             return;
         }
         let selected;
-        let runners = match &wish.subject {
+        let runners = match &pending.subject {
             AdviceSubject::Runners(runners) => runners,
             AdviceSubject::Tasks(count) => {
                 selected = self.runners_to_ask(&request, *count, now_ms);
@@ -261,10 +261,10 @@
         let calls = runners.len().div_ceil(self.config.advice_runners);
         let named = runners.len().div_ceil(calls.max(1)).max(1);
         for runners in runners.chunks(named) {
-            if !self.send_advice_request(&request, wish.policy, runners, now_ms, out) {
+            if !self.send_advice_request(&request, pending.policy, runners, now_ms, out) {
                 return;
             }
-            self.jobs[wish.key].steps[wish.step].advice.calls_in_flight += 1;
+            self.jobs[pending.key].steps[pending.step].advice.calls_in_flight += 1;
         }
     }
 
