--- a/src/queue/scheduler/inherited.rs
+++ b/src/queue/scheduler/inherited.rs
@@ -11,8 +11,8 @@
 use crate::queue::scheduler::runner;
 use crate::queue::scheduler::Scheduler;
 
-/// Time that is added to the leases that a former leader may have asked for without a confirmed
-/// lease of its own, in milliseconds: for clocks of runners that run slow.
+/// Time after the last expiry that a former leader may have asked for, by which the lease has
+/// certainly expired, in milliseconds: the clock of a runner may run slow within one run lease.
 const BRIDGED_LEASE_MARGIN_MS: u64 = 500;
 
 /// Delay before a failed write of the terms is repeated, in milliseconds.
@@ -104,14 +104,14 @@
             .end();
         wait.ordered_ms = wait.ordered_ms.max(ordered_ms);
         if open_terms.is_empty() {
-            let expired_ms = wait.ordered_ms + runner::longest_lease_ms(self.config.run_lease_ms);
+            let expired_ms = wait.ordered_ms + runner::certain_expiry_ms(self.config.run_lease_ms);
             wait.until_ms = wait.until_ms.map(|until_ms| until_ms.min(expired_ms));
         }
     }
 
-    /// Whether tasks that a former leader may have started need not wait any longer: all runners
-    /// have answered, or the leases of the runs at the others have certainly expired.
-    pub(super) fn check_inherited_wait(&mut self, now_ms: u64) -> bool {
+    /// Ends the wait once all runners have answered, or the leases of the runs at the others have
+    /// certainly expired; returns whether it is over.
+    pub(super) fn update_inherited_wait(&mut self, now_ms: u64) -> bool {
         let may_have_leases = self.inherited.may_have_leases(now_ms);
         if !may_have_leases && self.inherited.until_ms.take().is_some() {
             self.inherited.settlement = Settlement::Due(now_ms);
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -171,7 +171,7 @@
 }
 
 /// Time after which a lease of `lease_ms` has certainly expired, in milliseconds.
-pub(super) fn longest_lease_ms(lease_ms: u64) -> u64 {
+pub(super) fn certain_expiry_ms(lease_ms: u64) -> u64 {
     const MILLI: u64 = 1_000;
     lease_ms + lease_ms * CLOCK_DRIFT_MILLIS / MILLI + LEASE_SLACK_MS
 }
@@ -377,7 +377,7 @@
     /// Records that the runner may have been given a lease of `max_lease_ms` just before, rather than
     /// of `lease_ms`.
     pub(crate) fn expect_long_lease(&mut self, max_lease_ms: u64, lease_ms: u64, now_ms: u64) {
-        let usual_from_ms = now_ms + longest_lease_ms(max_lease_ms).saturating_sub(lease_ms);
+        let usual_from_ms = now_ms + certain_expiry_ms(max_lease_ms).saturating_sub(lease_ms);
         self.long_lease_until_ms = self.long_lease_until_ms.max(usual_from_ms);
     }
 
@@ -392,7 +392,7 @@
     /// Time by which all runs on the runner have certainly ended unless the lease is renewed.
     pub(crate) fn lease_lapsed_by_ms(&self) -> u64 {
         let Some((clock_ms, at_ms)) = self.clock_sample else { return 0 };
-        at_ms + longest_lease_ms(self.lease_sent_until_ms.saturating_sub(clock_ms))
+        at_ms + certain_expiry_ms(self.lease_sent_until_ms.saturating_sub(clock_ms))
     }
 
     /// Resets the state that belonged to the previous incarnation.
