--- a/src/queue/election.rs
+++ b/src/queue/election.rs
@@ -70,7 +70,7 @@
     };
     let mut terms = former.leaders.clone().unwrap_or_default();
     // A later term of a host shows that its earlier ones have ended.
-    terms.retain(|leader| !leader.is_same_host(&record));
+    terms.retain(|leader| !shared.is_this_host(leader));
     terms.push(record.clone());
     let encoded = record::encode(&record).and_then(|leader| Ok((leader, record::encode(&terms)?)));
     let (leader_value, terms_value) =
--- a/src/queue/record.rs
+++ b/src/queue/record.rs
@@ -140,13 +140,6 @@
     pub nonce: u64,
 }
 
-impl LeaderRecord {
-    /// Whether the record was written by the same host, in this process or another one.
-    pub fn is_same_host(&self, other: &Self) -> bool {
-        self.host == other.host && self.address == other.address
-    }
-}
-
 /// Encodes a record for the store.
 ///
 /// # Errors
--- a/tests/queue_crashes.rs
+++ b/tests/queue_crashes.rs
@@ -190,14 +190,21 @@
     assert_eq!(harness.state(2).map(JobState::is_final), Some(false), "one crash is certain");
 }
 
-#[test]
-fn nothing_is_placed_beside_a_suspect_until_it_has_survived() {
+/// A cell whose only runner has just confirmed the start of the only suspect, which has crashed it
+/// before; with that start.
+fn with_isolated_suspect() -> (Harness, StartOrder) {
     let mut harness = harness(1);
     harness.handle(Event::JobSubmitted(job(1, vec![step(1, 1_000)])));
     let first = harness.starts().remove(0);
     crash(&mut harness, &first);
     let second = harness.starts().remove(0);
     harness.answer_start(&second, Ok(()));
+    (harness, second)
+}
+
+#[test]
+fn nothing_is_placed_beside_a_suspect_until_it_has_survived() {
+    let (mut harness, _) = with_isolated_suspect();
     harness.handle(Event::JobSubmitted(job(2, vec![step(1, 1_000)])));
     harness.advance(100);
     assert!(harness.starts().is_empty(), "the suspect is on probation on the only runner");
@@ -210,12 +217,7 @@
 fn a_suspect_has_not_survived_before_its_runner_answers_after_the_probation() {
     const SHORTEST_PROBATION_MS: u64 = 700;
     for silent_after_ms in (0..SHORTEST_PROBATION_MS).step_by(20) {
-        let mut harness = harness(1);
-        harness.handle(Event::JobSubmitted(job(1, vec![step(1, 1_000)])));
-        let first = harness.starts().remove(0);
-        crash(&mut harness, &first);
-        let second = harness.starts().remove(0);
-        harness.answer_start(&second, Ok(()));
+        let (mut harness, second) = with_isolated_suspect();
         harness.advance(silent_after_ms);
         harness.make_silent(&second.target.0);
         harness.advance(PROBATION_MS);
