--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -35,6 +35,8 @@
     "fencing-enforced": True, "lease-ms": 3000, "thaw-ms": 300, "pace-ms": 100, "harm-ms": 4000,
 }
 HEARTBEAT_MS = 1500
+# Refused starts that are written to the record; the others are only counted.
+RECORDED_REFUSALS = 40
 
 
 def now_ms():
@@ -272,6 +274,8 @@
         self.runs = []
         # (step, run) of a gang -> its runs.
         self.gangs = {}
+        # Number of starts that runners have refused.
+        self.refused = 0
 
     async def add(self, count, **options):
         for _ in range(count):
@@ -297,8 +301,9 @@
         self.id = f"i-{random.Random(number).getrandbits(40):010x}"
         self.is_up = False
         self.is_draining = False
-        self.is_gone = False
+        self.is_cut = False
         self.port = 0
+        self.reported_ms = self.held_ms = 0
 
     async def start(self):
         """Begins a lifetime."""
@@ -339,7 +344,28 @@
     def clock_ms(self):
         return int(now_ms() - self.begun_ms)
 
+    async def cut(self, for_s):
+        """Partitions the runner from the store and from all hosts; it runs on."""
+        self.fleet.record.line(f"runner {self.id} is cut off for {for_s} s")
+        self.is_cut = True
+        await asyncio.sleep(for_s)
+        self.is_cut = False
+        self.fleet.record.line(f"runner {self.id} is reached again")
+
+    async def lose_call(self):
+        """Leaves a call without an answer, and its channel silent, until the partition ends."""
+        while self.is_cut:
+            await asyncio.sleep(0.05)
+
+    async def drain(self):
+        self.is_draining = True
+        await self.report()
+        self.fleet.record.line(f"the store has accepted that runner {self.id} is draining")
+
     async def report(self):
+        if self.is_cut:
+            return
+        self.reported_ms = now_ms()
         self.sequence += 1
         value = {"service": self.service, "address": self.address, "zone": "riga-hall",
                  "version": "v1", "slots": 8, "state": "draining" if self.is_draining else "ready",
@@ -350,9 +376,10 @@
         await self.fleet.store.put(f"servers/{self.id}", value, self.lease)
 
     async def heartbeat(self):
+        await asyncio.sleep(random.uniform(0, HEARTBEAT_MS / 1000))
         while True:
-            await asyncio.sleep(HEARTBEAT_MS / 1000)
             await self.report()
+            await asyncio.sleep(HEARTBEAT_MS / 1000)
 
     async def end(self, run, how):
         key = run["task"]
@@ -394,20 +421,29 @@
                         elif now_ms() - run["begun_ms"] > BOUNDS["gang-timeout-ms"]:
                             await self.end(run, "alone")
                         continue
-                    run["worked_ms"] = max(other["worked_ms"] for other in gang)
+                    # The first member advances the work of all.
+                    if run is not gang[0]:
+                        run["worked_ms"] = gang[0]["worked_ms"]
+                        self.save(run)
+                        continue
                 if now_ms() < run["from_ms"]:
                     continue
                 run["worked_ms"] += step_ms
-                if run["checkpoints"]:
-                    every_ms = BOUNDS["checkpoint-s"] * 1000
-                    saved = int(run["worked_ms"] // every_ms)
-                    if saved:
-                        owner = run["gang"][0] if run["gang"] else run["task"]
-                        run["saved"] = f"{int(saved * every_ms):08x}{owner[:16]}"
+                self.save(run)
                 if run["work_ms"] and run["worked_ms"] >= run["work_ms"]:
                     await self.end(run, run["how"])
 
+    def save(self, run):
+        if run["checkpoints"]:
+            every_ms = BOUNDS["checkpoint-s"] * 1000
+            saved = int(run["worked_ms"] // every_ms)
+            if saved:
+                owner = run["gang"][0] if run["gang"] else run["task"]
+                run["saved"] = f"{int(saved * every_ms):08x}{owner[:16]}"
+
     async def handle(self, method, path, query, headers, body):
+        if self.is_cut:
+            return await self.lose_call()
         if headers.get("hemlockrock-expected-instance", self.id) != self.id:
             return 421, {"clock-ms": self.clock_ms()}
         if body["fencing-token"] < self.fence:
@@ -425,6 +461,8 @@
             return 200, {"clock-ms": self.clock_ms()}
         if path == "/hold":
             self.ends = [end for end in self.ends if end[0] > body["last-seen"]]
+            if body.get("until-ms"):
+                self.held_ms = now_ms()
             self.extend(body.get("until-ms"))
             wait_until_ms = now_ms() + body.get("wait-ms", 0)
             while not self.ends and now_ms() < wait_until_ms:
@@ -434,6 +472,8 @@
                             self.ended.wait(), (wait_until_ms - now_ms()) / 1000)
                     except asyncio.TimeoutError:
                         pass
+            if self.is_cut:
+                return await self.lose_call()
             rows = []
             for run in self.running.values():
                 percent = 100 if not run["work_ms"] else int(
@@ -452,7 +492,9 @@
         task, number = body["task"], body["run"]
 
         def refuse(reason):
-            self.fleet.record.line(f"start {task} {number} refused by {self.id}: {reason}")
+            self.fleet.refused += 1
+            if self.fleet.refused <= RECORDED_REFUSALS:
+                self.fleet.record.line(f"start {task} {number} refused by {self.id}: {reason}")
             return 409, {"clock-ms": self.clock_ms(), "reason": reason}
 
         known = self.running.get(task)
