--- a/review/standin/cell.py
+++ b/review/standin/cell.py
@@ -327,12 +327,17 @@
         await self.report()
         self.tasks = [asyncio.create_task(self.heartbeat()), asyncio.create_task(self.work())]
 
-    def crash(self):
-        """Ends the lifetime without a word; the record stays until its lease ends."""
+    def crash(self, is_dark=False):
+        """Ends the lifetime without a word; the record stays until its lease ends.
+
+        A dark runner lets channels hang, and orders to it get lost; others reset them.
+        """
         self.is_up = False
         for task in self.tasks:
             task.cancel()
-        self.server.stop()
+        self.is_cut = is_dark
+        if not is_dark:
+            self.server.stop()
         lost = [run["task"] for run in self.running.values()]
         self.fleet.record.line(f"runner {self.id} crashes with {lost}")
         for run in self.running.values():
@@ -341,6 +346,9 @@
 
     async def restart(self, after_s):
         await asyncio.sleep(after_s)
+        if self.is_cut:
+            self.server.stop()
+            self.is_cut = False
         await self.start()
 
     def clock_ms(self):
