--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,9 @@
 
 JOB = "5c0e7a21d94b36f8"
 RUNNERS = 14
-DOWN_S = (3.0, 4.5)
+DOWN_S = (2.0, 4.5)
+# The crash comes in the first half of a ping interval of the second runner.
+PING_AGE_MS = standin.HEARTBEAT_MS / 2
 
 
 async def play(cell):
@@ -19,6 +21,8 @@
     # The leader tries the last of the idle runners by name first, and a suspect on the first.
     by_name = sorted(cell.fleet.runners, key=lambda runner: runner.id)
     restarts = []
+    while standin.now_ms() > by_name[0].reported_ms + PING_AGE_MS:
+        await asyncio.sleep(0.01)
     if standin.TROUBLE:
         for runner, down_s in zip((by_name[-1], by_name[0]), DOWN_S):
             runner.crash(is_dark=True)
