fix(queue): runs on draining runners that are cut off are waited for

Cause: a runner that drained, was not listed any more and had failed one renewal was taken for one that had left. Its record is also removed after three ping intervals of silence, while its runs go on until their lease lapses. A removed record proves silence; only a lapsed lease proves the end of a run.

Evidence: log of the leader: runner_lost at 10.023 s with lapses_in_ms 2,389, runner_unlisted at 12.091 s, run_lost "lease ended" at 12.092 s, then the starts.

Why this works: runs on any silent runner are released by one rule, once their lease has certainly lapsed.

--- a/src/queue/scheduler/lease.rs
+++ b/src/queue/scheduler/lease.rs
@@ -83,13 +83,12 @@
             .iter()
             .filter(|(_, runner)| !runner.assignments.is_empty())
             .filter(|(_, runner)| {
-                let has_left =
-                    runner.is_draining && !runner.is_listed && runner.renewal.failures > 0;
-                // A leader that was suspended has to read the answers that it has missed first.
-                let is_silent = runner.clock_sample.is_some()
+                // A leader that was suspended has to read the answers that it has missed first. That
+                // a draining runner is no longer listed does not show that it has left: the record
+                // of one that is cut off is removed as well.
+                runner.clock_sample.is_some()
                     && runner.renewal.failures > 0
-                    && now_ms > runner.lease_lapsed_by_ms();
-                has_left || is_silent
+                    && now_ms > runner.lease_lapsed_by_ms()
             })
             .map(|(key, runner)| (key, runner.assignments.keys().copied().collect()))
             .collect();
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -112,6 +112,10 @@
     /// Progress writes in flight, with the time of their answer.
     saves_in_flight: Vec<(u64, WriteKey)>,
     renewal_sent_ms: BTreeMap<RunnerId, u64>,
+    /// End of the lease at each runner, on its clock.
+    leases: BTreeMap<RunnerId, u64>,
+    /// Keys of the runners, as in the last renewal of each.
+    runner_keys: BTreeMap<RunnerId, RunnerKey>,
     /// Fencing token of the last renewal of each runner.
     renewal_tokens: BTreeMap<RunnerId, u64>,
     /// Advice service; `None` if the queue has no admission policy.
@@ -166,6 +170,8 @@
             save_latency_ms: 0,
             saves_in_flight: Vec::new(),
             renewal_sent_ms: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            runner_keys: BTreeMap::new(),
             renewal_tokens: BTreeMap::new(),
             advice: None,
             confirms_lease,
@@ -524,7 +530,10 @@
         self.scheduler.take_actions(self.now_ms, &mut out);
         for action in out {
             match action.clone() {
-                Action::Start(order) => self.starts.push(order),
+                Action::Start(order) => {
+                    self.extend_lease(&order.target.0, order.until_ms);
+                    self.starts.push(order);
+                }
                 Action::Stop { runner, task, run, .. } => {
                     self.stops.push(Stop { runner, task, run });
                 }
@@ -539,6 +548,8 @@
                 }
                 Action::RenewLease(renewal) => {
                     let id = renewal.target.0;
+                    self.runner_keys.insert(RunnerId::clone(&id), renewal.runner);
+                    self.extend_lease(&id, renewal.until_ms.unwrap_or_default());
                     self.renewal_tokens.insert(RunnerId::clone(&id), renewal.token);
                     self.renewal_sent_ms.insert(id, self.now_ms);
                 }
@@ -548,6 +559,11 @@
         }
     }
 
+    fn extend_lease(&mut self, id: &RunnerId, until_ms: u64) {
+        let lease = self.leases.entry(RunnerId::clone(id)).or_default();
+        *lease = until_ms.max(*lease);
+    }
+
     fn save_progress(&mut self, write: WriteKey) {
         if let Some(delayed) = &mut self.delayed_saves {
             delayed.push(write);
@@ -601,6 +617,27 @@
         }
     }
 
+    /// Lets all runners that answer report their status now.
+    pub fn read_runners(&mut self) {
+        let keys: Vec<(RunnerId, RunnerKey)> =
+            self.runner_keys.iter().map(|(id, key)| (RunnerId::clone(id), *key)).collect();
+        for (id, runner) in keys {
+            if !self.runners[&id].is_silent {
+                let (sent_ms, result) = (self.now_ms, Ok(self.status(&id)));
+                self.handle(Event::RenewalFinished { runner, sent_ms, result });
+            }
+        }
+    }
+
+    /// Advances the time by `ms`, or until a start order has been sent.
+    pub fn advance_until_start(&mut self, ms: u64) {
+        const STEP_MS: u64 = 10;
+        let end_ms = self.now_ms + ms;
+        while self.now_ms < end_ms && self.starts.is_empty() {
+            self.advance(STEP_MS.min(end_ms - self.now_ms));
+        }
+    }
+
     fn is_due(&self, renewal: &RenewalOrder) -> bool {
         let sent_ms = self.renewal_sent_ms.get(&renewal.target.0).copied().unwrap_or_default();
         self.now_ms >= sent_ms + renewal.wait_ms
@@ -686,6 +723,11 @@
         self.scheduler.state_of(JobId(job))
     }
 
+    /// End of the lease at a runner that has not been restarted.
+    pub fn lease_until_ms(&self, id: &str) -> u64 {
+        self.leases.get(id).copied().unwrap_or_default()
+    }
+
     /// Number of the last ended run that the scheduler acknowledged to a runner.
     pub fn acknowledged(&self, id: &str) -> u64 {
         self.runners[id].acknowledged
