feat(queue): the log tells why a job has ended

`job_ended` named the state only, so that the two ways to `failed` (runs that failed too often, crashes of runners) could not be told apart from the record of the users' own runs. It now names the cause with the task and the runs that are the evidence; `job_given_up` tells of each run whether the runner has certainly crashed.

--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -5,6 +5,7 @@
 
 mod advice;
 mod crash;
+mod end_cause;
 mod event;
 mod inherited;
 mod job;
@@ -29,6 +30,7 @@
 use crate::decision_log;
 use crate::queue::model::{JobId, JobState, QueueDirectory, RunnerId, Submission};
 use crate::queue::record::Progress;
+use end_cause::EndCause;
 
 pub use advice::AdviceHost;
 pub use crash::CrashCounts;
@@ -265,7 +267,7 @@
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.restore(progress);
         if job.is_done() {
-            self.finish(key, JobState::Completed, now_ms);
+            self.finish(key, JobState::Completed, &EndCause::TasksDone, now_ms);
         }
         self.restore_suspects(key);
     }
@@ -279,12 +281,12 @@
             return;
         };
         if !self.jobs[key].state.is_final() {
-            self.finish(key, JobState::Canceled, now_ms);
+            self.finish(key, JobState::Canceled, &EndCause::Cancellation, now_ms);
         }
     }
 
     /// Sets the final state of a job and stops its remaining runs.
-    fn finish(&mut self, key: JobKey, state: JobState, now_ms: u64) {
+    fn finish(&mut self, key: JobKey, state: JobState, cause: &EndCause, now_ms: u64) {
         let job = &mut self.jobs[key];
         if job.state.is_final() {
             return;
@@ -296,6 +298,7 @@
             .with("state", format_args!("{state:?}"))
             .with("queue", &job.submission.queue)
             .with("age_ms", now_ms.saturating_sub(job.known_ms))
+            .with("cause", cause)
             .end();
         self.mark_dirty(key);
         for runner in self.runners.values_mut() {
--- a/src/queue/scheduler/crash.rs
+++ b/src/queue/scheduler/crash.rs
@@ -6,12 +6,13 @@
 //! suspect has crashed a runner there again.
 
 use std::collections::VecDeque;
-use std::fmt::Write as _;
+use std::fmt::{self, Write as _};
 
 use crate::collections::{HashMap, HashSet};
 use crate::decision_log;
 use crate::queue::model::{JobId, JobState, RunnerId, TaskId};
 use crate::queue::record::CrashRecord;
+use crate::queue::scheduler::end_cause::EndCause;
 use crate::queue::scheduler::job::{Job, JobKey, TaskState};
 use crate::queue::scheduler::probe::Probe;
 use crate::queue::scheduler::runner::{Assignment, RunPhase, RunnerKey};
@@ -81,6 +82,13 @@
     is_certain: bool,
 }
 
+impl fmt::Display for CrashedRun {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let evidence = if self.is_certain { "crashed" } else { "lost" };
+        write!(formatter, "{}:{evidence}", self.run)
+    }
+}
+
 /// A run on a runner that was lost.
 #[derive(Clone, Copy, Debug)]
 struct LostRun {
@@ -588,19 +596,18 @@
         if self.jobs[job_key].state.is_final() {
             return;
         }
-        let runs: Vec<String> = self
-            .task_mut(task)
-            .into_iter()
-            .flat_map(|task| task.suspicion.crashed_runs.iter().map(|run| run.run.to_string()))
-            .collect();
+        let crashed: Vec<CrashedRun> =
+            self.task_mut(task).map(|task| task.suspicion.crashed_runs.clone()).unwrap_or_default();
+        let described: Vec<String> = crashed.iter().map(ToString::to_string).collect();
         self.crashes.counts.given_up_jobs += 1;
         decision_log::line("job_given_up")
             .with("task", task)
-            .with("crashes", runs.len())
-            .with("runs", runs.join(" "))
+            .with("crashes", crashed.len())
+            .with("runs", described.join(" "))
             .with("last_runner", runner)
             .end();
-        self.finish(job_key, JobState::Failed, now_ms);
+        let runs = crashed.iter().map(|run| run.run).collect();
+        self.finish(job_key, JobState::Failed, &EndCause::Crashes { task, runs }, now_ms);
     }
 
     /// Copyable tasks of a silent runner that may start elsewhere before the lease has lapsed.
--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -258,8 +258,8 @@
         true
     }
 
-    /// Number of failed runs of a task; for a gang, of the whole gang, whose members share runs.
-    pub(crate) fn failures(&self, index: u32, is_gang: bool) -> u32 {
+    /// Failed runs of a task; for a gang, of the whole gang, whose members share runs.
+    pub(crate) fn failed_runs(&self, index: u32, is_gang: bool) -> Vec<u64> {
         let mut runs: Vec<u64> = self
             .failed
             .iter()
@@ -268,7 +268,7 @@
             .collect();
         runs.sort_unstable();
         runs.dedup();
-        u32::try_from(runs.len()).unwrap_or(u32::MAX)
+        runs
     }
 }
 
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -7,6 +7,7 @@
     EndedRun, JobState, OrderError, RunEnd, RunnerId, RunnerReport, RunnerStatus, RunningTask,
     Step, TaskId,
 };
+use crate::queue::scheduler::end_cause::EndCause;
 use crate::queue::scheduler::job::TaskState;
 use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey, UnsavedEnd};
 use crate::queue::scheduler::Scheduler;
@@ -307,12 +308,14 @@
                     run.failed_at = Some(key);
                 }
                 let is_new = job.steps[step].record_failure(task.index, ended.run);
-                let has_failed = job.steps[step].failures(task.index, is_gang) >= job.max_attempts;
+                let runs = job.steps[step].failed_runs(task.index, is_gang);
+                let allowed = job.max_attempts;
                 if is_new {
                     self.mark_dirty(job_key);
                 }
-                if has_failed {
-                    self.finish(job_key, JobState::Failed, now_ms);
+                if runs.len() >= allowed as usize {
+                    let cause = EndCause::FailedRuns { task, runs, allowed };
+                    self.finish(job_key, JobState::Failed, &cause, now_ms);
                 }
             }
             _ => {}
@@ -351,7 +354,7 @@
             }
         }
         if is_done {
-            self.finish(job_key, JobState::Completed, now_ms);
+            self.finish(job_key, JobState::Completed, &EndCause::TasksDone, now_ms);
         }
     }
 
