fix(queue): a job is given up only for runs that have certainly begun

Cause: a start that was sent and never confirmed counted as certainly begun as long as no other job was being started on that runner, and four possible crashes ended a job in any case. What is possible was counted as what is certain.

Change: a crash is attributed to a run only if the runner was up, with the run in progress or about to be ordered, at most 200 ms before the first call that failed. A suspect starts on an idle runner only after a read of its status was answered. The four crashes without a proof count runs that had begun only. Starts after four possible crashes are delayed.

--- a/src/queue/record.rs
+++ b/src/queue/record.rs
@@ -98,8 +98,11 @@
     pub run: u64,
     /// Whether the runner was starting the run.
     pub was_starting: bool,
-    /// Whether the runner had certainly begun the run.
+    /// Whether the runner has certainly crashed during the run.
     pub is_certain: bool,
+    /// Whether the runner had certainly begun the run.
+    #[serde(default)]
+    pub has_begun: bool,
 }
 
 /// A task that was started again after a run whose end had not been read.
--- a/src/queue/scheduler/crash.rs
+++ b/src/queue/scheduler/crash.rs
@@ -15,9 +15,14 @@
 use crate::queue::scheduler::end_cause::EndCause;
 use crate::queue::scheduler::job::{Job, JobKey, TaskState};
 use crate::queue::scheduler::probe::Probe;
-use crate::queue::scheduler::runner::{Assignment, RunPhase, RunnerKey};
+use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey};
 use crate::queue::scheduler::Scheduler;
 
+/// Longest time between the last call that a runner has answered and the first one that shows its crash
+/// for the crash to be attributed to a run, in milliseconds. Within a longer time, the run may have
+/// ended, or the runner may have crashed before it received the order.
+pub(super) const CRASH_WINDOW_MS: u64 = 200;
+
 /// Age up to which a run that its runner has confirmed still counts as starting, in milliseconds.
 const STARTING_MS: u64 = 250;
 
@@ -51,9 +56,19 @@
 /// Number of additional crashes after which a job is given up if the suspect was not isolated.
 const UNPROVEN_ALLOWANCE: usize = 2;
 
-/// Number of additional crashes after which a job is given up although its task may not have begun on
-/// all of these runners.
-const UNCERTAIN_ALLOWANCE: usize = 2;
+/// Number of additional crashes after which a job is given up although its runners may only have been
+/// cut off for good.
+const VANISHED_ALLOWANCE: usize = 2;
+
+/// Number of crashes under a task after which each further start is delayed.
+const UNDELAYED_CRASHES: usize = 3;
+
+/// Delay of the first start that is delayed because of crashes, in milliseconds. Each further crash
+/// doubles it.
+const CRASH_BACKOFF_MS: u64 = 2_000;
+
+/// Longest delay of a start because of crashes, in milliseconds.
+const MAX_CRASH_BACKOFF_MS: u64 = 30_000;
 
 /// Number of lost runners that are remembered.
 const MAX_REMEMBERED: usize = 256;
@@ -78,13 +93,19 @@
 struct CrashedRun {
     run: u64,
     was_starting: bool,
-    /// Whether the runner had certainly begun the run and has certainly crashed.
+    /// Whether the runner had certainly begun the run.
+    has_begun: bool,
+    /// Whether the runner has certainly crashed during the run.
     is_certain: bool,
 }
 
 impl fmt::Display for CrashedRun {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let evidence = if self.is_certain { "crashed" } else { "lost" };
+        let evidence = match (self.is_certain, self.has_begun) {
+            (true, _) => "crashed",
+            (false, true) => "begun",
+            (false, false) => "ordered",
+        };
         write!(formatter, "{}:{evidence}", self.run)
     }
 }
@@ -98,6 +119,12 @@
     was_starting: bool,
     /// Whether the runner had confirmed the start.
     is_confirmed: bool,
+    /// Whether the runner broke the connection off right after the start order, although it had answered
+    /// right before.
+    has_broken_off: bool,
+    /// Whether the runner had reported the run, or confirmed its start, right before it stopped
+    /// answering.
+    was_just_seen: bool,
     age_ms: u64,
     /// Whether the run was isolated as that of a suspect.
     was_on_probation: bool,
@@ -197,6 +224,22 @@
         self.crashed_runs.iter().filter(|known| known.is_certain).count()
     }
 
+    /// Number of lost runners that had certainly begun a run of the task.
+    fn begun_count(&self) -> usize {
+        self.crashed_runs.iter().filter(|known| known.has_begun).count()
+    }
+
+    /// Time for which the next start waits because of the crashes, in milliseconds.
+    pub(crate) fn backoff_ms(&self) -> u64 {
+        let delayed = self.count().saturating_sub(UNDELAYED_CRASHES);
+        match u32::try_from(delayed).unwrap_or(u32::MAX) {
+            0 => 0,
+            delayed => CRASH_BACKOFF_MS
+                .saturating_mul(2_u64.saturating_pow(delayed - 1))
+                .min(MAX_CRASH_BACKOFF_MS),
+        }
+    }
+
     fn suspect(&mut self, age_ms: u64) {
         self.is_suspect = true;
         self.probation_ms = (age_ms + PROBATION_MARGIN_MS).min(MAX_PROBATION_MS);
@@ -204,16 +247,28 @@
 }
 
 impl LostRun {
-    fn new(task: TaskId, assignment: &Assignment, is_on_probation: bool, now_ms: u64) -> Self {
+    fn new(task: TaskId, assignment: &Assignment, runner: &Runner, now_ms: u64) -> Self {
+        let probe = runner.crash.probe.as_ref();
+        let seen_ms = match assignment.phase {
+            RunPhase::Running { .. } => assignment.assigned_ms.max(runner.renewal.seen_ms),
+            _ => 0,
+        };
         Self {
             task,
             run: assignment.run,
             was_starting: assignment.is_starting(now_ms),
             is_confirmed: !matches!(assignment.phase, RunPhase::Starting { .. }),
+            has_broken_off: assignment.has_broken_off,
+            was_just_seen: now_ms <= seen_ms + CRASH_WINDOW_MS,
             age_ms: now_ms.saturating_sub(assignment.assigned_ms),
-            was_on_probation: is_on_probation,
+            was_on_probation: probe.is_some_and(|probe| probe.tasks.contains(&task)),
         }
     }
+
+    /// Whether the run was certainly in progress when the runner crashed, if it had begun.
+    fn is_attributable(&self) -> bool {
+        self.was_just_seen || self.has_broken_off
+    }
 }
 
 impl Assignment {
@@ -257,6 +312,7 @@
                     run: known.run,
                     was_starting: known.was_starting,
                     is_certain: known.is_certain,
+                    has_begun: known.has_begun,
                 }));
             }
         }
@@ -270,8 +326,9 @@
             let Some(task) = step.and_then(|step| step.tasks.get_mut(record.index as usize)) else {
                 continue;
             };
-            let CrashRecord { run, was_starting, is_certain, .. } = *record;
-            task.suspicion.record(CrashedRun { run, was_starting, is_certain });
+            let CrashRecord { run, was_starting, is_certain, has_begun, .. } = *record;
+            let has_begun = has_begun || is_certain;
+            task.suspicion.record(CrashedRun { run, was_starting, has_begun, is_certain });
             if was_starting || task.suspicion.count() > 1 {
                 task.suspicion.suspect(RECENT_START_MS);
             }
@@ -298,14 +355,11 @@
     /// Records which runs a runner had when it stopped answering.
     pub(super) fn record_silence(&mut self, key: RunnerKey, now_ms: u64) {
         let runner = &mut self.runners[key];
-        let probed = runner.crash.probe.as_ref().map(|probe| probe.tasks.as_slice());
-        let probed = probed.unwrap_or_default();
         let runs = runner.assignments.iter();
-        runner.crash.present = runs
-            .map(|(task, assignment)| {
-                LostRun::new(*task, assignment, probed.contains(task), now_ms)
-            })
+        let present = runs
+            .map(|(task, assignment)| LostRun::new(*task, assignment, runner, now_ms))
             .collect();
+        runner.crash.present = present;
         runner.crash.silent_since_ms = now_ms;
         if runner.crash.present.is_empty() {
             return;
@@ -356,10 +410,15 @@
 
     /// Notes runs that are about to be released because their lease has lapsed.
     pub(super) fn record_lapse(&mut self, key: RunnerKey, tasks: &[TaskId]) {
-        let state = &mut self.runners[key].crash;
-        let present = std::mem::take(&mut state.present);
-        let lapsed = present.into_iter().filter(|run| tasks.contains(&run.task));
-        state.lapsed.extend(lapsed);
+        let runner = &mut self.runners[key];
+        let present = std::mem::take(&mut runner.crash.present);
+        for mut run in present.into_iter().filter(|run| tasks.contains(&run.task)) {
+            // A start order may have failed after the renewal that showed the silence.
+            let assignment = runner.assignments.get(&run.task);
+            run.has_broken_off |=
+                assignment.is_some_and(|known| known.run == run.run && known.has_broken_off);
+            runner.crash.lapsed.push(run);
+        }
     }
 
     /// Decides whether a silent runner has crashed, once the leases there have lapsed.
@@ -425,8 +484,8 @@
         for run in &blamed {
             let was_starting = if has_starting { run.was_starting } else { is_recent(run) };
             let has_begun = has_certainly_begun(run, lost);
-            let is_certain = has_begun && is_proven;
-            let crashed = CrashedRun { run: run.run, was_starting, is_certain };
+            let is_certain = has_begun && run.is_attributable() && is_proven;
+            let crashed = CrashedRun { run: run.run, was_starting, has_begun, is_certain };
             if let Some(count) = self.blame(run, crashed) {
                 counted.push((*run, has_begun, count));
             }
@@ -480,23 +539,24 @@
         let Some(task) = self.jobs[job_key].task_mut(run.task) else { return };
         let known = task.suspicion.crashed_runs.iter_mut().find(|known| known.run == run.run);
         if let Some(known) = known {
-            known.is_certain = has_begun;
+            known.is_certain = has_begun && run.is_attributable();
             self.mark_dirty(job_key);
         }
     }
 
-    /// Whether the crashes under a task show that it has caused them, or another start might exceed
-    /// what a task may crash.
+    /// Whether the crashes under a task show that it has caused them. Runs that may not have begun are
+    /// no evidence.
     fn is_guilty(&mut self, run: &LostRun, is_of_one_job: bool) -> bool {
         let limit = self.config.task_crash_limit as usize;
         let Some(task) = self.task_mut(run.task) else { return false };
         let (count, certain) = (task.suspicion.count(), task.suspicion.certain_count());
+        let begun = task.suspicion.begun_count();
         let needed = match (run.was_on_probation, is_of_one_job) {
             (true, true) => limit,
             (true, false) => limit + SHARED_ALLOWANCE,
             (false, _) => limit + UNPROVEN_ALLOWANCE,
         };
-        certain >= limit && count >= needed || count >= limit + UNCERTAIN_ALLOWANCE
+        certain >= limit && count >= needed || begun >= limit + VANISHED_ALLOWANCE
     }
 
     /// Records a crash against one task; returns its number of crashes, or `None` if nothing is
@@ -638,12 +698,12 @@
     }
 }
 
-/// Whether the runner had certainly begun a run: it had confirmed the start, or starts of no other
-/// job can have crashed it.
+/// Whether the runner had certainly begun a run: it had confirmed the start, or crashed on receiving
+/// the order while it was starting tasks of no other job.
 fn has_certainly_begun(run: &LostRun, lost: &[LostRun]) -> bool {
     let is_of_job = |other: &LostRun| other.task.step.job == run.task.step.job;
     let is_last_start = lost.iter().filter(|other| !other.is_confirmed).all(is_of_job);
-    run.is_confirmed || is_last_start
+    run.is_confirmed || run.has_broken_off && is_last_start
 }
 
 /// Whether a run was among the last that its runner started.
--- a/src/queue/scheduler/lease.rs
+++ b/src/queue/scheduler/lease.rs
@@ -2,6 +2,7 @@
 
 use crate::decision_log;
 use crate::queue::model::TaskId;
+use crate::queue::scheduler::crash::CRASH_WINDOW_MS;
 use crate::queue::scheduler::event::{Action, RenewalOrder};
 use crate::queue::scheduler::runner::{Runner, RunnerKey};
 use crate::queue::scheduler::Scheduler;
@@ -10,6 +11,10 @@
 /// run that was stopped before it began never reports an end.
 const STOP_WAIT_MS: u64 = 400;
 
+/// Maximum wait of a renewal while suspects are on probation, in milliseconds: the runner has to answer
+/// within [`CRASH_WINDOW_MS`] before a crash for the crash to be attributed to them.
+const PROBE_WAIT_MS: u64 = CRASH_WINDOW_MS / 4;
+
 /// Maximum time for which a renewal is delayed until the reported ends are stored, in milliseconds.
 /// After that, the lease is renewed without acknowledging them.
 const ACKNOWLEDGE_WAIT_MS: u64 = 800;
@@ -144,7 +149,10 @@
             // once instead of waiting, so that it is asked less often.
             let is_unsaved = runner.last_seen_end > runner.acknowledged_end;
             let is_undelivered = runner.acknowledged_end > runner.delivered_end;
-            let is_idle = runner.assignments.is_empty() && !is_unsaved && !is_undelivered;
+            let is_idle = runner.assignments.is_empty()
+                && !is_unsaved
+                && !is_undelivered
+                && !runner.renewal.is_answer_wanted();
             let is_clock_outdated =
                 runner.clock_sample.is_some_and(|(_, at_ms)| now_ms > at_ms + MAX_CLOCK_AGE_MS);
             if !is_new && is_idle && !is_clock_outdated {
@@ -163,6 +171,8 @@
             let max_wait_ms = config.hold_wait_ms.min(lease_ms / RENEWALS_PER_LEASE);
             let wait_ms = if is_new || is_unsaved || runner.assignments.is_empty() {
                 0
+            } else if runner.crash.probe.is_some() {
+                PROBE_WAIT_MS.min(max_wait_ms)
             } else if runner.is_stopping() {
                 STOP_WAIT_MS.min(max_wait_ms)
             } else if runner.has_latency_target() && runner.has_best_effort() {
--- a/src/queue/scheduler/orders.rs
+++ b/src/queue/scheduler/orders.rs
@@ -2,6 +2,7 @@
 
 use crate::decision_log;
 use crate::queue::model::{JobState, OrderError, TaskId};
+use crate::queue::scheduler::crash::CRASH_WINDOW_MS;
 use crate::queue::scheduler::event::{Action, OrderResult, StartOrder};
 use crate::queue::scheduler::runner::{Assignment, RunPhase, RunnerKey};
 use crate::queue::scheduler::Scheduler;
@@ -108,6 +109,8 @@
                 self.mark_job_active(task);
             }
             Err(OrderError::Unanswered) => {
+                let is_soon = now_ms <= assignment.seen_ms + CRASH_WINDOW_MS;
+                assignment.has_broken_off |= !is_unsure && is_soon;
                 assignment.phase = RunPhase::Starting { is_unsure: true };
                 assignment.retry_ms = now_ms + ORDER_RETRY_MS;
                 runner.paused_until_ms = paused_until_ms;
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -295,7 +295,8 @@
         let runner = &mut self.runners[key];
         let until_ms = runner.extend_lease(lease_ms, now_ms).unwrap_or_default();
         let assignment = Assignment::new(run, request.declared, now_ms);
-        runner.assign(id, Assignment { former_run, ..assignment });
+        let seen_ms = runner.renewal.seen_ms;
+        runner.assign(id, Assignment { former_run, seen_ms, ..assignment });
         out.push(Action::Start(StartOrder {
             runner: key,
             target: runner.target(),
--- a/src/queue/scheduler/probe.rs
+++ b/src/queue/scheduler/probe.rs
@@ -10,6 +10,7 @@
 use crate::decision_log;
 use crate::queue::model::{AdvicePolicy, JobId, Step, TaskId};
 use crate::queue::scheduler::advice::AdviceSubject;
+use crate::queue::scheduler::crash::CRASH_WINDOW_MS;
 use crate::queue::scheduler::event::Action;
 use crate::queue::scheduler::job::{Job, JobKey, StepRun, TaskState};
 use crate::queue::scheduler::placement::PlacementRequest;
@@ -183,8 +184,10 @@
                     continue;
                 }
                 let is_suspect = |index: &usize| {
-                    let suspicion = &step.tasks[*index].suspicion;
-                    suspicion.is_suspect && job.is_crash_stored(suspicion)
+                    let task = &step.tasks[*index];
+                    task.suspicion.is_suspect
+                        && job.is_crash_stored(&task.suspicion)
+                        && now_ms >= task.waiting_since_ms + task.suspicion.backoff_ms()
                 };
                 let tasks: Vec<usize> = startable.into_iter().filter(is_suspect).collect();
                 let crashes = tasks.iter().map(|index| step.tasks[*index].suspicion.count()).max();
@@ -299,6 +302,9 @@
         if others > 0 && !is_late {
             return;
         }
+        if others == 0 && !self.have_answered_lately(&[runner], now_ms) {
+            return;
+        }
         let slots = self.slots_beside_suspects(&request, &self.runners[runner], now_ms);
         let slots = usize::try_from(slots).unwrap_or(usize::MAX);
         let starting: Vec<usize> = tasks.iter().copied().take(slots).collect();
@@ -309,6 +315,26 @@
         }
     }
 
+    /// Whether these idle runners have all answered so lately that a crash on receiving an order can be
+    /// told from one before it. Otherwise, the status of those that have not is read.
+    fn have_answered_lately(&mut self, runners: &[RunnerKey], now_ms: u64) -> bool {
+        let mut have_answered = true;
+        for key in runners {
+            let renewal = &mut self.runners[*key].renewal;
+            let is_recent = now_ms <= renewal.answered_ms + CRASH_WINDOW_MS / 2;
+            let was_read = renewal.wanted_ms > 0 && !renewal.is_answer_wanted();
+            if now_ms <= renewal.seen_ms + CRASH_WINDOW_MS / 2 || is_recent && was_read {
+                continue;
+            }
+            have_answered = false;
+            if !renewal.is_answer_wanted() {
+                renewal.wanted_ms = now_ms;
+                renewal.next_ms = renewal.next_ms.min(now_ms);
+            }
+        }
+        have_answered
+    }
+
     /// Asks the advice service about these runners, unless a call for the step is in flight.
     fn request_tickets(
         &mut self,
@@ -359,6 +385,11 @@
             }
             return;
         }
+        let is_idle = |runner: &RunnerKey| self.runners[*runner].assignments.is_empty();
+        let idle: Vec<RunnerKey> = chosen.iter().copied().filter(is_idle).collect();
+        if !self.have_answered_lately(&idle, now_ms) {
+            return;
+        }
         let run = self.new_run();
         for (index, runner) in suspects.into_iter().zip(chosen) {
             self.begin_probation(request, runner, &[index]);
@@ -387,8 +418,8 @@
         self.crashes.probed_runners.insert(runner);
     }
 
-    /// Runner for suspects with the fewest other runs, and their number; the one that is reserved
-    /// for their job first.
+    /// Runner for suspects with the fewest other runs, and their number. An idle one comes first, then
+    /// one that is reserved for their job.
     ///
     /// Not one with other suspects, nor one of `taken`. If the queue has an admission policy, the
     /// runner was admitted, but its ticket may have expired.
@@ -422,9 +453,11 @@
                 return None;
             }
             let others = runner.assignments.len();
-            Some((!is_own, others, Reverse(slots.min(indices.len() as u64)), key))
+            let slots = Reverse(slots.min(indices.len() as u64));
+            let answered = Reverse(runner.renewal.answered_ms);
+            Some((others > 0, !is_own, others, slots, answered, key))
         });
-        candidates.min().map(|(_, others, _, key)| (key, others))
+        candidates.min().map(|(_, _, others, _, _, key)| (key, others))
     }
 
     /// Like [`Scheduler::least_occupied`], but only a runner whose ticket is valid.
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -107,8 +107,19 @@
     pub(crate) next_ms: u64,
     /// Time of the last answer.
     pub(crate) answered_ms: u64,
+    /// Time at which the last renewal that was answered was sent: the runner was up after it.
+    pub(crate) seen_ms: u64,
     /// Number of consecutive renewals that failed; 0 while the runner answers.
     pub(crate) failures: u32,
+    /// Time from which an answer is wanted although the runner is idle, in milliseconds; 0 for none.
+    pub(crate) wanted_ms: u64,
+}
+
+impl RenewalState {
+    /// Whether the runner has not answered a call that was sent since an answer was wanted.
+    pub(crate) fn is_answer_wanted(&self) -> bool {
+        self.seen_ms < self.wanted_ms
+    }
 }
 
 /// A run that reserves resources on a runner.
@@ -125,6 +136,11 @@
     pub(crate) is_order_in_flight: bool,
     /// Time at which the start was ordered, or at which the run was found.
     pub(crate) assigned_ms: u64,
+    /// Time after which the runner was certainly up, before the start was ordered.
+    pub(crate) seen_ms: u64,
+    /// Whether the runner broke the connection off right after the first start order, although it had
+    /// answered right before.
+    pub(crate) has_broken_off: bool,
     /// Whether the incarnation that answered last has certainly carried out the start order. Until
     /// then, the order may still take effect, also in a later incarnation.
     pub(crate) is_start_confirmed: bool,
@@ -187,6 +203,8 @@
             phase: RunPhase::Starting { is_unsure: false },
             is_order_in_flight: true,
             assigned_ms: now_ms,
+            seen_ms: 0,
+            has_broken_off: false,
             is_start_confirmed: false,
             retry_ms: now_ms,
             is_best_effort: step.is_best_effort,
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -119,7 +119,10 @@
         }
         runner.renewal.failures = 0;
         runner.renewal.answered_ms = now_ms;
-        runner.renewal.next_ms = now_ms + self.config.hold_gap_ms;
+        runner.renewal.seen_ms = sent_ms;
+        // The end of a suspect's run has to be known before a crash can be attributed to it.
+        let gap_ms = if runner.crash.probe.is_some() { 0 } else { self.config.hold_gap_ms };
+        runner.renewal.next_ms = now_ms + gap_ms;
         let is_restarted = runner.started_unix_ms.is_some_and(|at| at != status.started_unix_ms);
         if runner.started_unix_ms != Some(status.started_unix_ms) {
             self.begin_incarnation(key, &status, now_ms);
