fix(queue): a suspect has survived only once its runner has answered after the probation

Cause: the end of the probation was taken from the clock while the renewal that the crashed runner will not answer was still waited for.

--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -30,7 +30,7 @@
     /// Starts waiting tasks, requests advice for the others, and preempts tasks for long-running ones.
     pub(super) fn place_ready_steps(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let is_inherited_wait_over = self.update_inherited_wait(now_ms);
-        self.end_probations(now_ms);
+        self.end_probations();
         let mut ready: Vec<(u32, u64, JobKey, usize)> = Vec::new();
         for (key, job) in &self.jobs {
             if job.state.is_final() {
--- a/src/queue/scheduler/probe.rs
+++ b/src/queue/scheduler/probe.rs
@@ -63,23 +63,25 @@
 
 impl Scheduler {
     /// Ends the probation of suspects that have survived it or whose runs have ended.
-    pub(super) fn end_probations(&mut self, now_ms: u64) {
+    pub(super) fn end_probations(&mut self) {
         let probed = std::mem::take(&mut self.crashes.probed_runners);
         for key in probed {
-            self.end_probation(key, now_ms);
+            self.end_probation(key);
             if self.runners.get(key).is_some_and(|runner| runner.crash.probe.is_some()) {
                 self.crashes.probed_runners.insert(key);
             }
         }
     }
 
-    fn end_probation(&mut self, key: RunnerKey, now_ms: u64) {
+    fn end_probation(&mut self, key: RunnerKey) {
         let Some(runner) = self.runners.get(key) else { return };
         let Some(probe) = runner.crash.probe.clone() else { return };
         let assignments: Vec<&Assignment> =
             probe.tasks.iter().filter_map(|task| runner.assignments.get(task)).collect();
         let has_lasted = |assignment: &&Assignment| match assignment.phase {
-            RunPhase::Running { since_ms } => now_ms >= since_ms + probe.probation_ms,
+            RunPhase::Running { since_ms } => {
+                runner.renewal.answered_ms >= since_ms + probe.probation_ms
+            }
             _ => false,
         };
         let has_survived = runner.renewal.failures == 0 && assignments.iter().all(has_lasted);
