fix(queue): a cancellation that was answered refuses submissions that come later

Cause: a cancellation of an unknown job left no record, so that its answer held for the moment of the read only.

Change: the cancellation is stored first, the job is looked up for the answer then; a submission is written on condition that there is no cancellation, and refused with 410 otherwise. A submission whose caller has left is not stored. The leader removes cancellations of jobs that never came with the records of ended jobs.

--- a/src/queue/caller_api.rs
+++ b/src/queue/caller_api.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_std::task;
+use futures_lite::future;
 use http_types::{Method, StatusCode};
 use tide::{Request, Response};
 
@@ -14,14 +15,14 @@
 use crate::decision_log;
 use crate::http::error::ApiError;
 use crate::http::rpc;
-use crate::http::server;
+use crate::http::server::{self, CallerConnection};
 use crate::platform::callers::{self, DecodedSubmission};
 use crate::queue::host_state::HostState;
 use crate::queue::model::{JobId, JobState, Queue, QueueDirectory, Submission};
 use crate::queue::peer::{self, PeerError, RelayOutcome, RelayRequest};
 use crate::queue::record::{self, Progress};
 use crate::queue::watch;
-use crate::store::{self, Expect, Priority, Put, PutOutcome, StoreError};
+use crate::store::{self, Commit, CommitOutcome, Expect, Priority, StoreError};
 
 /// Deadline of requests without a deadline header, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
@@ -147,6 +148,10 @@
         }
     };
     let steps = submission.steps.len();
+    if has_caller_left(request).await {
+        decision_log::line("job_dropped").with("job", id).with("reason", "caller left").end();
+        return Err(ApiError::new(503, "caller_left", "the caller has left; nothing was stored"));
+    }
     let (stored, by) = if shared.is_store_away() {
         (peer::relay(shared, &RelayRequest::Submit(submission)).await, "another host")
     } else {
@@ -160,9 +165,20 @@
         .with("by", by)
         .with("outcome", format_args!("{stored:?}"))
         .end();
+    if stored == RelayOutcome::NoJob {
+        let message = "the job was cancelled before its submission was stored";
+        return Err(ApiError::new(410, "job_cancelled", message));
+    }
     stored_response(stored)
 }
 
+/// Whether the caller has closed its connection, so that nobody would learn of the job: a request may
+/// wait here for longer than its caller does while the host stands still.
+async fn has_caller_left(request: &Request<Arc<HostState>>) -> bool {
+    let Some(connection) = request.ext::<CallerConnection>() else { return false };
+    future::poll_once(connection.closed()).await.is_some()
+}
+
 /// The response to a submission or cancellation.
 fn stored_response(outcome: RelayOutcome) -> Result<Response, ApiError> {
     match outcome {
@@ -196,7 +212,7 @@
     }
 }
 
-/// Stores a job and announces it to the leader.
+/// Stores a job and announces it to the leader, unless the job has been cancelled already.
 async fn store_job(
     shared: &Arc<HostState>,
     submission: Submission,
@@ -213,7 +229,8 @@
             return RelayOutcome::NotStored;
         }
     };
-    let stored = create_record(shared, key, value, deadline_ms).await;
+    let unless = Some(record::cancel_key(submission.id));
+    let stored = create_record(shared, key, value, unless, deadline_ms).await;
     if stored == RecordWrite::Created {
         let announcing = Arc::clone(shared);
         let id = submission.id;
@@ -225,22 +242,21 @@
 }
 
 /// Stores a cancellation and announces it to the leader.
+///
+/// It is stored for an unknown job as well: a submission that is still on its way is refused by it.
+/// Therefore the job is looked up after the write.
 async fn store_cancellation(shared: &Arc<HostState>, id: JobId, deadline_ms: u64) -> RelayOutcome {
-    match read_record(shared, record::job_key(id)).await {
-        Ok(Some(_)) => {}
-        Ok(None) => return RelayOutcome::NoJob,
-        Err(_) => return RelayOutcome::NotStored,
-    }
     let value = bytes::Bytes::from_static(b"cancel");
-    let stored = create_record(shared, record::cancel_key(id), value, deadline_ms).await;
-    if matches!(stored, RecordWrite::Created | RecordWrite::AlreadyExists) {
-        let announcing = Arc::clone(shared);
-        announce_in_background(
-            id,
-            async move { peer::announce_cancellation(&announcing, id).await },
-        );
+    let stored = create_record(shared, record::cancel_key(id), value, None, deadline_ms).await;
+    if !matches!(stored, RecordWrite::Created | RecordWrite::AlreadyExists) {
+        return stored.into();
+    }
+    let announcing = Arc::clone(shared);
+    announce_in_background(id, async move { peer::announce_cancellation(&announcing, id).await });
+    match read_record(shared, record::job_key(id)).await {
+        Ok(None) => RelayOutcome::NoJob,
+        Ok(Some(_)) | Err(_) => RelayOutcome::Stored,
     }
-    stored.into()
 }
 
 fn store_unavailable() -> ApiError {
@@ -268,6 +284,8 @@
     Created,
     /// The record existed already.
     AlreadyExists,
+    /// Another record rules this one out.
+    RuledOut,
     /// The record was not written and will not be.
     NotWritten,
     /// The record may have been written, or may still be.
@@ -278,27 +296,33 @@
     fn from(stored: RecordWrite) -> Self {
         match stored {
             RecordWrite::Created | RecordWrite::AlreadyExists => Self::Stored,
+            RecordWrite::RuledOut => Self::NoJob,
             RecordWrite::NotWritten => Self::NotStored,
             RecordWrite::Unknown => Self::Unsure,
         }
     }
 }
 
-/// Creates a record unless it exists. After a lost answer the same write is repeated, which shows
-/// whether the first one took effect.
+/// Creates a record unless it exists, or a record with the key `unless` does. After a lost answer the
+/// same write is repeated, which shows whether the first one took effect.
 async fn create_record(
     shared: &HostState,
     key: String,
     value: bytes::Bytes,
+    unless: Option<String>,
     deadline_ms: u64,
 ) -> RecordWrite {
+    let conditions = std::iter::once(key.clone()).chain(unless);
+    let commit = Commit {
+        conditions: conditions.map(|key| (key, Expect::Absent)).collect(),
+        puts: vec![(key.clone(), value, None)],
+        deletes: Vec::new(),
+    };
     let mut has_lost_answer = false;
     let mut failed_writes = 0;
     loop {
-        let put =
-            Put { key: key.clone(), value: value.clone(), expect: Expect::Absent, lease: None };
         let left_ms = deadline_ms.saturating_sub(clock::now_ms());
-        let writing = store::put(&*shared.store, put, Priority::Interactive);
+        let writing = store::commit(&*shared.store, commit.clone(), Priority::Interactive);
         let limit = Duration::from_millis(left_ms);
         let result = match async_std::future::timeout(limit, writing).await {
             Ok(result) => result,
@@ -306,10 +330,16 @@
         };
         watch::record_store_call(shared, "record", &result);
         match result {
-            Ok(PutOutcome::Written(_)) => return RecordWrite::Created, // The attempt whose answer was lost may have created the record. Treat it as created
-            // here, because no other host would announce it then.
-            Ok(PutOutcome::Conflict(_)) if has_lost_answer => return RecordWrite::Created,
-            Ok(PutOutcome::Conflict(_)) => return RecordWrite::AlreadyExists,
+            Ok(CommitOutcome::Written(_)) => return RecordWrite::Created,
+            Ok(CommitOutcome::Conflict(entries)) => {
+                return match entries.iter().any(|entry| entry.key == key) {
+                    // The attempt whose answer was lost may have created the record. Treat it as
+                    // created here, because no other host would announce it then.
+                    true if has_lost_answer => RecordWrite::Created,
+                    true => RecordWrite::AlreadyExists,
+                    false => RecordWrite::RuledOut,
+                };
+            }
             Err(error) if error.is_not_executed() => failed_writes += 1,
             Err(_) => has_lost_answer = true,
         }
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -25,7 +25,7 @@
 
 use slotmap::SlotMap;
 
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashMap;
 use crate::configs::queue::QueueConfig;
 use crate::decision_log;
 use crate::queue::model::{JobId, JobState, QueueDirectory, RunnerId, Submission};
@@ -71,8 +71,9 @@
     deferred: Vec<Submission>,
     /// Progress and runs of jobs that are not known yet.
     unclaimed: unclaimed::Unclaimed,
-    /// Cancellations that arrived before the submission of their job.
-    early_cancels: HashSet<JobId>,
+    /// Cancellations of unknown jobs, each with the time at which this leader learned of it. They refuse
+    /// a submission that comes later.
+    early_cancels: HashMap<JobId, u64>,
     runners: SlotMap<RunnerKey, Runner>,
     runner_keys: HashMap<RunnerId, RunnerKey>,
     advice_hosts: Vec<AdviceHost>,
@@ -107,7 +108,7 @@
             retention: retention::Retention::default(),
             deferred: Vec::new(),
             unclaimed: unclaimed::Unclaimed::default(),
-            early_cancels: HashSet::default(),
+            early_cancels: HashMap::default(),
             runners: SlotMap::with_key(),
             runner_keys: HashMap::default(),
             advice_hosts: Vec::new(),
@@ -242,7 +243,7 @@
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
         self.claim(id, now_ms);
-        if self.early_cancels.remove(&id) {
+        if self.early_cancels.remove(&id).is_some() {
             self.cancel(id, now_ms);
         }
     }
@@ -277,7 +278,7 @@
             return;
         }
         let Some(key) = self.job_keys.get(&id).copied() else {
-            self.early_cancels.insert(id);
+            self.early_cancels.entry(id).or_insert(now_ms);
             return;
         };
         if !self.jobs[key].state.is_final() {
--- a/src/queue/scheduler/retention.rs
+++ b/src/queue/scheduler/retention.rs
@@ -1,4 +1,5 @@
-//! Removes the records of ended jobs from the store after their retention time.
+//! Removes the records of ended jobs, and cancellations of jobs that never came, from the store after
+//! their retention time.
 
 use crate::collections::HashMap;
 use crate::queue::model::{JobId, TaskId};
@@ -57,7 +58,8 @@
         self.retention.next_ms = now_ms + REMOVAL_GAP_MS;
         let kept_ms = self.config.ended_kept_ms;
         self.retention.removed.retain(|_, removed_ms| now_ms <= *removed_ms + kept_ms);
-        let old = self.ended.iter().filter(|(_, (_, ended_ms))| now_ms > ended_ms + kept_ms);
+        let ended = self.ended.iter().map(|(id, (_, ended_ms))| (id, ended_ms));
+        let old = ended.chain(&self.early_cancels).filter(|(_, at_ms)| now_ms > *at_ms + kept_ms);
         let jobs: Vec<JobId> = old.map(|(id, _)| *id).take(REMOVAL_BATCH).collect();
         if jobs.is_empty() {
             return;
@@ -70,6 +72,7 @@
         for id in std::mem::take(&mut self.retention.in_flight) {
             if is_removed {
                 self.ended.remove(&id);
+                self.early_cancels.remove(&id);
                 self.retention.lost_runs.remove(&id);
                 self.retention.removed.insert(id, now_ms);
             }
