--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -5,6 +5,7 @@
 
 mod advice;
 mod crash;
+mod end_cause;
 mod event;
 mod inherited;
 mod job;
@@ -24,11 +25,12 @@
 
 use slotmap::SlotMap;
 
-use crate::collections::{HashMap, HashSet};
+use crate::collections::HashMap;
 use crate::configs::queue::QueueConfig;
 use crate::decision_log;
 use crate::queue::model::{JobId, JobState, QueueDirectory, RunnerId, Submission};
 use crate::queue::record::Progress;
+use end_cause::EndCause;
 
 pub use advice::AdviceHost;
 pub use crash::CrashCounts;
@@ -69,8 +71,9 @@
     deferred: Vec<Submission>,
     /// Progress and runs of jobs that are not known yet.
     unclaimed: unclaimed::Unclaimed,
-    /// Cancellations that arrived before the submission of their job.
-    early_cancels: HashSet<JobId>,
+    /// Cancellations of unknown jobs, each with the time at which this leader learned of it. They refuse
+    /// a submission that comes later.
+    early_cancels: HashMap<JobId, u64>,
     runners: SlotMap<RunnerKey, Runner>,
     runner_keys: HashMap<RunnerId, RunnerKey>,
     advice_hosts: Vec<AdviceHost>,
@@ -105,7 +108,7 @@
             retention: retention::Retention::default(),
             deferred: Vec::new(),
             unclaimed: unclaimed::Unclaimed::default(),
-            early_cancels: HashSet::default(),
+            early_cancels: HashMap::default(),
             runners: SlotMap::with_key(),
             runner_keys: HashMap::default(),
             advice_hosts: Vec::new(),
@@ -240,7 +243,7 @@
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
         self.claim(id, now_ms);
-        if self.early_cancels.remove(&id) {
+        if self.early_cancels.remove(&id).is_some() {
             self.cancel(id, now_ms);
         }
     }
@@ -265,7 +268,7 @@
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.restore(progress);
         if job.is_done() {
-            self.finish(key, JobState::Completed, now_ms);
+            self.finish(key, JobState::Completed, &EndCause::TasksDone, now_ms);
         }
         self.restore_suspects(key);
     }
@@ -275,16 +278,16 @@
             return;
         }
         let Some(key) = self.job_keys.get(&id).copied() else {
-            self.early_cancels.insert(id);
+            self.early_cancels.entry(id).or_insert(now_ms);
             return;
         };
         if !self.jobs[key].state.is_final() {
-            self.finish(key, JobState::Canceled, now_ms);
+            self.finish(key, JobState::Canceled, &EndCause::Cancellation, now_ms);
         }
     }
 
     /// Sets the final state of a job and stops its remaining runs.
-    fn finish(&mut self, key: JobKey, state: JobState, now_ms: u64) {
+    fn finish(&mut self, key: JobKey, state: JobState, cause: &EndCause, now_ms: u64) {
         let job = &mut self.jobs[key];
         if job.state.is_final() {
             return;
@@ -296,6 +299,7 @@
             .with("state", format_args!("{state:?}"))
             .with("queue", &job.submission.queue)
             .with("age_ms", now_ms.saturating_sub(job.known_ms))
+            .with("cause", cause)
             .end();
         self.mark_dirty(key);
         for runner in self.runners.values_mut() {
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -7,6 +7,7 @@
     EndedRun, JobState, OrderError, RunEnd, RunnerId, RunnerReport, RunnerStatus, RunningTask,
     Step, TaskId,
 };
+use crate::queue::scheduler::end_cause::EndCause;
 use crate::queue::scheduler::job::TaskState;
 use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey, UnsavedEnd};
 use crate::queue::scheduler::Scheduler;
@@ -118,7 +119,10 @@
         }
         runner.renewal.failures = 0;
         runner.renewal.answered_ms = now_ms;
-        runner.renewal.next_ms = now_ms + self.config.hold_gap_ms;
+        runner.renewal.seen_ms = sent_ms;
+        // The end of a suspect's run has to be known before a crash can be attributed to it.
+        let gap_ms = if runner.crash.probe.is_some() { 0 } else { self.config.hold_gap_ms };
+        runner.renewal.next_ms = now_ms + gap_ms;
         let is_restarted = runner.started_unix_ms.is_some_and(|at| at != status.started_unix_ms);
         if runner.started_unix_ms != Some(status.started_unix_ms) {
             self.begin_incarnation(key, &status, now_ms);
@@ -307,12 +311,14 @@
                     run.failed_at = Some(key);
                 }
                 let is_new = job.steps[step].record_failure(task.index, ended.run);
-                let has_failed = job.steps[step].failures(task.index, is_gang) >= job.max_attempts;
+                let runs = job.steps[step].failed_runs(task.index, is_gang);
+                let allowed = job.max_attempts;
                 if is_new {
                     self.mark_dirty(job_key);
                 }
-                if has_failed {
-                    self.finish(job_key, JobState::Failed, now_ms);
+                if runs.len() >= allowed as usize {
+                    let cause = EndCause::FailedRuns { task, runs, allowed };
+                    self.finish(job_key, JobState::Failed, &cause, now_ms);
                 }
             }
             _ => {}
@@ -351,7 +357,7 @@
             }
         }
         if is_done {
-            self.finish(job_key, JobState::Completed, now_ms);
+            self.finish(job_key, JobState::Completed, &EndCause::TasksDone, now_ms);
         }
     }
 
