--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -45,6 +45,8 @@
     pub(crate) advice: StepAdvice,
     /// Failed runs, as task index and run number.
     pub(crate) failed: Vec<(u32, u64)>,
+    /// Time at which the log last told why suspects of the step wait, in milliseconds.
+    pub(crate) wait_logged_ms: u64,
 }
 
 /// State of a task.
@@ -87,6 +89,7 @@
                 done_count: 0,
                 advice: StepAdvice::default(),
                 failed: Vec::new(),
+                wait_logged_ms: 0,
             })
             .collect();
         let work_ms: u64 = submission.steps.iter().map(|step| step.estimate_ms).sum();
--- a/src/queue/scheduler/probe.rs
+++ b/src/queue/scheduler/probe.rs
@@ -28,6 +28,9 @@
 /// it was starting, in milliseconds.
 const RESERVE_AHEAD_MS: u64 = 2_000;
 
+/// Minimum time between two log lines about suspects of a step that wait, in milliseconds.
+const WAIT_LOG_MS: u64 = 5_000;
+
 const MILLI: u64 = 1_000;
 
 /// Suspects of a job on probation on one runner.
@@ -134,14 +137,43 @@
             .filter_map(|runner| Some(runner.crash.probe.as_ref()?.job))
             .collect();
         for suspects in waiting {
-            if probed.insert(self.jobs[suspects.key].submission.id) {
-                let first = out.len();
-                self.place_suspects_of_step(&suspects, now_ms, out);
-                self.log_starts(suspects.key, suspects.step, &out[first..], now_ms);
+            let first = out.len();
+            let placed = if probed.insert(self.jobs[suspects.key].submission.id) {
+                self.place_suspects_of_step(&suspects, now_ms, out)
+            } else {
+                Err("others of the job are on probation")
+            };
+            self.log_starts(suspects.key, suspects.step, &out[first..], now_ms);
+            if let Err(reason) = placed {
+                self.log_wait(&suspects, reason, now_ms);
             }
         }
     }
 
+    /// Logs why suspects wait, at most once in [`WAIT_LOG_MS`] for each step.
+    fn log_wait(&mut self, suspects: &WaitingSuspects, reason: &str, now_ms: u64) {
+        let WaitingSuspects { key, step, ref tasks, crashes, .. } = *suspects;
+        let since_ms = self.waiting_since_ms(key, step, tasks);
+        let run = &mut self.jobs[key].steps[step];
+        if now_ms < run.wait_logged_ms.max(since_ms) + WAIT_LOG_MS {
+            return;
+        }
+        run.wait_logged_ms = now_ms;
+        decision_log::line("suspects_wait")
+            .with("step", self.jobs[key].step_id(step))
+            .with("tasks", tasks.len())
+            .with("crashes", crashes)
+            .with("waited_ms", now_ms.saturating_sub(since_ms))
+            .with("reason", reason)
+            .end();
+    }
+
+    /// Time since which the first of these tasks waits, in milliseconds.
+    fn waiting_since_ms(&self, key: JobKey, step: usize, tasks: &[usize]) -> u64 {
+        let waiting = tasks.iter().map(|index| &self.jobs[key].steps[step].tasks[*index]);
+        waiting.map(|task| task.waiting_since_ms).min().unwrap_or_default()
+    }
+
     /// Forgets jobs that no longer have suspects.
     fn forget_cleared_jobs(&mut self) {
         let jobs = &self.jobs;
@@ -265,30 +297,29 @@
         self.runners[runner].crash.reservation = Some((job, now_ms + RESERVATION_MS));
     }
 
+    /// Starts suspects of one step; returns the reason if none of them starts now.
     fn place_suspects_of_step(
         &mut self,
         suspects: &WaitingSuspects,
         now_ms: u64,
         out: &mut Vec<Action>,
-    ) {
+    ) -> Result<(), &'static str> {
         let WaitingSuspects { key, step, ref tasks, .. } = *suspects;
         let declared = self.jobs[key].submission.steps[step].clone();
         let service = self.service_of(key);
         let request = probe_request(key, step, &declared, &service);
         if declared.is_gang {
-            self.place_suspect_gang(&request, now_ms, out);
-            return;
+            return self.place_suspect_gang(&request, now_ms, out);
         }
         let policy = self.advice_policy(key);
-        let waiting = tasks.iter().map(|index| &self.jobs[key].steps[step].tasks[*index]);
-        let since_ms = waiting.map(|task| task.waiting_since_ms).min().unwrap_or_default();
+        let since_ms = self.waiting_since_ms(key, step, tasks);
         let is_late = now_ms >= since_ms + ISOLATION_WAIT_MS;
         // A runner that was admitted before may be refused after a restart.
         let place = if is_late { self.ticketed_place(&request, tasks, now_ms) } else { None };
         let place = place.or_else(|| self.least_occupied(&request, tasks, &[], now_ms));
         let Some((runner, others)) = place else {
             self.request_probe_advice(&request, now_ms);
-            return;
+            return Err("no runner");
         };
         self.reserve(runner, key, now_ms);
         if let Some(policy) = policy {
@@ -298,14 +329,14 @@
                     self.request_advice(&request, policy, subject, now_ms);
                 }
                 self.request_tickets(&request, policy, vec![runner], now_ms);
-                return;
+                return Err("no ticket");
             }
         }
         if others > 0 && !is_late {
-            return;
+            return Err("no idle runner");
         }
         if others == 0 && !self.have_answered_lately(&[runner], now_ms) {
-            return;
+            return Err("no answer of the runner");
         }
         let slots = self.slots_beside_suspects(&request, &self.runners[runner], now_ms);
         let slots = usize::try_from(slots).unwrap_or(usize::MAX);
@@ -315,6 +346,7 @@
             let run = self.new_run();
             self.start_task(&request, index, runner, run, now_ms, out);
         }
+        Ok(())
     }
 
     /// Whether these idle runners have all answered so lately that a crash on receiving an order can be
@@ -350,13 +382,14 @@
         }
     }
 
-    /// Starts a gang with suspects; each suspect where the fewest other runs are.
+    /// Starts a gang with suspects; each suspect where the fewest other runs are. Returns the reason if
+    /// it does not start now.
     fn place_suspect_gang(
         &mut self,
         request: &PlacementRequest<'_>,
         now_ms: u64,
         out: &mut Vec<Action>,
-    ) {
+    ) -> Result<(), &'static str> {
         let tasks = &self.jobs[request.key].steps[request.step].tasks;
         let count = tasks.len();
         let (suspects, others): (Vec<usize>, Vec<usize>) =
@@ -385,12 +418,12 @@
             if let Some(policy) = self.advice_policy(request.key) {
                 self.request_advice(request, policy, AdviceSubject::Tasks(count), now_ms);
             }
-            return;
+            return Err("no runners for the gang");
         }
         let is_idle = |runner: &RunnerKey| self.runners[*runner].assignments.is_empty();
         let idle: Vec<RunnerKey> = chosen.iter().copied().filter(is_idle).collect();
         if !self.have_answered_lately(&idle, now_ms) {
-            return;
+            return Err("no answer of the runners");
         }
         let run = self.new_run();
         for (index, runner) in suspects.into_iter().zip(chosen) {
@@ -400,6 +433,7 @@
         for (index, runner) in others.into_iter().zip(slots) {
             self.start_task(request, index, runner, run, now_ms, out);
         }
+        Ok(())
     }
 
     fn begin_probation(
