fix(queue): a runner whose record becomes unreadable gets no new tasks

Reported by operators of similar systems: one odd record among those of the runners (deeply nested, a number too large, a port out of range) ended the machines that read the list, or stopped them.

What was wrong: if a sound record became odd, its former version stayed in force, so that new tasks went to a runner that its own record no longer named; a capacity near the range of the type, or port 0, was accepted, and reserving a part of such a capacity overflows (a panic with overflow checks).

Change: a record that cannot be read unlists its runner; its runs go on under their leases. Capacities and ports are checked; refused records are counted (queue_unreadable_records_total).

--- a/src/queue/metrics.rs
+++ b/src/queue/metrics.rs
@@ -22,6 +22,8 @@
     pub store_calls: IntCounterVec,
     /// Numbers of jobs, of tasks assigned to runners and of usable runners, as known to the leader.
     pub leader_gauges: IntGaugeVec,
+    /// Records of others in the store that could not be read, by kind.
+    pub unreadable_records: IntCounterVec,
     /// Crashes of runners, and suspected tasks, cleared tasks and jobs given up because of them.
     pub crash_events: IntCounterVec,
 }
@@ -54,6 +56,11 @@
                 Opts::new("queue_known", "What the leader knows"),
                 &["what"],
             )?,
+            unreadable_records: counter(
+                "queue_unreadable_records_total",
+                "Records of others in the store that could not be read",
+                &["kind"],
+            )?,
             crash_events: counter(
                 "queue_crash_events_total",
                 "Crashes of runners and their consequences",
@@ -66,6 +73,7 @@
         registry.register(Box::new(metrics.order_seconds.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.leader_gauges.clone()))?;
+        registry.register(Box::new(metrics.unreadable_records.clone()))?;
         registry.register(Box::new(metrics.crash_events.clone()))?;
         Ok(metrics)
     }
--- a/src/queue/model.rs
+++ b/src/queue/model.rs
@@ -255,6 +255,45 @@
     pub started_unix_ms: u64,
 }
 
+/// Largest capacity of a runner: sums over many runs stay far below the range of the amounts.
+const MAX_CAPACITY: Resources = Resources::new(1_000_000_000, 1 << 50, 1_000_000);
+
+impl RunnerReport {
+    /// Returns the report if a runner with these figures can be used.
+    ///
+    /// # Errors
+    /// Says which figure is out of range: the capacity, or the port of the address.
+    ///
+    /// ```
+    /// use hemlockrock::place::spec::Resources;
+    /// use hemlockrock::queue::model::{RunnerId, RunnerReport};
+    ///
+    /// let report = RunnerReport {
+    ///     id: RunnerId::from("r-1"),
+    ///     address: "10.0.0.7:8160".to_owned(),
+    ///     zone: "a".to_owned(),
+    ///     service: "judge".to_owned(),
+    ///     is_draining: false,
+    ///     leaves_in_ms: None,
+    ///     labels: Vec::new(),
+    ///     capacity: Resources::new(16_000, 32 << 30, 0),
+    ///     started_unix_ms: 1,
+    /// };
+    /// assert!(report.clone().validated().is_ok());
+    /// let capacity = Resources::new(u64::MAX, 32 << 30, 0);
+    /// assert!(RunnerReport { capacity, ..report }.validated().is_err());
+    /// ```
+    pub fn validated(self) -> Result<Self, String> {
+        if !self.capacity.fits(MAX_CAPACITY) {
+            return Err(format!("the capacity is out of range: {:?}", self.capacity));
+        }
+        if self.address.ends_with(":0") {
+            return Err(format!("the address has no port: {}", self.address));
+        }
+        Ok(self)
+    }
+}
+
 /// State of a job as it is reported to callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -347,7 +347,7 @@
     pub(crate) fn free(&self, reserve_millis: u64) -> Resources {
         const MILLI: u64 = 1_000;
         let reserve = Resources {
-            cpu_millis: self.capacity.cpu_millis * reserve_millis / MILLI,
+            cpu_millis: self.capacity.cpu_millis.saturating_mul(reserve_millis) / MILLI,
             memory_bytes: self.capacity.memory_bytes / MILLI * reserve_millis,
             accelerators: 0,
         };
--- a/src/queue/takeover.rs
+++ b/src/queue/takeover.rs
@@ -91,7 +91,7 @@
     let RecordReader { runner_watcher, runners, roster, job_watcher, jobs, progress } = records;
     let (runners, roster) = (runners.unwrap_or_default(), roster.flatten());
     let (jobs, progress) = (jobs.unwrap_or_default(), progress.into_entries());
-    let runner_keys = load_runners(scheduler, &runners, now_ms);
+    let runner_keys = load_runners(shared, scheduler, &runners, now_ms);
     load_roster(scheduler, roster.as_ref(), now_ms);
     load_jobs(scheduler, &jobs, now_ms);
     let progress_revisions = load_progress(scheduler, &progress, now_ms);
@@ -123,10 +123,15 @@
 }
 
 /// Loads the runner records and returns the keys of those that could be decoded.
-fn load_runners(scheduler: &mut Scheduler, entries: &[Entry], now_ms: u64) -> HashSet<String> {
+fn load_runners(
+    shared: &HostState,
+    scheduler: &mut Scheduler,
+    entries: &[Entry],
+    now_ms: u64,
+) -> HashSet<String> {
     let mut runner_keys = HashSet::default();
     for entry in entries {
-        if let Some(event) = watch::runner_event(entry) {
+        if let Some(event) = watch::runner_event(shared, entry) {
             runner_keys.insert(entry.key.clone());
             scheduler.handle_event(event, now_ms);
         }
--- a/src/queue/watch.rs
+++ b/src/queue/watch.rs
@@ -11,7 +11,7 @@
 use crate::platform::{declarations, runners};
 use crate::queue::control::ControlInput;
 use crate::queue::host_state::{HostState, Leader};
-use crate::queue::model::{JobId, RunnerId, Submission};
+use crate::queue::model::{JobId, RunnerId, RunnerReport, Submission};
 use crate::queue::record::{self, LeaderRecord};
 use crate::queue::scheduler::Event;
 use crate::store::api::Change;
@@ -147,6 +147,7 @@
             shared.apply_declarations(directory);
         }
         Err(error) => {
+            shared.metrics.unreadable_records.with_label_values(&["declarations"]).inc();
             decision_log::line("declaration_unreadable").with("error", error).end();
         }
     }
@@ -225,12 +226,14 @@
     }
 }
 
-/// Decodes the record that a runner keeps about itself; `None` (with a log line) if it is malformed
-/// or belongs to something else.
-pub fn runner_event(entry: &Entry) -> Option<Event> {
-    match runners::decode(&entry.key, &entry.value) {
+/// Decodes the record that a runner keeps about itself; `None` (with a log line) if it is malformed,
+/// out of range or belongs to something else.
+pub fn runner_event(shared: &HostState, entry: &Entry) -> Option<Event> {
+    let decoded = runners::decode(&entry.key, &entry.value);
+    match decoded.and_then(RunnerReport::validated) {
         Ok(report) => Some(Event::RunnerListed(report)),
         Err(error) => {
+            shared.metrics.unreadable_records.with_label_values(&["runner"]).inc();
             decision_log::line("runner_unreadable")
                 .with("key", &entry.key)
                 .with("revision", entry.modified.0)
@@ -255,12 +258,12 @@
         let pause_ms = update.as_ref().map_or(RETRY_MS + gap_ms, |update| update.pause_ms(gap_ms));
         match update {
             Ok(Update::Snapshot(entries)) => {
-                forward_runners(&inputs, &entries, &mut known).await;
+                forward_runners(&shared, &inputs, &entries, &mut known).await;
             }
             Ok(Update::Changes(changes)) => {
                 for change in changes {
                     match &change.entry {
-                        Some(entry) => forward_runner(&inputs, entry, &mut known).await,
+                        Some(entry) => forward_runner(&shared, &inputs, entry, &mut known).await,
                         None => forward_runner_removal(&inputs, &change.key, &mut known).await,
                     }
                 }
@@ -274,6 +277,7 @@
 
 /// Sends all runners of a snapshot to the control loop, and the removal of those missing from it.
 pub async fn forward_runners(
+    shared: &HostState,
     inputs: &async_channel::Sender<ControlInput>,
     entries: &[Entry],
     known: &mut HashSet<String>,
@@ -285,18 +289,23 @@
         forward_runner_removal(inputs, &key, known).await;
     }
     for entry in entries {
-        forward_runner(inputs, entry, known).await;
+        forward_runner(shared, inputs, entry, known).await;
     }
 }
 
+/// Sends the record of a runner to the control loop. A record that cannot be read names no runner to
+/// use: if it was readable before, its runner is unlisted, so that it gets no new tasks.
 async fn forward_runner(
+    shared: &HostState,
     inputs: &async_channel::Sender<ControlInput>,
     entry: &Entry,
     known: &mut HashSet<String>,
 ) {
-    if let Some(event) = runner_event(entry) {
+    if let Some(event) = runner_event(shared, entry) {
         known.insert(entry.key.clone());
         let _ = inputs.send(ControlInput::Event(event)).await;
+    } else if known.contains(&entry.key) {
+        forward_runner_removal(inputs, &entry.key, known).await;
     }
 }
 
--- a/tests/queue_cell/mod.rs
+++ b/tests/queue_cell/mod.rs
@@ -135,6 +135,17 @@
         self.apply(put);
     }
 
+    /// Writes the record of a runner as another writer would, whatever its content.
+    pub fn write_runner_record(&self, id: &str, text: impl Into<Bytes>) {
+        let (key, value) = (format!("servers/{id}"), text.into());
+        self.apply(Operation::Put { key, value, expect: Expect::Any, lease: None });
+    }
+
+    /// Whether all host processes run.
+    pub fn are_hosts_up(&mut self) -> bool {
+        self.hosts.iter_mut().all(Host::is_up)
+    }
+
     fn grant_runner_lease(&self) -> LeaseId {
         match self.apply(Operation::Grant { ttl_ms: RECORD_TTL_MS }) {
             Answer::Granted { lease } => lease,
@@ -264,6 +275,11 @@
         self.child = Some(command.spawn().unwrap());
     }
 
+    /// Whether the process runs.
+    pub fn is_up(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_none())
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
