fix(placer): a cancellation that was answered refuses submissions that come later

Change: the placer stores a record of the cancellation before it answers, kept as long as those of ended jobs; a submission with that id gets the outcome not_run, and the job stays unknown to all other requests.

a_job_that_is_submitted_after_its_cancellation_was_answered_is_not_run is new.

--- a/src/jobs/record.rs
+++ b/src/jobs/record.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::http::rpc::{self, RpcError};
-use crate::place::message::{JobId, JobProgress};
+use crate::place::message::{JobId, JobProgress, JobState};
 use crate::place::spec::JobSpec;
 
 /// Record of one job. Of two records of the same job, the one with the higher progress version is
@@ -29,6 +29,36 @@
 }
 
 impl JobRecord {
+    /// Record of the cancellation of a job that is not known: it refuses a submission of the job that
+    /// is still on its way. `unix_ms` is the wall-clock time, in milliseconds since the Unix epoch.
+    ///
+    /// ```
+    /// use hemlockrock::jobs::record::JobRecord;
+    ///
+    /// let record = JobRecord::cancelled_before_submission("range-7", 1_800_000_000_000);
+    /// assert!(record.is_ended() && record.precedes_submission());
+    /// ```
+    pub fn cancelled_before_submission(id: impl Into<JobId>, unix_ms: u64) -> Self {
+        let ended = Some(JobState::Cancelled);
+        Self {
+            id: id.into(),
+            progress: JobProgress {
+                version: 1,
+                is_cancelled: true,
+                ended,
+                ..JobProgress::default()
+            },
+            accepted_at_ms: unix_ms,
+            ended_at_ms: unix_ms,
+            ..Self::default()
+        }
+    }
+
+    /// Whether the job was cancelled before it was submitted. No valid job has an empty command.
+    pub fn precedes_submission(&self) -> bool {
+        self.command.is_empty()
+    }
+
     /// Estimated encoded size, in bytes.
     pub fn size_bytes(&self) -> usize {
         const FIXED_BYTES: usize = 400;
--- a/src/placer/active/requests.rs
+++ b/src/placer/active/requests.rs
@@ -32,6 +32,12 @@
         let id = JobId::from(submission.id.as_str());
         let waiter = Waiter { reply, deadline_ms: clock::now_ms() + self.submit_timeout_ms };
         if let Some(existing) = self.journal.get(&id) {
+            if existing.precedes_submission() {
+                let reason = Some("the job was cancelled before it was submitted".to_owned());
+                let answer = self.submit_answer(&id, SubmitOutcome::NotRun, reason);
+                drop(waiter.reply.try_send(Ok(answer)));
+                return;
+            }
             let is_same =
                 *existing.spec == submission.spec && *existing.command == submission.command[..];
             if !is_same {
@@ -94,22 +100,32 @@
         SubmitAnswer { id: JobId::clone(id), zone, outcome, state, reason }
     }
 
+    /// Cancels a job. The cancellation of an unknown job is stored as well before the answer says that
+    /// there is none: a submission may still be on its way.
     fn cancel(&mut self, id: &str, reply: Reply<JobView>) {
-        let Some(record) = self.journal.get(id) else {
-            drop(reply.try_send(Err(RequestError::NoSuchJob)));
-            return;
-        };
+        if self.journal.get(id).is_none() {
+            if self.is_closing {
+                drop(reply.try_send(Err(RequestError::NotActive)));
+                return;
+            }
+            self.journal.put(JobRecord::cancelled_before_submission(id, clock::unix_ms()));
+        }
+        let Some(record) = self.journal.get(id) else { return };
         let is_settled = record.is_ended() || record.progress.is_cancelled;
         if is_settled && self.journal.is_latest_stored(id) {
             drop(reply.try_send(self.view(id).ok_or(RequestError::NoSuchJob)));
             return;
         }
         let id = JobId::clone(&record.id);
+        let is_known = !record.precedes_submission();
         let deadline_ms = clock::now_ms() + self.submit_timeout_ms;
         self.cancel_waiters
             .entry(JobId::clone(&id))
             .or_default()
             .push(Waiter { reply, deadline_ms });
+        if !is_known {
+            return;
+        }
         self.step(Event::Cancel { job_id: id });
         self.step(Event::Tick);
     }
@@ -164,7 +180,7 @@
 
     /// State of a job for callers. A final state is reported only once it is stored.
     pub(super) fn state(&self, id: &str) -> Option<JobState> {
-        let record = self.journal.get(id)?;
+        let record = self.journal.get(id).filter(|record| !record.precedes_submission())?;
         if self.has_unstored_end(id) {
             return Some(JobState::Waiting);
         }
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -12,6 +12,7 @@
 use hemlockrock::place::message::JobState;
 use hemlockrock::standin::worker::agent::Run;
 use hemlockrock::standin::worker::Mode;
+use http_types::Method;
 use jobs_cell::{sleep_job, TestCell, SESSION_TTL, TASK_LEASE, TIMEOUT};
 use support::eventually;
 
@@ -30,6 +31,21 @@
     cell.check_each_task_finished_once();
 }
 
+// Guards against a job that runs after its cancellation was answered: its submission was on its way.
+#[async_std::test]
+async fn a_job_that_is_submitted_after_its_cancellation_was_answered_is_not_run() {
+    let mut cell = TestCell::start(2).await;
+    let placer = cell.add_placer("p1");
+    cell.submit_until_accepted(placer, &sleep_job("other", 1, 100)).await;
+    let cancelled = cell.call(placer, Method::Delete, "/v1/jobs/range-1", Vec::new()).await;
+    assert_eq!(cancelled.map(|reply| reply.status), Some(404), "no such job");
+    let (status, answer) = cell.submit(placer, &sleep_job("range-1", 4, 100)).await;
+    assert_eq!((status, answer.map(|answer| answer.outcome)), (503, Some(SubmitOutcome::NotRun)));
+    assert!(cell.job(placer, "range-1").await.is_none());
+    cell.wait_for_state(placer, "other", &JobState::Finished).await;
+    assert!(cell.runs_of("range-1").is_empty());
+}
+
 #[async_std::test]
 async fn a_standby_takes_over_from_a_killed_placer_without_stopping_tasks() {
     let mut cell = TestCell::start(6).await;
