fix(queue): tasks whose orders were lost on silent runners are no suspects

Cause: each task that was ordered to a runner which was silent already, and each under a second crash of whatever kind, was a suspect.

Change: a run counts as starting only if its start was ordered at most 250 ms before its runner stopped answering; a task is a suspect in any case from its third crash on.

Evidence: tasks_lost_twice_on_silent_runners_are_no_suspects failed with a part of the change (2 suspects), passes now.

--- a/src/queue/scheduler/crash.rs
+++ b/src/queue/scheduler/crash.rs
@@ -23,7 +23,8 @@
 /// ended, or the runner may have crashed before it received the order.
 pub(super) const CRASH_WINDOW_MS: u64 = 200;
 
-/// Age up to which a run that its runner has confirmed still counts as starting, in milliseconds.
+/// Age up to which a run counts as starting, in milliseconds: a runner that it crashes is noticed by then,
+/// while an order to a runner that was gone before fails later.
 const STARTING_MS: u64 = 250;
 
 /// Age up to which a run is suspected if its runner was starting none when it crashed, in
@@ -60,6 +61,9 @@
 /// cut off for good.
 const VANISHED_ALLOWANCE: usize = 2;
 
+/// Number of crashes under a task from which it is a suspect, whatever its age at the crashes.
+const SUSPECT_CRASHES: usize = 3;
+
 /// Number of crashes under a task after which each further start is delayed.
 const UNDELAYED_CRASHES: usize = 3;
 
@@ -115,7 +119,7 @@
 struct LostRun {
     task: TaskId,
     run: u64,
-    /// Whether the runner had not confirmed the start, or only just.
+    /// Whether the runner stopped answering right after the start was ordered.
     was_starting: bool,
     /// Whether the runner had confirmed the start.
     is_confirmed: bool,
@@ -256,7 +260,7 @@
         Self {
             task,
             run: assignment.run,
-            was_starting: assignment.is_starting(now_ms),
+            was_starting: assignment.is_fresh(now_ms),
             is_confirmed: !matches!(assignment.phase, RunPhase::Starting { .. }),
             has_broken_off: assignment.has_broken_off,
             was_just_seen: now_ms <= seen_ms + CRASH_WINDOW_MS,
@@ -275,7 +279,12 @@
     /// Whether the runner has not confirmed the start, or only just.
     fn is_starting(&self, now_ms: u64) -> bool {
         let is_confirmed = !matches!(self.phase, RunPhase::Starting { .. });
-        !is_confirmed || now_ms.saturating_sub(self.assigned_ms) <= STARTING_MS
+        !is_confirmed || self.is_fresh(now_ms)
+    }
+
+    /// Whether the start was ordered right before `now_ms`.
+    fn is_fresh(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.assigned_ms) <= STARTING_MS
     }
 }
 
@@ -329,7 +338,7 @@
             let CrashRecord { run, was_starting, is_certain, has_begun, .. } = *record;
             let has_begun = has_begun || is_certain;
             task.suspicion.record(CrashedRun { run, was_starting, has_begun, is_certain });
-            if was_starting || task.suspicion.count() > 1 {
+            if was_starting || task.suspicion.count() >= SUSPECT_CRASHES {
                 task.suspicion.suspect(RECENT_START_MS);
             }
         }
@@ -568,7 +577,7 @@
             return None;
         }
         let count = task.suspicion.count();
-        let is_suspect = crashed.was_starting || count > 1;
+        let is_suspect = crashed.was_starting || count >= SUSPECT_CRASHES;
         if is_suspect {
             task.suspicion.suspect(run.age_ms);
             self.crashes.suspect_jobs.insert(job_key);
@@ -708,5 +717,5 @@
 
 /// Whether a run was among the last that its runner started.
 fn is_recent(run: &LostRun) -> bool {
-    run.was_starting || run.age_ms <= RECENT_START_MS
+    run.was_starting || run.is_confirmed && run.age_ms <= RECENT_START_MS
 }
--- a/tests/queue_crashes.rs
+++ b/tests/queue_crashes.rs
@@ -37,10 +37,19 @@
 
 /// Makes the runner vanish for good; a renewal is in flight there.
 fn lose(harness: &mut Harness, id: &str) {
-    harness.make_silent(id);
+    lose_all(harness, &[id]);
+}
+
+/// Makes the runners vanish at the same moment.
+fn lose_all(harness: &mut Harness, ids: &[&str]) {
+    for id in ids {
+        harness.make_silent(id);
+    }
     harness.advance(harness.config.hold_gap_ms + 10);
-    harness.cut_off_runner(id);
-    harness.handle(Event::RunnerUnlisted(RunnerId::from(id)));
+    for id in ids {
+        harness.cut_off_runner(id);
+        harness.handle(Event::RunnerUnlisted(RunnerId::from(*id)));
+    }
 }
 
 /// Crashes the runner of a start order that it has not answered, and waits until its runs have
@@ -135,6 +144,26 @@
     assert_eq!(harness.state(1), Some(JobState::Queued));
 }
 
+// Guards against tasks that wait for minutes: each one that was lost twice with a silent runner had to be
+// tried in isolation.
+#[test]
+fn tasks_lost_twice_on_silent_runners_are_no_suspects() {
+    const ORDER_TIMEOUT_MS: u64 = 600;
+    let mut harness = harness(6);
+    harness.handle(Event::JobSubmitted(job(1, vec![step(1, 1_000)])));
+    for _ in 0..2 {
+        let start = harness.starts().remove(0);
+        harness.make_silent(&start.target.0);
+        harness.advance(ORDER_TIMEOUT_MS);
+        harness.answer_start(&start, Err(OrderError::Unanswered));
+        lose(&mut harness, &start.target.0);
+        harness.replace_runner(&start.target.0, &start.target.1);
+        harness.advance_until_start(2 * LAPSE_MS);
+    }
+    assert_eq!(harness.starts().len(), 1);
+    assert_eq!(harness.scheduler.take_crash_counts().suspected_tasks, 0);
+}
+
 #[test]
 fn a_takeover_does_not_forget_the_crashes_under_a_task() {
     let mut first = harness(4);
@@ -283,8 +312,9 @@
     assert_eq!(starts.len(), FLEET);
     for start in &starts {
         harness.answer_start(start, Err(OrderError::Unanswered));
-        lose(&mut harness, &start.target.0);
     }
+    let ids: Vec<&str> = starts.iter().map(|start| &*start.target.0).collect();
+    lose_all(&mut harness, &ids);
     if let Some(step) = other {
         harness.handle(Event::JobSubmitted(job(9, vec![step])));
     }
