fix(queue): figures of others that are out of range no longer overflow

Cause: the due time of a job was summed up from the configuration's latency objective, and the ends of leases from the clock in a runner's answer, without a check of their range: a panic with overflow checks, else a time in the past.

Change: the due time saturates; an answer whose clock exceeds 10^15 ms is malformed.

--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -218,9 +218,9 @@
 ///
 /// # Errors
 /// Returns a message that says what is wrong with the body.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped")]
 pub fn decode_status(body: &[u8]) -> Result<RunnerStatus, String> {
     let status: StatusBody = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    let clock_ms = checked_clock_ms(status.clock_ms).ok_or("the clock is out of range")?;
     let running = status.running.into_iter().filter_map(|row| {
         let RunningRow(task, run, checkpoint, percent, load) = row;
         let task = TaskId::parse(&task)?;
@@ -233,17 +233,24 @@
     });
     Ok(RunnerStatus {
         started_unix_ms: status.born,
-        clock_ms: status.clock_ms.max(0.0) as u64,
+        clock_ms,
         running: running.collect(),
         ended: ended.collect(),
     })
 }
 
 /// The runner's clock in an answer, in milliseconds; `None` if it is missing or malformed.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped")]
 fn decode_clock(body: &[u8]) -> Option<u64> {
     let ClockBody { clock_ms } = serde_json::from_slice(body).ok()?;
-    Some(clock_ms.max(0.0) as u64)
+    checked_clock_ms(clock_ms)
+}
+
+/// Converts a clock in milliseconds; `None` if it is so far ahead that no runner can have run for as
+/// long, and that times reckoned from it could exceed their range.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "checked")]
+fn checked_clock_ms(clock_ms: f64) -> Option<u64> {
+    const MAX_CLOCK_MS: f64 = 1e15;
+    (clock_ms <= MAX_CLOCK_MS).then(|| clock_ms.max(0.0) as u64)
 }
 
 fn run_end(how: &str) -> Option<RunEnd> {
--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -100,7 +100,8 @@
             reason = "an objective in milliseconds"
         )]
         let allowed_ms = queue.map_or(work_ms, |queue| {
-            (work_ms as f64 * queue.stretch.max(1.0)) as u64 + queue.target_latency_ms
+            let stretched_ms = (work_ms as f64 * queue.stretch.max(1.0)) as u64;
+            stretched_ms.saturating_add(queue.target_latency_ms)
         });
         Self {
             steps,
@@ -109,7 +110,7 @@
             max_attempts: queue.map_or(DEFAULT_ATTEMPTS, |queue| queue.max_attempts),
             service: queue.map(|queue| queue.service.clone()).unwrap_or_default(),
             known_ms: now_ms,
-            due_ms: now_ms + allowed_ms,
+            due_ms: now_ms.saturating_add(allowed_ms),
             changes: JobChanges::default(),
             lost_run_change: 0,
             submission,
--- a/tests/platform_inputs.rs
+++ b/tests/platform_inputs.rs
@@ -48,6 +48,17 @@
     assert_eq!((status.ended[0].number, status.ended[0].end), (58, RunEnd::Done));
 }
 
+// Guards against times that overflow: leases are reckoned from the clock in a runner's answer.
+#[test]
+fn a_status_with_a_clock_out_of_range_is_malformed() {
+    let status =
+        |clock: &str| orders::decode_status(format!("{{\"clock-ms\":{clock}}}").as_bytes());
+    assert!(status("1e300").is_err());
+    assert!(status("18446744073709551615").is_err());
+    assert_eq!(status("-5").unwrap().clock_ms, 0);
+    assert_eq!(status("482113").unwrap().clock_ms, 482_113);
+}
+
 #[test]
 fn submissions_are_decoded_in_full_or_rejected_with_a_reason() {
     let decode = |text: &str| callers::decode_submission(JobId(1), "q", text.as_bytes(), 9);
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -3,8 +3,11 @@
 mod queue_support;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-use hemlockrock::queue::model::{AdvicePolicy, JobId, JobState, OrderError, RunEnd, Step};
+use hemlockrock::queue::model::{
+    AdvicePolicy, JobId, JobState, OrderError, Queue, QueueDirectory, RunEnd, Step,
+};
 use hemlockrock::queue::record::Progress;
 use hemlockrock::queue::scheduler::{Action, Event};
 use queue_support::{job, step, task, Harness};
@@ -113,6 +116,28 @@
     assert_eq!(harness.starts().len(), 4);
 }
 
+// Guards against a leader that ends: the due time of a job overflowed.
+#[test]
+fn a_job_of_a_queue_with_a_latency_objective_out_of_range_runs() {
+    let mut harness = Harness::new(1);
+    harness.add_runner("r1", 4_000);
+    let queue = Queue {
+        name: "q".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/q/".to_owned(),
+        service: "s".to_owned(),
+        priority: 0,
+        max_attempts: 1,
+        stretch: f64::MAX,
+        target_latency_ms: u64::MAX,
+        advice: None,
+    };
+    let directory = QueueDirectory { version: 9, queues: vec![queue], max_body_bytes: 1 << 18 };
+    harness.handle(Event::DirectoryUpdated(Arc::new(directory)));
+    harness.handle(Event::JobSubmitted(job(1, vec![step(1, 1_000)])));
+    assert_eq!(harness.starts().len(), 1);
+}
+
 #[test]
 fn a_draining_runner_gets_no_new_tasks() {
     let mut harness = Harness::new(1);
