--- a/src/jobs/api.rs
+++ b/src/jobs/api.rs
@@ -70,8 +70,7 @@
 
     /// Error message if the submission is invalid, regardless of the workers that exist.
     pub fn validation_error(&self) -> Option<&'static str> {
-        let is_plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-        if self.id.len() > MAX_ID_BYTES || !self.id.chars().all(is_plain) {
+        if !is_possible_id(&self.id) {
             return Some("id: expected at most 100 letters, digits, -, _ and .");
         }
         let is_long = self.command.iter().any(|word| word.len() > MAX_WORD_BYTES);
@@ -82,6 +81,19 @@
     }
 }
 
+/// Whether a submission may carry this job id.
+///
+/// ```
+/// use hemlockrock::jobs::api;
+///
+/// assert!(api::is_possible_id("range-7"));
+/// assert!(!api::is_possible_id("range 7"));
+/// ```
+pub fn is_possible_id(id: &str) -> bool {
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    id.len() <= MAX_ID_BYTES && id.chars().all(is_plain)
+}
+
 /// Outcome of a submission, as far as it is certain at the time of the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
--- a/src/placer/active/requests.rs
+++ b/src/placer/active/requests.rs
@@ -6,7 +6,7 @@
 use crate::clock;
 use crate::inventory::WorkerKey;
 use crate::jobs::api::{
-    JobExplanation, JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView,
+    self, JobExplanation, JobView, Submission, SubmitAnswer, SubmitOutcome, WorkerView,
 };
 use crate::jobs::record::JobRecord;
 use crate::place::message::{JobId, JobProgress, JobState, Rejection};
@@ -104,6 +104,10 @@
     /// there is none: a submission may still be on its way.
     fn cancel(&mut self, id: &str, reply: Reply<JobView>) {
         if self.journal.get(id).is_none() {
+            if !api::is_possible_id(id) {
+                drop(reply.try_send(Err(RequestError::NoSuchJob)));
+                return;
+            }
             if self.is_closing {
                 drop(reply.try_send(Err(RequestError::NotActive)));
                 return;
--- a/src/queue/caller_api.rs
+++ b/src/queue/caller_api.rs
@@ -16,6 +16,7 @@
 use crate::http::error::ApiError;
 use crate::http::rpc;
 use crate::http::server::{self, CallerConnection};
+use crate::place::spec;
 use crate::platform::callers::{self, DecodedSubmission};
 use crate::queue::host_state::HostState;
 use crate::queue::model::{JobId, JobState, Queue, QueueDirectory, Submission};
@@ -148,6 +149,12 @@
         }
     };
     let steps = submission.steps.len();
+    let tasks: u64 = submission.steps.iter().map(|step| u64::from(step.count)).sum();
+    if tasks > u64::from(spec::MAX_TASKS) {
+        decision_log::line("job_refused").with("job", id).with("tasks", tasks).end();
+        let message = format!("the job has {tasks} tasks, more than {}", spec::MAX_TASKS);
+        return Err(ApiError::new(400, "too_many_tasks", message));
+    }
     if has_caller_left(request).await {
         decision_log::line("job_dropped").with("job", id).with("reason", "caller left").end();
         return Err(ApiError::new(503, "caller_left", "the caller has left; nothing was stored"));
--- a/tests/queue_odd_records.rs
+++ b/tests/queue_odd_records.rs
@@ -96,6 +96,22 @@
     assert!(cell.are_hosts_up());
 }
 
+// Guards against leaders that end one after the other: each allocates all tasks of the jobs that it reads.
+#[test]
+fn a_job_with_billions_of_tasks_is_refused() {
+    let cell = cell("billions-of-tasks", 1);
+    let step = json!({ "count": 4_000_000_000_u32, "cpu": 1, "mem-mb": 1, "estimate-ms": 1 });
+    let body = json!({ "spec": "spec", "steps": [step] });
+    let mut answer = CallerResult::NoAnswer;
+    eventually("the host answers", LIMIT, || {
+        let (pool, address) = cell.caller_connection(0);
+        let sent = queue_cell::send(&pool, &address, Method::Post, JobId(7), Some(body.clone()));
+        answer = task::block_on(sent).0;
+        !matches!(answer, CallerResult::NoAnswer | CallerResult::Status(503))
+    });
+    assert_eq!(answer, CallerResult::Status(400));
+}
+
 #[test]
 fn a_runner_whose_record_becomes_odd_gets_no_new_tasks_and_keeps_its_runs() {
     for text in odd_records() {
