feat(queue): workspaces, public queues and the order of waiting steps have types of their own

Decodes workspaces with their weights, limits and API keys from the operator's configuration, and names the workspace in a submission.

--- a/benches/queue/cell.rs
+++ b/benches/queue/cell.rs
@@ -205,6 +205,7 @@
                 spec: Bytes::from_static(&[b'x'; 300]),
                 steps: (0..steps).map(step).collect(),
                 accepted_unix_ms: 0,
+                workspace: None,
             };
             self.durations.insert(id, duration_ms);
             self.submitted_ms.insert(id, self.now_ms);
@@ -352,6 +353,12 @@
             per_runner_ms: kind.advice_ms.1,
             valid_ms: 2_500,
         }),
+        is_public: false,
     });
-    QueueDirectory { version: 1, queues: queues.collect(), max_body_bytes: 1 << 18 }
+    QueueDirectory {
+        version: 1,
+        queues: queues.collect(),
+        max_body_bytes: 1 << 18,
+        workspaces: None,
+    }
 }
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -117,6 +117,7 @@
         spec: Bytes::from(body.spec),
         steps,
         accepted_unix_ms: unix_ms,
+        workspace: None,
     })
 }
 
--- a/src/platform/declarations.rs
+++ b/src/platform/declarations.rs
@@ -1,8 +1,15 @@
 //! The configuration that the operator writes to the store.
 
+use std::sync::Arc;
+
 use serde::Deserialize;
+use serde_json::Value;
 
+use crate::decision_log;
+use crate::place::spec::Resources;
+use crate::platform::runners;
 use crate::queue::model::{AdvicePolicy, Queue, QueueDirectory};
+use crate::queue::workspaces::{Workspace, Workspaces};
 
 /// Prefix of the keys that the operator writes.
 pub const PREFIX: &str = "op/";
@@ -18,6 +25,47 @@
     routes: Vec<Route>,
     #[serde(default)]
     limits: Limits,
+    /// Workspaces, each decoded by itself, so that a malformed one does not rule out the others.
+    #[serde(default)]
+    tenants: Option<Vec<Value>>,
+}
+
+/// A tenant of the platform, which is a workspace in this code base.
+#[derive(Debug)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Tenant {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    /// Share when all is full, in jobs a second.
+    #[serde(default)]
+    weight: f64,
+    #[serde(default)]
+    max_count: MaxCount,
+}
+
+/// What a tenant may have running; 0 means no limit.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+struct MaxCount {
+    /// Thousandths of a core, in spite of its name.
+    cpu: u64,
+    mem_mb: u64,
+    gpu: u32,
+}
+
+impl MaxCount {
+    fn limit(self) -> Resources {
+        let declared = runners::resources(self.cpu, self.mem_mb, self.gpu);
+        let or_unlimited = |amount: u64| if amount == 0 { u64::MAX } else { amount };
+        Resources {
+            cpu_millis: or_unlimited(declared.cpu_millis),
+            memory_bytes: or_unlimited(declared.memory_bytes),
+            accelerators: if self.gpu == 0 { u32::MAX } else { self.gpu },
+        }
+    }
 }
 
 /// A route of the platform, which is a queue in this code base.
@@ -43,6 +91,9 @@
     target_latency_ms: f64,
     #[serde(default)]
     advice: Option<Advice>,
+    /// Callers need no key.
+    #[serde(default)]
+    public: bool,
 }
 
 /// The policy of a queue whose steps need admission advice.
@@ -94,10 +145,35 @@
             per_runner_ms: advice.each_ms,
             valid_ms: advice.valid_ms.max(0.0) as u64,
         }),
+        is_public: route.public,
     });
     Ok(QueueDirectory {
         version: config.version,
         queues: queues.collect(),
         max_body_bytes: config.limits.max_body_bytes,
+        workspaces: config.tenants.map(|tenants| decode_workspaces(tenants, config.version)),
     })
 }
+
+/// Decodes the workspaces; what is wrong with one is logged, and the others are used.
+fn decode_workspaces(tenants: Vec<Value>, version: u64) -> Workspaces {
+    let log = |error: &str| {
+        decision_log::line("workspace_invalid").with("version", version).with("error", error).end();
+    };
+    let decoded = tenants.into_iter().enumerate().filter_map(|(position, tenant)| {
+        // The text of the decoding error could quote a key.
+        let Ok(tenant) = serde_json::from_value::<Tenant>(tenant) else {
+            log(&format!("workspace {position} is malformed"));
+            return None;
+        };
+        let workspace = Workspace {
+            name: Arc::from(tenant.name),
+            weight: tenant.weight.max(0.0),
+            limit: tenant.max_count.limit(),
+        };
+        Some((workspace, tenant.api_keys))
+    });
+    let (workspaces, findings) = Workspaces::new(decoded.collect::<Vec<_>>());
+    findings.iter().for_each(|finding| log(finding));
+    workspaces
+}
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -20,3 +20,4 @@
 pub mod scheduler;
 pub mod takeover;
 pub mod watch;
+pub mod workspaces;
--- a/src/queue/model.rs
+++ b/src/queue/model.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::place::spec::Resources;
+use crate::queue::workspaces::{WorkspaceName, Workspaces};
 
 /// Identifier of a job, chosen by its caller and written as sixteen hexadecimal digits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -163,6 +164,10 @@
     pub steps: Vec<Step>,
     /// Time at which the job was accepted, in Unix milliseconds by the clock of the accepting host.
     pub accepted_unix_ms: u64,
+    /// Workspace that the job belongs to; `None` if its queue is public or the deployment has no
+    /// workspaces.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceName>,
 }
 
 /// How a queue's admission policy is consulted.
@@ -200,6 +205,8 @@
     pub target_latency_ms: u64,
     /// Admission policy; `None` if any runner of the service may run the tasks.
     pub advice: Option<AdvicePolicy>,
+    /// Callers need no API key, and the jobs belong to no workspace.
+    pub is_public: bool,
 }
 
 /// All queues that the operator has declared.
@@ -211,6 +218,8 @@
     pub queues: Vec<Queue>,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: u64,
+    /// Workspaces that share the runners; `None` if the deployment has none, and callers need no key.
+    pub workspaces: Option<Workspaces>,
 }
 
 impl QueueDirectory {
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -20,6 +20,7 @@
 mod runner;
 mod runner_status;
 mod unclaimed;
+pub mod waiting;
 
 use std::sync::Arc;
 
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -13,6 +13,7 @@
 use crate::queue::scheduler::event::{Action, StartOrder};
 use crate::queue::scheduler::job::{JobKey, TaskState};
 use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey};
+use crate::queue::scheduler::waiting::{self, WaitingStep};
 use crate::queue::scheduler::Scheduler;
 
 /// Number of tasks for which admitted runners are sought, in thousandths of the waiting tasks. It
@@ -31,19 +32,20 @@
     pub(super) fn place_ready_steps(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let is_inherited_wait_over = self.update_inherited_wait(now_ms);
         self.end_probations();
-        let mut ready: Vec<(u32, u64, JobKey, usize)> = Vec::new();
+        let mut ready: Vec<(waiting::Rank, JobKey, usize)> = Vec::new();
         for (key, job) in &self.jobs {
             if job.state.is_final() {
                 continue;
             }
             for step in 0..job.steps.len() {
                 if job.is_ready(step) {
-                    ready.push((job.priority, job.due_ms, key, step));
+                    let step_waiting = WaitingStep { priority: job.priority, due_ms: job.due_ms };
+                    ready.push((waiting::rank(&step_waiting), key, step));
                 }
             }
         }
         ready.sort_unstable();
-        for (_, _, key, step) in ready {
+        for (_, key, step) in ready {
             let first = out.len();
             self.place_step(key, step, is_inherited_wait_over, now_ms, out);
             self.log_starts(key, step, &out[first..], now_ms);
--- a/tests/queue_explorer/host.rs
+++ b/tests/queue_explorer/host.rs
@@ -290,6 +290,12 @@
         stretch: 2.0,
         target_latency_ms: 1_000,
         advice: None,
+        is_public: false,
     };
-    Arc::new(QueueDirectory { version: 1, queues: vec![queue], max_body_bytes: 1 << 18 })
+    Arc::new(QueueDirectory {
+        version: 1,
+        queues: vec![queue],
+        max_body_bytes: 1 << 18,
+        workspaces: None,
+    })
 }
--- a/tests/queue_scheduler.rs
+++ b/tests/queue_scheduler.rs
@@ -131,8 +131,14 @@
         stretch: f64::MAX,
         target_latency_ms: u64::MAX,
         advice: None,
+        is_public: false,
+    };
+    let directory = QueueDirectory {
+        version: 9,
+        queues: vec![queue],
+        max_body_bytes: 1 << 18,
+        workspaces: None,
     };
-    let directory = QueueDirectory { version: 9, queues: vec![queue], max_body_bytes: 1 << 18 };
     harness.handle(Event::DirectoryUpdated(Arc::new(directory)));
     harness.handle(Event::JobSubmitted(job(1, vec![step(1, 1_000)])));
     assert_eq!(harness.starts().len(), 1);
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -132,6 +132,7 @@
         spec: Bytes::from_static(b"spec"),
         steps,
         accepted_unix_ms: 0,
+        workspace: None,
     }
 }
 
@@ -191,6 +192,7 @@
             stretch: 2.0,
             target_latency_ms: 1_000,
             advice,
+            is_public: false,
         };
         let less_urgent = Queue {
             name: LESS_URGENT_QUEUE.to_owned(),
@@ -207,7 +209,8 @@
             ..queue.clone()
         };
         let queues = vec![queue, less_urgent, other_service];
-        let directory = QueueDirectory { version, queues, max_body_bytes: 1 << 18 };
+        let directory =
+            QueueDirectory { version, queues, max_body_bytes: 1 << 18, workspaces: None };
         self.handle(Event::DirectoryUpdated(Arc::new(directory)));
     }
 
