--- a/tests/queue_cancel.rs
+++ b/tests/queue_cancel.rs
@@ -30,11 +30,11 @@
 /// Time in which a stored job would have started.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
-/// A cell of two hosts, of which the one that does not lead stands still.
+/// A cell of two hosts, of which one stands still.
 struct FrozenHost {
     cell: Cell,
     frozen: usize,
-    leader: usize,
+    other: usize,
 }
 
 fn request(cell: &Cell, host: usize, method: Method, body: Option<Value>) -> CallerResult {
@@ -48,25 +48,32 @@
 }
 
 impl FrozenHost {
+    /// Starts a cell and stops the host that does not lead.
     fn start(name: &str) -> Self {
+        Self::start_with(name, false)
+    }
+
+    /// Starts a cell and stops the host that leads, or the other one.
+    fn start_with(name: &str, freezes_leader: bool) -> Self {
         let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         let mut cell = Cell::start(&directory, 2, 1);
         eventually("a host leads", START_LIMIT, || cell.leader().is_some());
         let leader = cell.leader().unwrap();
-        let frozen = 1 - leader;
+        let frozen = if freezes_leader { leader } else { 1 - leader };
+        let other = 1 - frozen;
         eventually("both hosts serve", START_LIMIT, || {
             let has_answered =
                 |host| request(&cell, host, Method::Get, None) == CallerResult::Status(410);
-            has_answered(leader) && has_answered(frozen)
+            has_answered(other) && has_answered(frozen)
         });
         let plan =
             JobPlan { spec: "spec".to_owned(), steps: vec![(1, 1_000, 60_000)], is_deadly: false };
         runners::lock(&cell.fleet).jobs.insert(JOB, plan);
         cell.hosts[frozen].signal(libc::SIGSTOP);
-        Self { cell, frozen, leader }
+        Self { cell, frozen, other }
     }
 
-    /// Cancels the job at the host that leads, `after` the submission was sent to the frozen host, and
+    /// Cancels the job at the running host, `after` the submission was sent to the frozen host, and
     /// wakes that host `wakes_after` the cancellation. Returns the outcome of the submission.
     fn cancel_before_waking(&mut self, after: Duration, wakes_after: Duration) -> CallerResult {
         let (pool, address) = self.cell.caller_connection(self.frozen);
@@ -75,7 +82,7 @@
             task::block_on(queue_cell::send(&pool, &address, Method::Post, JOB, body)).0
         });
         thread::sleep(after);
-        let canceled = request(&self.cell, self.leader, Method::Delete, None);
+        let canceled = request(&self.cell, self.other, Method::Delete, None);
         assert_eq!(canceled, CallerResult::Status(410), "the job is not known yet");
         thread::sleep(wakes_after);
         self.cell.hosts[self.frozen].signal(libc::SIGCONT);
@@ -109,6 +116,21 @@
     assert!(!host.has_run(), "the job runs although its cancellation was answered");
 }
 
+// Guards against a leader that runs a job on waking, although it was cancelled while the leader stood
+// still and another host had taken over.
+#[test]
+fn a_submission_at_a_leader_that_stood_still_past_its_lease_is_refused() {
+    let mut host = FrozenHost::start_with("leader-frozen", true);
+    let submitted =
+        host.cancel_before_waking(Duration::from_millis(500), Duration::from_millis(2_500));
+    // The caller may have given up by the time the host wakes.
+    assert!(
+        matches!(submitted, CallerResult::Status(410) | CallerResult::NoAnswer),
+        "{submitted:?}"
+    );
+    assert!(!host.has_run(), "the job runs although its cancellation was answered");
+}
+
 #[test]
 fn the_cancellation_of_a_job_that_never_came_refuses_it_until_the_records_are_removed() {
     let mut harness = Harness::new(1);
