feat(queue): requests of queues that are not public need an API key

The configuration declares workspaces with API keys, and nothing asked for them. Where a configuration has workspaces, a request of a queue that is not public now gets 401 without exactly one valid key, before its body is read; the record of an accepted job names the workspace. With bounds.revoke-strict, a host that has not heard from the store for revoke-ms answers 503 to requests with a key.

Types that hold keys have no debug output, and a malformed list of workspaces is no longer quoted in the log.

--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -9,6 +9,9 @@
 /// Header with the time that a caller waits for the answer, in milliseconds.
 pub const DEADLINE_HEADER: &str = "Hemlockrock-Deadline-Ms";
 
+/// Header with the API key of a caller; its value is the key alone.
+pub const API_KEY_HEADER: &str = "Api-Key";
+
 /// Path of the readiness check that the load balancer calls.
 pub const READY_PATH: &str = "/readyz";
 
@@ -89,7 +92,8 @@
     Repeating,
 }
 
-/// Decodes and validates the body of a submission. `unix_ms` is the time at which it was accepted.
+/// Decodes and validates the body of a submission, for a job without a workspace. `unix_ms` is the
+/// time at which it was accepted.
 pub fn decode_submission(id: JobId, queue: &str, body: &[u8], unix_ms: u64) -> DecodedSubmission {
     let body: JobBody = match serde_json::from_slice(body) {
         Ok(body) => body,
--- a/src/platform/declarations.rs
+++ b/src/platform/declarations.rs
@@ -17,7 +17,11 @@
 /// Key of the current configuration.
 pub const CONFIG_KEY: &str = "op/config";
 
-#[derive(Debug)]
+/// Maximum number of log lines about faulty workspaces in one version: versions can come in quick
+/// succession, and one mistake can affect every workspace.
+const MAX_LOGGED_FINDINGS: usize = 10;
+
+/// The configuration. It has no debug output, since the workspaces contain API keys.
 #[derive(Deserialize)]
 struct Config {
     version: u64,
@@ -27,11 +31,11 @@
     limits: Limits,
     /// Workspaces, each decoded by itself, so that a malformed one does not rule out the others.
     #[serde(default)]
-    tenants: Option<Vec<Value>>,
+    tenants: Option<Value>,
 }
 
-/// A tenant of the platform, which is a workspace in this code base.
-#[derive(Debug)]
+/// A tenant of the platform, which is a workspace in this code base. It has no debug output, since it
+/// contains API keys.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Tenant {
@@ -131,6 +135,12 @@
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "figures are small")]
 pub fn decode(text: &[u8]) -> Result<QueueDirectory, String> {
     let config: Config = serde_json::from_slice(text).map_err(|error| error.to_string())?;
+    let workspaces = match config.tenants {
+        None => None,
+        Some(Value::Array(tenants)) => Some(decode_workspaces(tenants, config.version)),
+        // The text of a decoding error could quote a key.
+        Some(_) => return Err("tenants: expected a list".to_owned()),
+    };
     let queues = config.routes.into_iter().map(|route| Queue {
         name: route.name,
         host: route.host,
@@ -151,29 +161,40 @@
         version: config.version,
         queues: queues.collect(),
         max_body_bytes: config.limits.max_body_bytes,
-        workspaces: config.tenants.map(|tenants| decode_workspaces(tenants, config.version)),
+        workspaces,
     })
 }
 
 /// Decodes the workspaces; what is wrong with one is logged, and the others are used.
 fn decode_workspaces(tenants: Vec<Value>, version: u64) -> Workspaces {
-    let log = |error: &str| {
-        decision_log::line("workspace_invalid").with("version", version).with("error", error).end();
-    };
-    let decoded = tenants.into_iter().enumerate().filter_map(|(position, tenant)| {
+    let mut findings = Vec::new();
+    let mut declared = Vec::new();
+    for (position, tenant) in tenants.into_iter().enumerate() {
         // The text of the decoding error could quote a key.
         let Ok(tenant) = serde_json::from_value::<Tenant>(tenant) else {
-            log(&format!("workspace {position} is malformed"));
-            return None;
+            findings.push(format!("workspace {position} is malformed"));
+            continue;
         };
         let workspace = Workspace {
             name: Arc::from(tenant.name),
             weight: tenant.weight.max(0.0),
             limit: tenant.max_count.limit(),
         };
-        Some((workspace, tenant.api_keys))
-    });
-    let (workspaces, findings) = Workspaces::new(decoded.collect::<Vec<_>>());
-    findings.iter().for_each(|finding| log(finding));
+        declared.push((workspace, tenant.api_keys));
+    }
+    let (workspaces, faulty) = Workspaces::new(declared);
+    findings.extend(faulty);
+    for finding in findings.iter().take(MAX_LOGGED_FINDINGS) {
+        decision_log::line("workspace_invalid")
+            .with("version", version)
+            .with("error", finding)
+            .end();
+    }
+    if findings.len() > MAX_LOGGED_FINDINGS {
+        decision_log::line("workspaces_invalid")
+            .with("version", version)
+            .with("findings", findings.len())
+            .end();
+    }
     workspaces
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -65,11 +65,14 @@
 struct Bounds {
     /// Time between the request to stop and the kill, in seconds.
     grace_s: f64,
+    /// Whether a host that has not heard from the store for `revoke_ms` refuses requests with a key.
+    revoke_strict: bool,
+    revoke_ms: f64,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Self { grace_s: 6.0 }
+        Self { grace_s: 6.0, revoke_strict: false, revoke_ms: 5_000.0 }
     }
 }
 
@@ -97,6 +100,10 @@
         store_address: settings.platform.address,
         advice_address: settings.advice.filter(|address| !address.is_empty()),
         shutdown_grace_ms: clamp_to_u64(settings.bounds.grace_s * MS_PER_S),
+        key_validity_ms: settings
+            .bounds
+            .revoke_strict
+            .then(|| clamp_to_u64(settings.bounds.revoke_ms)),
         cpu_millis: clamp_to_u64(
             settings.limits.cpu_share * settings.limits.cores * MILLIS_PER_CORE,
         ),
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -4,6 +4,7 @@
 //! runners. [`scheduler`] makes the decisions without doing any I/O; the other modules feed it
 //! events and execute its actions.
 
+pub mod authentication;
 pub mod caller_api;
 pub mod control;
 pub mod daemon;
--- a/src/queue/caller_api.rs
+++ b/src/queue/caller_api.rs
@@ -7,6 +7,7 @@
 
 use async_std::task;
 use futures_lite::future;
+use http_types::headers::HeaderValue;
 use http_types::{Method, StatusCode};
 use tide::{Request, Response};
 
@@ -18,11 +19,13 @@
 use crate::http::server::{self, CallerConnection};
 use crate::place::spec;
 use crate::platform::callers::{self, DecodedSubmission};
+use crate::queue::authentication::{self, RefusedKey};
 use crate::queue::host_state::HostState;
 use crate::queue::model::{JobId, JobState, Queue, QueueDirectory, Submission};
 use crate::queue::peer::{self, PeerError, RelayOutcome, RelayRequest};
 use crate::queue::record::{self, Progress};
 use crate::queue::watch;
+use crate::queue::workspaces::JobOwner;
 use crate::store::{self, Commit, CommitOutcome, Expect, Priority, StoreError};
 
 /// Deadline of requests without a deadline header, in milliseconds.
@@ -83,6 +86,7 @@
     }
     let path = request.url().path().to_owned();
     let queue = matching_queue(&directory, &request, &path)?.clone();
+    let owner = authenticate(shared, &directory, &queue, &request)?;
     let rest = path.get(queue.prefix.len()..).unwrap_or_default();
     if rest.is_empty() && request.method() == Method::Get {
         return pending_count(shared, &queue).await;
@@ -95,7 +99,7 @@
         )
     })?;
     match request.method() {
-        Method::Post => submit(shared, &directory, &queue, id, &mut request).await,
+        Method::Post => submit(shared, &directory, &queue, id, owner, &mut request).await,
         Method::Get => job_state(shared, id).await,
         Method::Delete => cancel(shared, id).await,
         _ => Err(ApiError::new(405, "wrong_method", "expected POST, GET or DELETE")),
@@ -120,6 +124,28 @@
     })
 }
 
+/// Determines whose jobs the request may reach, as [`authentication::authenticate`] does, and counts
+/// and logs a refusal.
+fn authenticate(
+    shared: &HostState,
+    directory: &QueueDirectory,
+    queue: &Queue,
+    request: &Request<Arc<HostState>>,
+) -> Result<Option<JobOwner>, ApiError> {
+    let headers = request.header(callers::API_KEY_HEADER);
+    let keys = headers.into_iter().flatten().map(HeaderValue::as_str);
+    let is_current = shared.are_keys_current();
+    authentication::authenticate(directory, queue, keys, is_current).map_err(|refused| {
+        shared.metrics.refused_keys.with_label_values(&[refused.reason()]).inc();
+        shared.refusal_log.record(refused, &queue.name, clock::now_ms());
+        match refused {
+            RefusedKey::Unconfirmed => ApiError::new(503, "store_away", refused.to_string())
+                .with_retry_after_ms(RETRY_AFTER_MS),
+            _ => ApiError::new(401, "unknown_key", refused.to_string()),
+        }
+    })
+}
+
 /// Time until which the request has to be handled, in milliseconds of [`clock::now_ms`].
 fn deadline_ms(request: &Request<Arc<HostState>>) -> u64 {
     let given = request.header(callers::DEADLINE_HEADER).map_or("", |values| values.as_str());
@@ -132,13 +158,16 @@
     directory: &QueueDirectory,
     queue: &Queue,
     id: JobId,
+    owner: Option<JobOwner>,
     request: &mut Request<Arc<HostState>>,
 ) -> Result<Response, ApiError> {
     let deadline_ms = deadline_ms(request);
     let limits = HttpConfig { max_body_bytes: directory.max_body_bytes, ..HttpConfig::default() };
     let body = server::read_body(request, &limits).await?;
     let submission = match callers::decode_submission(id, &queue.name, &body, clock::unix_ms()) {
-        DecodedSubmission::Job(submission) => submission,
+        DecodedSubmission::Job(submission) => {
+            Submission { workspace: owner.and_then(|owner| owner.workspace()), ..submission }
+        }
         DecodedSubmission::Invalid(message) => {
             decision_log::line("job_invalid").with("job", id).with("error", &message).end();
             return Err(ApiError::new(400, "not_a_job", message));
--- a/src/queue/host_info.rs
+++ b/src/queue/host_info.rs
@@ -22,6 +22,9 @@
     pub advice_address: Option<String>,
     /// Time between the request to stop and the forced kill of the process, in milliseconds.
     pub shutdown_grace_ms: u64,
+    /// Time without the store after which requests with an API key are refused, since the key may
+    /// have been removed in the meantime, in milliseconds; `None` if they are served for any time.
+    pub key_validity_ms: Option<u64>,
     /// Processor capacity of the host, in thousandths of a core.
     pub cpu_millis: u64,
     /// Maximum number of open file descriptors of the process.
--- a/src/queue/host_state.rs
+++ b/src/queue/host_state.rs
@@ -9,6 +9,7 @@
 use crate::configs::queue::QueueConfig;
 use crate::decision_log;
 use crate::http::client::Pool;
+use crate::queue::authentication::RefusalLog;
 use crate::queue::control::ControlInput;
 use crate::queue::host_info::HostInfo;
 use crate::queue::leader_preference::LeaderPreference;
@@ -36,6 +37,8 @@
     pub pool: Pool,
     /// Prometheus metrics of this host.
     pub metrics: QueueMetrics,
+    /// Log of requests that were refused because of their API key.
+    pub refusal_log: RefusalLog,
     directory: Mutex<Arc<QueueDirectory>>,
     leader: Mutex<Option<Leader>>,
     /// Nonce of the term that this host leads or campaigns for.
@@ -53,6 +56,9 @@
     store_answered_ms: AtomicU64,
     /// Whether the last call to the store got no answer.
     is_store_lost: AtomicBool,
+    /// Whether the declarations may have changed while the store did not answer for longer than API
+    /// keys stay valid without it.
+    must_read_declarations: AtomicBool,
     is_draining: AtomicBool,
 }
 
@@ -81,6 +87,7 @@
             store,
             pool,
             metrics,
+            refusal_log: RefusalLog::default(),
             directory: Mutex::default(),
             leader: Mutex::default(),
             own_term: Mutex::default(),
@@ -91,6 +98,7 @@
             final_states: Mutex::default(),
             store_answered_ms: AtomicU64::new(0),
             is_store_lost: AtomicBool::new(false),
+            must_read_declarations: AtomicBool::new(false),
             is_draining: AtomicBool::new(false),
         }
     }
@@ -241,7 +249,12 @@
         let is_answer =
             !matches!(result, Err(StoreError::Unavailable(_) | StoreError::Indeterminate(_)));
         if is_answer {
-            self.store_answered_ms.store(clock::now_ms(), Ordering::Release);
+            let now_ms = clock::now_ms();
+            let answered_ms = self.store_answered_ms.load(Ordering::Acquire);
+            if self.is_key_validity_over(answered_ms, now_ms) {
+                self.must_read_declarations.store(true, Ordering::Release);
+            }
+            self.store_answered_ms.store(now_ms, Ordering::Release);
         }
         if self.is_store_lost.swap(!is_answer, Ordering::AcqRel) == is_answer {
             let error = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
@@ -250,6 +263,23 @@
         }
     }
 
+    /// Records that all changes of the declarations have been read and applied.
+    pub fn record_declarations_read(&self) {
+        self.must_read_declarations.store(false, Ordering::Release);
+    }
+
+    /// Whether the API keys in the declarations can be relied on: with a strict limit, the store has
+    /// answered within it, and the declarations were read after a longer outage.
+    pub fn are_keys_current(&self) -> bool {
+        let answered_ms = self.store_answered_ms.load(Ordering::Acquire);
+        !self.must_read_declarations.load(Ordering::Acquire)
+            && !self.is_key_validity_over(answered_ms, clock::now_ms())
+    }
+
+    fn is_key_validity_over(&self, answered_ms: u64, now_ms: u64) -> bool {
+        self.host_info.key_validity_ms.is_some_and(|limit_ms| now_ms > answered_ms + limit_ms)
+    }
+
     /// Whether the last call to the store got no answer.
     pub fn is_store_lost(&self) -> bool {
         self.is_store_lost.load(Ordering::Acquire)
--- a/src/queue/metrics.rs
+++ b/src/queue/metrics.rs
@@ -12,6 +12,8 @@
 pub struct QueueMetrics {
     /// Requests of callers by kind and HTTP status.
     pub requests: IntCounterVec,
+    /// Requests that were refused because of their API key, by reason.
+    pub refused_keys: IntCounterVec,
     /// Time to answer a caller's request, in seconds, by kind.
     pub request_seconds: HistogramVec,
     /// Orders to runners by kind and result.
@@ -42,6 +44,11 @@
             |name: &str, help: &str| HistogramOpts::new(name, help).buckets(buckets.clone());
         let metrics = Self {
             requests: counter("queue_requests_total", "Requests of callers", &["kind", "status"])?,
+            refused_keys: counter(
+                "queue_refused_keys_total",
+                "Requests that were refused because of their API key",
+                &["reason"],
+            )?,
             request_seconds: HistogramVec::new(
                 latency("queue_request_seconds", "Time until a request was answered"),
                 &["kind"],
@@ -68,6 +75,7 @@
             )?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
+        registry.register(Box::new(metrics.refused_keys.clone()))?;
         registry.register(Box::new(metrics.request_seconds.clone()))?;
         registry.register(Box::new(metrics.orders.clone()))?;
         registry.register(Box::new(metrics.order_seconds.clone()))?;
--- a/src/queue/model.rs
+++ b/src/queue/model.rs
@@ -185,7 +185,7 @@
 }
 
 /// A job queue, as the operator declares it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Queue {
     /// Name of the queue.
     pub name: String,
--- a/src/queue/watch.rs
+++ b/src/queue/watch.rs
@@ -132,6 +132,7 @@
         match watcher.next_update(&shared, shared.config.declaration_wait_ms).await {
             Ok(update) => {
                 update.entries().into_iter().for_each(|entry| apply_declaration(&shared, entry));
+                shared.record_declarations_read();
             }
             Err(_) => sleep_ms(RETRY_MS).await,
         }
--- a/src/queue/workspaces.rs
+++ b/src/queue/workspaces.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
 use crate::collections::{HashMap, HashSet};
@@ -14,6 +15,33 @@
 /// Longest API key that is looked up, in bytes.
 pub const MAX_KEY_BYTES: usize = 512;
 
+/// Whom a job belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum JobOwner {
+    /// No workspace: the queue of the job is public, or the deployment had no workspaces when the job
+    /// was submitted.
+    Nobody,
+    /// The workspace whose key submitted the job.
+    Workspace(WorkspaceName),
+}
+
+impl JobOwner {
+    /// Workspace of the owner, as in the record of a job.
+    pub fn workspace(&self) -> Option<WorkspaceName> {
+        match self {
+            Self::Nobody => None,
+            Self::Workspace(name) => Some(Arc::clone(name)),
+        }
+    }
+}
+
+impl From<Option<WorkspaceName>> for JobOwner {
+    fn from(workspace: Option<WorkspaceName>) -> Self {
+        workspace.map_or(Self::Nobody, Self::Workspace)
+    }
+}
+
 /// A workspace, as the operator declares it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Workspace {
--- a/tests/platform_inputs.rs
+++ b/tests/platform_inputs.rs
@@ -79,3 +79,60 @@
     let repeating = r#"{"repeat-count":3,"steps":[{"count":1}]}"#;
     assert_eq!(decode(repeating), DecodedSubmission::Repeating);
 }
+
+#[test]
+fn faulty_workspaces_are_left_out_and_the_rest_of_a_configuration_is_used() {
+    let text = r#"{"version":4,"routes":[{"name":"q","host":"h","prefix":"/q/","service":"s",
+        "public":true}],"tenants":[
+        {"name":"a","api-keys":["key-a","shared"],"weight":2.5,"priority":1,
+         "max-count":{"cpu":8000,"mem-mb":1024,"gpu":0}},
+        {"name":"b","api-keys":["key-b","shared"]},
+        {"name":"a","api-keys":["key-c"]},
+        {"api-keys":["key-d"]}, {"name":"e","api-keys":"key-e"}, {"name":"f","weight":"x"},
+        {"name":"g","max-count":{"cpu":-1},"api-keys":["key-g"]}, null, 7, "key-h", []]}"#;
+    let directory = declarations::decode(text.as_bytes()).unwrap();
+    assert!(directory.queues[0].is_public);
+    let workspaces = directory.workspaces.unwrap();
+    let name = |key: &str| workspaces.with_key(key.as_bytes()).map(|found| found.name.to_string());
+    assert_eq!(name("key-a").as_deref(), Some("a"));
+    assert_eq!(name("key-b").as_deref(), Some("b"));
+    for key in ["shared", "key-c", "key-d", "key-e", "key-g", "key-h"] {
+        assert_eq!(name(key), None, "{key}");
+    }
+    let a = workspaces.named("a").unwrap();
+    assert_eq!((a.limit.cpu_millis, a.limit.accelerators), (8_000, u32::MAX));
+    assert!((a.weight - 2.5).abs() < f64::EPSILON);
+    assert_eq!(workspaces.named("b").unwrap().limit.cpu_millis, u64::MAX);
+}
+
+#[test]
+fn configurations_without_workspaces_need_no_keys() {
+    let decode = |text: &str| declarations::decode(text.as_bytes());
+    assert!(decode(r#"{"version":1}"#).unwrap().workspaces.is_none());
+    assert!(decode(r#"{"version":1,"tenants":[]}"#).unwrap().workspaces.is_some());
+}
+
+// Guards against keys in the log, which quotes the error of an unreadable configuration.
+#[test]
+fn the_error_of_a_malformed_list_of_workspaces_quotes_no_key() {
+    for tenants in [r#""key-a""#, r#"{"api-keys":["key-a"]}"#, "7", "true"] {
+        let text = format!(r#"{{"version":1,"tenants":{tenants}}}"#);
+        let error = declarations::decode(text.as_bytes()).unwrap_err();
+        assert!(error.contains("tenants") && !error.contains("key-a"), "{error}");
+    }
+}
+
+#[test]
+fn keys_stay_valid_without_the_store_unless_the_settings_limit_that() {
+    let decode = |bounds: &str| {
+        let text = format!(
+            r#"{{"node-name":"h","ip":"10.0.0.1","zone":"z","internal-ports":[7],
+            "listen-addrs":{{"front":"f","ready":"r"}},"platform":{{"address":"p"}}{bounds}}}"#
+        );
+        settings::decode(text.as_bytes()).unwrap().key_validity_ms
+    };
+    assert_eq!(decode(""), None);
+    assert_eq!(decode(r#","bounds":{"revoke-ms":700}"#), None);
+    assert_eq!(decode(r#","bounds":{"revoke-strict":true}"#), Some(5_000));
+    assert_eq!(decode(r#","bounds":{"revoke-strict":true,"revoke-ms":700}"#), Some(700));
+}
