feat(queue): a key reaches only the jobs of its workspace

A key of one workspace could read and cancel the jobs of another one. Where a configuration has workspaces, the state and the cancellation of a job of another owner are now answered like those of an unknown job, and the cancellation is not written. The leader's answer names the owner, so that reading a state takes no further call to the store; on the path that reads the store, and for a cancellation, the submission record is read. A cancellation in advance is written on condition that the job has not been submitted meanwhile. Operations that are relayed to another host carry the owner. A submission whose id belongs to a job of another owner is refused with 410 instead of 200.

Without workspaces the wire format, the records and the calls to the store do not change.

--- a/src/queue/caller_api.rs
+++ b/src/queue/caller_api.rs
@@ -100,8 +100,8 @@
     })?;
     match request.method() {
         Method::Post => submit(shared, &directory, &queue, id, owner, &mut request).await,
-        Method::Get => job_state(shared, id).await,
-        Method::Delete => cancel(shared, id).await,
+        Method::Get => job_state(shared, id, owner).await,
+        Method::Delete => cancel(shared, id, owner).await,
         _ => Err(ApiError::new(405, "wrong_method", "expected POST, GET or DELETE")),
     }
 }
@@ -161,12 +161,13 @@
     owner: Option<JobOwner>,
     request: &mut Request<Arc<HostState>>,
 ) -> Result<Response, ApiError> {
+    let workspace = owner.as_ref().and_then(JobOwner::workspace);
     let deadline_ms = deadline_ms(request);
     let limits = HttpConfig { max_body_bytes: directory.max_body_bytes, ..HttpConfig::default() };
     let body = server::read_body(request, &limits).await?;
     let submission = match callers::decode_submission(id, &queue.name, &body, clock::unix_ms()) {
         DecodedSubmission::Job(submission) => {
-            Submission { workspace: owner.and_then(|owner| owner.workspace()), ..submission }
+            Submission { workspace: workspace.clone(), ..submission }
         }
         DecodedSubmission::Invalid(message) => {
             decision_log::line("job_invalid").with("job", id).with("error", &message).end();
@@ -193,7 +194,7 @@
     } else {
         (store_job(shared, submission, deadline_ms).await, "this host")
     };
-    decision_log::line("job_submitted")
+    line_with_workspace("job_submitted", workspace.as_deref())
         .with("job", id)
         .with("queue", &queue.name)
         .with("version", directory.version)
@@ -202,7 +203,11 @@
         .with("outcome", format_args!("{stored:?}"))
         .end();
     if stored == RelayOutcome::NoJob {
-        let message = "the job was cancelled before its submission was stored";
+        // A job of another owner is not disclosed.
+        let message = match owner {
+            None => "the job was cancelled before its submission was stored",
+            Some(_) => "the job was cancelled before its submission was stored, or its id is taken",
+        };
         return Err(ApiError::new(410, "job_cancelled", message));
     }
     stored_response(stored)
@@ -215,6 +220,15 @@
     future::poll_once(connection.closed()).await.is_some()
 }
 
+/// Begins a log line for `event`, with the workspace of the request if it has one.
+fn line_with_workspace(event: &str, workspace: Option<&str>) -> decision_log::Line {
+    let line = decision_log::line(event);
+    match workspace {
+        Some(workspace) => line.with("workspace", workspace),
+        None => line,
+    }
+}
+
 /// The response to a submission or cancellation.
 fn stored_response(outcome: RelayOutcome) -> Result<Response, ApiError> {
     match outcome {
@@ -239,12 +253,20 @@
     let deadline_ms = clock::now_ms() + shared.config.store_timeout_ms;
     match request {
         RelayRequest::Submit(submission) => store_job(shared, submission, deadline_ms).await,
-        RelayRequest::Cancel(id) => store_cancellation(shared, id, deadline_ms).await,
-        RelayRequest::State(id) => match find_state(shared, id).await {
-            Ok(Some((state, _))) => RelayOutcome::State(state),
-            Ok(None) => RelayOutcome::NoJob,
-            Err(_) => RelayOutcome::NotStored,
-        },
+        RelayRequest::Cancel(id) => store_cancellation(shared, id, None, deadline_ms).await,
+        RelayRequest::CancelOf(id, owner) => {
+            store_cancellation(shared, id, Some(&owner), deadline_ms).await
+        }
+        RelayRequest::State(id) => relayed_state(shared, id, None).await,
+        RelayRequest::StateOf(id, owner) => relayed_state(shared, id, Some(&owner)).await,
+    }
+}
+
+async fn relayed_state(shared: &HostState, id: JobId, owner: Option<&JobOwner>) -> RelayOutcome {
+    match find_state(shared, id, owner).await {
+        Ok(Some((state, _))) => RelayOutcome::State(state),
+        Ok(None) => RelayOutcome::NoJob,
+        Err(_) => RelayOutcome::NotStored,
     }
 }
 
@@ -267,7 +289,15 @@
     };
     let unless = Some(record::cancel_key(submission.id));
     let stored = create_record(shared, key, value, unless, deadline_ms).await;
-    if stored == RecordWrite::Created {
+    if let RecordWrite::Exists { content, .. } = &stored {
+        let owner = JobOwner::from(submission.workspace.clone());
+        let is_shared = submission.workspace.is_some() || has_workspaces(shared);
+        if is_shared && owner_in_record(submission.id, content).ok() != Some(owner) {
+            return RelayOutcome::NoJob;
+        }
+    }
+    // No other host announces a job that an attempt without an answer has stored.
+    if matches!(stored, RecordWrite::Created | RecordWrite::Exists { may_be_own: true, .. }) {
         let announcing = Arc::clone(shared);
         let id = submission.id;
         announce_in_background(id, async move {
@@ -277,21 +307,87 @@
     stored.into()
 }
 
-/// Stores a cancellation and announces it to the leader.
+fn has_workspaces(shared: &HostState) -> bool {
+    shared.directory().workspaces.is_some()
+}
+
+/// Stores the cancellation of a job, which has to belong to `owner` unless that is `None`, and
+/// announces it to the leader.
 ///
 /// It is stored for an unknown job as well: a submission that is still on its way is refused by it.
-/// Therefore the job is looked up after the write.
-async fn store_cancellation(shared: &Arc<HostState>, id: JobId, deadline_ms: u64) -> RelayOutcome {
+async fn store_cancellation(
+    shared: &Arc<HostState>,
+    id: JobId,
+    owner: Option<&JobOwner>,
+    deadline_ms: u64,
+) -> RelayOutcome {
+    let Some(owner) = owner else {
+        let stored = write_cancellation(shared, id, None, deadline_ms).await;
+        if !matches!(stored, RecordWrite::Created | RecordWrite::Exists { .. }) {
+            return stored.into();
+        }
+        // The submission may have been stored since the request arrived, so that the job is looked up
+        // after the write.
+        return match read_record(shared, record::job_key(id)).await {
+            Ok(None) => RelayOutcome::NoJob,
+            Ok(Some(_)) | Err(_) => RelayOutcome::Stored,
+        };
+    };
+    let mut is_submitted_meanwhile = false;
+    loop {
+        let unless = match stored_owner(shared, id).await {
+            Ok(Some(found)) if found == *owner => None,
+            Ok(Some(_)) => return RelayOutcome::NoJob,
+            // The submission may be on its way, and may be another owner's.
+            Ok(None) => Some(record::job_key(id)),
+            Err(_) => return RelayOutcome::NotStored,
+        };
+        let is_known = unless.is_none();
+        match write_cancellation(shared, id, unless, deadline_ms).await {
+            RecordWrite::RuledOut if is_submitted_meanwhile => return RelayOutcome::NotStored,
+            RecordWrite::RuledOut => is_submitted_meanwhile = true,
+            RecordWrite::Created | RecordWrite::Exists { .. } if !is_known => {
+                return RelayOutcome::NoJob;
+            }
+            stored => return stored.into(),
+        }
+    }
+}
+
+/// Stores the cancellation of a job unless a record with the key `unless` exists, and announces it to
+/// the leader.
+async fn write_cancellation(
+    shared: &Arc<HostState>,
+    id: JobId,
+    unless: Option<String>,
+    deadline_ms: u64,
+) -> RecordWrite {
     let value = bytes::Bytes::from_static(b"cancel");
-    let stored = create_record(shared, record::cancel_key(id), value, None, deadline_ms).await;
-    if !matches!(stored, RecordWrite::Created | RecordWrite::AlreadyExists) {
-        return stored.into();
+    let stored = create_record(shared, record::cancel_key(id), value, unless, deadline_ms).await;
+    if matches!(stored, RecordWrite::Created | RecordWrite::Exists { .. }) {
+        let announcing = Arc::clone(shared);
+        announce_in_background(
+            id,
+            async move { peer::announce_cancellation(&announcing, id).await },
+        );
     }
-    let announcing = Arc::clone(shared);
-    announce_in_background(id, async move { peer::announce_cancellation(&announcing, id).await });
-    match read_record(shared, record::job_key(id)).await {
-        Ok(None) => RelayOutcome::NoJob,
-        Ok(Some(_)) | Err(_) => RelayOutcome::Stored,
+    stored
+}
+
+/// Reads whom a job belongs to from the store; `None` if the store has no record of it.
+async fn stored_owner(shared: &HostState, id: JobId) -> Result<Option<JobOwner>, ApiError> {
+    let job = read_record(shared, record::job_key(id)).await?;
+    job.map(|entry| owner_in_record(id, &entry.value)).transpose()
+}
+
+/// Decodes whom a job belongs to from the record of its submission.
+fn owner_in_record(id: JobId, bytes: &[u8]) -> Result<JobOwner, ApiError> {
+    match record::decode_submission(bytes) {
+        Ok(submission) => Ok(JobOwner::from(submission.workspace)),
+        Err(error) => {
+            decision_log::line("job_unreadable").with("job", id).with("error", error).end();
+            Err(ApiError::new(503, "unreadable", "the record of the job is malformed"))
+        }
     }
 }
 
@@ -314,12 +410,16 @@
 }
 
 /// Outcome of creating a record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum RecordWrite {
     /// This call created the record.
     Created,
-    /// The record existed already.
-    AlreadyExists,
+    /// The record exists with this content.
+    Exists {
+        content: bytes::Bytes,
+        /// An attempt of this call whose answer was lost may have created it.
+        may_be_own: bool,
+    },
     /// Another record rules this one out.
     RuledOut,
     /// The record was not written and will not be.
@@ -331,7 +431,7 @@
 impl From<RecordWrite> for RelayOutcome {
     fn from(stored: RecordWrite) -> Self {
         match stored {
-            RecordWrite::Created | RecordWrite::AlreadyExists => Self::Stored,
+            RecordWrite::Created | RecordWrite::Exists { .. } => Self::Stored,
             RecordWrite::RuledOut => Self::NoJob,
             RecordWrite::NotWritten => Self::NotStored,
             RecordWrite::Unknown => Self::Unsure,
@@ -368,13 +468,11 @@
         match result {
             Ok(CommitOutcome::Written(_)) => return RecordWrite::Created,
             Ok(CommitOutcome::Conflict(entries)) => {
-                return match entries.iter().any(|entry| entry.key == key) {
-                    // The attempt whose answer was lost may have created the record. Treat it as
-                    // created here, because no other host would announce it then.
-                    true if has_lost_answer => RecordWrite::Created,
-                    true => RecordWrite::AlreadyExists,
-                    false => RecordWrite::RuledOut,
-                };
+                let present = entries.into_iter().find(|entry| entry.key == key);
+                return present.map_or(RecordWrite::RuledOut, |present| RecordWrite::Exists {
+                    content: present.value,
+                    may_be_own: has_lost_answer,
+                });
             }
             Err(error) if error.is_not_executed() => failed_writes += 1,
             Err(_) => has_lost_answer = true,
@@ -404,15 +502,19 @@
     }
 }
 
-async fn job_state(shared: &HostState, id: JobId) -> Result<Response, ApiError> {
-    if let Some(state) = shared.final_state(id) {
+async fn job_state(
+    shared: &HostState,
+    id: JobId,
+    owner: Option<JobOwner>,
+) -> Result<Response, ApiError> {
+    if let Some(state) = shared.final_state(id, owner.as_ref()) {
         return Ok(json_response(callers::encode_state(state)));
     }
-    let found = find_state(shared, id).await;
+    let found = find_state(shared, id, owner.as_ref()).await;
     let (state, source) = match found {
         Ok(Some(found)) => found,
         Ok(None) => return Err(no_such_job()),
-        Err(error) => match peer::relay(shared, &RelayRequest::State(id)).await {
+        Err(error) => match peer::relay(shared, &RelayRequest::state(id, owner.clone())).await {
             RelayOutcome::State(state) => (state, "another host"),
             RelayOutcome::NoJob => return Err(no_such_job()),
             _ => return Err(error),
@@ -424,26 +526,45 @@
         .with("source", source)
         .end();
     if state.is_final() {
-        shared.record_final_state(id, state);
+        shared.record_final_state(id, state, owner);
     }
     Ok(json_response(callers::encode_state(state)))
 }
 
-/// Finds the state of a job and names its source for the log: the leader, or the store if the
-/// leader does not know the job or does not answer.
+/// Finds the state of a job, which has to belong to `owner` unless that is `None`, and names its source
+/// for the log: the leader, or the store if the leader does not know the job or does not answer.
 async fn find_state(
     shared: &HostState,
     id: JobId,
+    owner: Option<&JobOwner>,
 ) -> Result<Option<(JobState, &'static str)>, ApiError> {
-    if let Ok(Some(state)) = peer::query_state(shared, id).await {
-        return Ok(Some((state, "leader")));
+    if let Ok(Some((state, found))) = peer::query_state(shared, id).await {
+        let Some(owner) = owner else { return Ok(Some((state, "leader"))) };
+        let found = match found {
+            Some(found) => Some(found),
+            None => stored_owner(shared, id).await?,
+        };
+        return Ok((found.as_ref() == Some(owner)).then_some((state, "leader")));
     }
-    Ok(stored_state(shared, id).await?.map(|state| (state, "store")))
+    Ok(stored_state(shared, id, owner).await?.map(|state| (state, "store")))
 }
 
-/// Reads the state of a job from the store; `None` if the store has no record of it.
-async fn stored_state(shared: &HostState, id: JobId) -> Result<Option<JobState>, ApiError> {
+/// Reads the state of a job, which has to belong to `owner` unless that is `None`, from the store;
+/// `None` if the store has no record of it.
+async fn stored_state(
+    shared: &HostState,
+    id: JobId,
+    owner: Option<&JobOwner>,
+) -> Result<Option<JobState>, ApiError> {
     let progress = read_record(shared, record::progress_key(id)).await?;
+    if let Some(owner) = owner {
+        if stored_owner(shared, id).await?.as_ref() != Some(owner) {
+            return Ok(None);
+        }
+        if progress.is_none() {
+            return Ok(Some(JobState::Queued));
+        }
+    }
     if let Some(entry) = progress {
         let progress: Result<Progress, _> = rpc::decode(&entry.value);
         return match progress {
@@ -473,14 +594,19 @@
     })
 }
 
-async fn cancel(shared: &Arc<HostState>, id: JobId) -> Result<Response, ApiError> {
+async fn cancel(
+    shared: &Arc<HostState>,
+    id: JobId,
+    owner: Option<JobOwner>,
+) -> Result<Response, ApiError> {
+    let workspace = owner.as_ref().and_then(JobOwner::workspace);
     let deadline_ms = clock::now_ms() + DEFAULT_DEADLINE_MS - ANSWER_MARGIN_MS;
     let end = if shared.is_store_away() {
-        peer::relay(shared, &RelayRequest::Cancel(id)).await
+        peer::relay(shared, &RelayRequest::cancel(id, owner)).await
     } else {
-        store_cancellation(shared, id, deadline_ms).await
+        store_cancellation(shared, id, owner.as_ref(), deadline_ms).await
     };
-    decision_log::line("job_cancelled")
+    line_with_workspace("job_cancelled", workspace.as_deref())
         .with("job", id)
         .with("outcome", format_args!("{end:?}"))
         .end();
--- a/src/queue/control.rs
+++ b/src/queue/control.rs
@@ -18,6 +18,7 @@
 use crate::queue::scheduler::{Action, Event, Scheduler};
 use crate::queue::takeover::{self, RecordReader, RecoveredState};
 use crate::queue::watch;
+use crate::queue::workspaces::JobOwner;
 use crate::store::{Answer, LeaseId, Operation, Priority, StoreError};
 
 /// Longest time between two scheduler passes while there are jobs or tasks, in milliseconds.
@@ -72,8 +73,8 @@
     Superseded(&'static str),
     /// The host shuts down; another host should lead.
     Resign,
-    /// Asks for the state of a job; the answer is `None` for an unknown job.
-    StateQuery(JobId, async_channel::Sender<Option<JobState>>),
+    /// Asks for the state and the owner of a job; the answer is `None` for an unknown job.
+    StateQuery(JobId, async_channel::Sender<Option<(JobState, JobOwner)>>),
     /// Asks for the number of jobs in the queue of this name that have not started.
     PendingQuery(String, async_channel::Sender<u64>),
 }
@@ -263,7 +264,8 @@
         }
         ControlInput::StateQuery(job, answer) => {
             // Fails only if the caller no longer waits.
-            let _ = answer.try_send(scheduler.state_of(job));
+            let state = scheduler.state_of(job);
+            let _ = answer.try_send(state.map(|state| (state, scheduler.owner_of(job))));
         }
         ControlInput::PendingQuery(queue, answer) => {
             let _ = answer.try_send(scheduler.pending(&queue));
--- a/src/queue/host_state.rs
+++ b/src/queue/host_state.rs
@@ -16,6 +16,7 @@
 use crate::queue::metrics::QueueMetrics;
 use crate::queue::model::{JobId, JobState, QueueDirectory};
 use crate::queue::record::LeaderRecord;
+use crate::queue::workspaces::JobOwner;
 use crate::store::{Revision, Store, StoreError};
 
 /// Capacity of the cache of final job states; at the largest site 38,000 jobs end in a day.
@@ -51,7 +52,7 @@
     /// Peer addresses of live hosts, the most recent first.
     hosts: Mutex<Vec<Arc<str>>>,
     leader_preference: Mutex<LeaderPreference>,
-    final_states: Mutex<HashMap<JobId, JobState>>,
+    final_states: Mutex<HashMap<JobId, FinalState>>,
     /// When the store last answered, in milliseconds of [`clock::now_ms`]; 0 for never.
     store_answered_ms: AtomicU64,
     /// Whether the last call to the store got no answer.
@@ -62,6 +63,14 @@
     is_draining: AtomicBool,
 }
 
+/// Final state of a job.
+#[derive(Clone, Debug)]
+struct FinalState {
+    state: JobState,
+    /// Whom the job belongs to; `None` if this host has not learned that.
+    owner: Option<JobOwner>,
+}
+
 /// The current leader according to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Leader {
@@ -230,18 +239,21 @@
         }
     }
 
-    /// Caches the final state of a job.
-    pub fn record_final_state(&self, job: JobId, state: JobState) {
+    /// Caches the final state of a job and, if that is known, whom the job belongs to.
+    pub fn record_final_state(&self, job: JobId, state: JobState, owner: Option<JobOwner>) {
         let mut final_states = lock(&self.final_states);
         if final_states.len() >= MAX_FINAL_STATES {
             final_states.clear();
         }
-        final_states.insert(job, state);
+        final_states.insert(job, FinalState { state, owner });
     }
 
-    /// Final state of a job if it is cached.
-    pub fn final_state(&self, job: JobId) -> Option<JobState> {
-        lock(&self.final_states).get(&job).copied()
+    /// Final state of a job if it is cached and, unless `owner` is `None`, known to belong to that
+    /// owner.
+    pub fn final_state(&self, job: JobId, owner: Option<&JobOwner>) -> Option<JobState> {
+        let final_states = lock(&self.final_states);
+        let known = final_states.get(&job)?;
+        (owner.is_none() || known.owner.as_ref() == owner).then_some(known.state)
     }
 
     /// Records whether the store answered a call, and logs when that changes.
--- a/src/queue/leader.rs
+++ b/src/queue/leader.rs
@@ -302,7 +302,7 @@
     };
     if is_stored {
         for write in records.iter().filter(|write| write.progress.state.is_final()) {
-            context.shared.record_final_state(write.job, write.progress.state);
+            context.shared.record_final_state(write.job, write.progress.state, None);
         }
     }
     context.send_event(Event::ProgressSaved { write, is_stored }).await;
--- a/src/queue/peer.rs
+++ b/src/queue/peer.rs
@@ -22,6 +22,7 @@
 use crate::queue::model::{Admission, JobId, JobState, StepId, Submission};
 use crate::queue::record::LeaderRecord;
 use crate::queue::scheduler::Event;
+use crate::queue::workspaces::JobOwner;
 
 const HEARTBEAT_PATH: &str = "/peer/hello";
 const SUBMITTED_PATH: &str = "/peer/submitted";
@@ -94,11 +95,15 @@
 }
 
 /// The leader's answer to a query for the state of a job.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
 struct StateAnswer {
     /// `None` if the leader does not know the job.
     state: Option<JobState>,
+    /// Whom the job belongs to; absent if the leader knows of no workspaces or is of a version without
+    /// them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    owner: Option<JobOwner>,
 }
 
 /// An operation that a host without access to the store relays to another host.
@@ -111,6 +116,23 @@
     Cancel(JobId),
     /// Reads the state of a job.
     State(JobId),
+    /// Stores the cancellation of a job unless it belongs to somebody else. Hosts of a version without
+    /// workspaces refuse this operation and [`RelayRequest::StateOf`].
+    CancelOf(JobId, JobOwner),
+    /// Reads the state of a job unless it belongs to somebody else.
+    StateOf(JobId, JobOwner),
+}
+
+impl RelayRequest {
+    /// Cancellation of a job that has to belong to `owner`, unless that is `None`.
+    pub fn cancel(id: JobId, owner: Option<JobOwner>) -> Self {
+        owner.map_or(Self::Cancel(id), |owner| Self::CancelOf(id, owner))
+    }
+
+    /// Query for the state of a job that has to belong to `owner`, unless that is `None`.
+    pub fn state(id: JobId, owner: Option<JobOwner>) -> Self {
+        owner.map_or(Self::State(id), |owner| Self::StateOf(id, owner))
+    }
 }
 
 /// Outcome of a relayed operation.
@@ -235,9 +257,11 @@
 
 async fn state(mut request: Request<Arc<HostState>>) -> Result<Response, ApiError> {
     let id: JobId = body(&mut request).await?;
-    let state =
-        query_control_loop(request.state(), |answer| ControlInput::StateQuery(id, answer)).await;
-    Ok(rpc::response(&StateAnswer { state: state.map_err(|_| not_leading())? }))
+    let shared = request.state();
+    let known = query_control_loop(shared, |answer| ControlInput::StateQuery(id, answer)).await;
+    let (state, owner) = known.map_err(|_| not_leading())?.unzip();
+    let has_workspaces = shared.directory().workspaces.is_some();
+    Ok(rpc::response(&StateAnswer { state, owner: owner.filter(|_| has_workspaces) }))
 }
 
 async fn pending(mut request: Request<Arc<HostState>>) -> Result<Response, ApiError> {
@@ -328,16 +352,21 @@
     Ok(rpc::call(&shared.pool, &call, body).await?)
 }
 
-/// Asks the leader for the state of a job; `None` if the leader does not know it.
+/// Asks the leader for the state of a job and, if the leader can tell, whom it belongs to; `None` if
+/// the leader does not know the job.
 ///
 /// # Errors
 /// Fails with [`PeerError`] when the leader does not answer.
-pub async fn query_state(shared: &HostState, id: JobId) -> Result<Option<JobState>, PeerError> {
+pub async fn query_state(
+    shared: &HostState,
+    id: JobId,
+) -> Result<Option<(JobState, Option<JobOwner>)>, PeerError> {
     if shared.control_loop().is_some() {
-        return query_control_loop(shared, |answer| ControlInput::StateQuery(id, answer)).await;
+        let known = query_control_loop(shared, |answer| ControlInput::StateQuery(id, answer));
+        return Ok(known.await?.map(|(state, owner)| (state, Some(owner))));
     }
-    let answer: StateAnswer = call_leader(shared, STATE_PATH, &id).await?;
-    Ok(answer.state)
+    let StateAnswer { state, owner } = call_leader(shared, STATE_PATH, &id).await?;
+    Ok(state.map(|state| (state, owner)))
 }
 
 /// Asks the leader for the number of accepted jobs of a queue that have not started.
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -31,6 +31,7 @@
 use crate::decision_log;
 use crate::queue::model::{JobId, JobState, QueueDirectory, RunnerId, Submission};
 use crate::queue::record::Progress;
+use crate::queue::workspaces::JobOwner;
 use end_cause::EndCause;
 
 pub use advice::AdviceHost;
@@ -204,6 +205,16 @@
         Some(shown)
     }
 
+    /// Whom a known job belongs to.
+    pub fn owner_of(&self, id: JobId) -> JobOwner {
+        let job = self.job_keys.get(&id).and_then(|key| self.jobs.get(*key));
+        let workspace = match job {
+            Some(job) => job.submission.workspace.clone(),
+            None => self.retention.workspace(id).cloned(),
+        };
+        JobOwner::from(workspace)
+    }
+
     /// Number of accepted jobs in a queue of which no task has started.
     pub fn pending(&self, queue: &str) -> u64 {
         let waiting = self
@@ -262,6 +273,7 @@
             if let Some(job) = self.jobs.remove(key) {
                 self.job_keys.remove(&job.submission.id);
                 self.retention.keep_lost_runs(job.submission.id, &progress.lost);
+                self.retention.keep_workspace(job.submission.id, job.submission.workspace);
                 self.ended.insert(job.submission.id, (progress.state, now_ms));
             }
             return;
--- a/src/queue/scheduler/persistence.rs
+++ b/src/queue/scheduler/persistence.rs
@@ -171,6 +171,7 @@
         if let Some(job) = self.jobs.remove(key) {
             self.job_keys.remove(&job.submission.id);
             self.retention.keep_lost_runs(job.submission.id, &job.lost_runs());
+            self.retention.keep_workspace(job.submission.id, job.submission.workspace);
             self.ended.insert(job.submission.id, (job.state, now_ms));
         }
     }
--- a/src/queue/scheduler/retention.rs
+++ b/src/queue/scheduler/retention.rs
@@ -6,6 +6,7 @@
 use crate::queue::record::LostRunRecord;
 use crate::queue::scheduler::event::Action;
 use crate::queue::scheduler::Scheduler;
+use crate::queue::workspaces::WorkspaceName;
 
 /// Maximum number of jobs in one removal. The store accepts 32 entries per commit, and each job has
 /// three records.
@@ -27,6 +28,8 @@
     removed: HashMap<JobId, u64>,
     /// Lost runs of ended jobs, as in their progress records; only of jobs that have any.
     lost_runs: HashMap<JobId, Box<[LostRunRecord]>>,
+    /// Workspaces of ended jobs; only of jobs that belong to one.
+    workspaces: HashMap<JobId, WorkspaceName>,
 }
 
 impl Retention {
@@ -42,6 +45,18 @@
         }
     }
 
+    /// Keeps the workspace of a job that has ended until its records are removed.
+    pub(super) fn keep_workspace(&mut self, id: JobId, workspace: Option<WorkspaceName>) {
+        if let Some(workspace) = workspace {
+            self.workspaces.insert(id, workspace);
+        }
+    }
+
+    /// Workspace of a job that has ended.
+    pub(super) fn workspace(&self, id: JobId) -> Option<&WorkspaceName> {
+        self.workspaces.get(&id)
+    }
+
     /// Whether a task of an ended job was started again after this run, which was lost.
     pub(super) fn has_later_run(&self, task: TaskId, run: u64) -> bool {
         let mut lost = self.lost_runs.get(&task.step.job).into_iter().flatten();
@@ -74,6 +89,7 @@
                 self.ended.remove(&id);
                 self.early_cancels.remove(&id);
                 self.retention.lost_runs.remove(&id);
+                self.retention.workspaces.remove(&id);
                 self.retention.removed.insert(id, now_ms);
             }
         }
