test(queue): API keys and ownership at real hosts

Early refusals left the body of a request unread. The server discards it after the response, together with a next request that the caller has sent meanwhile on the same connection, so that this one stays without an answer: queue_access requests_need_one_valid_key_unless_their_queue_is_public failed with NoAnswer after a 401. A response to a request whose body was not read now closes the connection.

--- a/src/queue/caller_api.rs
+++ b/src/queue/caller_api.rs
@@ -53,7 +53,7 @@
     app
 }
 
-async fn handle(request: Request<Arc<HostState>>) -> tide::Result {
+async fn handle(mut request: Request<Arc<HostState>>) -> tide::Result {
     let begun_us = clock::now_us();
     let shared = Arc::clone(request.state());
     let kind = match request.method() {
@@ -62,7 +62,13 @@
         Method::Delete => "cancel",
         _ => "other",
     };
-    let response = route(&shared, request).await.unwrap_or_else(|error| error.to_response());
+    let routed = route(&shared, &mut request).await;
+    let mut response = routed.unwrap_or_else(|error| error.to_response());
+    // The server discards the rest of an unread body after the response, and with it a next request
+    // that the caller has sent meanwhile on the same connection.
+    if request.len() != Some(0) {
+        response.insert_header("Connection", "close");
+    }
     let status: u16 = response.status().into();
     shared.metrics.requests.with_label_values(&[kind, &status.to_string()]).inc();
     #[allow(clippy::cast_precision_loss, reason = "a latency for a histogram")]
@@ -73,7 +79,7 @@
 
 async fn route(
     shared: &Arc<HostState>,
-    mut request: Request<Arc<HostState>>,
+    request: &mut Request<Arc<HostState>>,
 ) -> Result<Response, ApiError> {
     let directory = shared.directory();
     if directory.version == 0 {
@@ -85,8 +91,8 @@
         return Err(error.with_retry_after_ms(RETRY_AFTER_MS));
     }
     let path = request.url().path().to_owned();
-    let queue = matching_queue(&directory, &request, &path)?.clone();
-    let owner = authenticate(shared, &directory, &queue, &request)?;
+    let queue = matching_queue(&directory, request, &path)?.clone();
+    let owner = authenticate(shared, &directory, &queue, request)?;
     let rest = path.get(queue.prefix.len()..).unwrap_or_default();
     if rest.is_empty() && request.method() == Method::Get {
         return pending_count(shared, &queue).await;
@@ -99,7 +105,7 @@
         )
     })?;
     match request.method() {
-        Method::Post => submit(shared, &directory, &queue, id, owner, &mut request).await,
+        Method::Post => submit(shared, &directory, &queue, id, owner, request).await,
         Method::Get => job_state(shared, id, owner).await,
         Method::Delete => cancel(shared, id, owner).await,
         _ => Err(ApiError::new(405, "wrong_method", "expected POST, GET or DELETE")),
--- a/tests/queue_cell/mod.rs
+++ b/tests/queue_cell/mod.rs
@@ -120,13 +120,23 @@
 
     /// Writes the next version of the operator's configuration.
     pub fn declare(&mut self) {
+        let config = json!({ "routes": [self.route()] });
+        self.declare_config(config);
+    }
+
+    /// Writes the next version of the operator's configuration with these entries.
+    pub fn declare_config(&mut self, mut config: Value) {
         self.version += 1;
-        let route = json!({
+        config["version"] = json!(self.version);
+        self.put("op/config", &config, None);
+    }
+
+    /// The route of the cell, as its configuration declares it.
+    pub fn route(&self) -> Value {
+        json!({
             "name": "q", "host": HOST_NAME, "prefix": PREFIX, "service": "s", "priority": 0,
             "max-attempts": runners::ATTEMPTS, "stretch": 2.0, "target-latency-ms": 1000,
-        });
-        let config = json!({ "version": self.version, "routes": [route] });
-        self.put("op/config", &config, None);
+        })
     }
 
     fn put(&self, key: &str, value: &Value, lease: Option<LeaseId>) {
@@ -212,10 +222,24 @@
     method: Method,
     job: JobId,
     body: Option<Value>,
+) -> (CallerResult, Value) {
+    send_to(pool, address, (method, &format!("{PREFIX}{job}")), &[], body).await
+}
+
+/// Sends a request with additional headers to the host at `address`.
+pub async fn send_to(
+    pool: &Pool,
+    address: &str,
+    (method, path): (Method, &str),
+    headers: &[(&str, &str)],
+    body: Option<Value>,
 ) -> (CallerResult, Value) {
     const TIMEOUT_MS: u64 = 3_000;
-    let mut request = client::request(method, address, &format!("{PREFIX}{job}")).unwrap();
+    let mut request = client::request(method, address, path).unwrap();
     request.insert_header("Host", HOST_NAME);
+    for (name, value) in headers {
+        request.append_header(*name, *value);
+    }
     if let Some(body) = body {
         request.set_body(body.to_string());
         request.insert_header("Content-Type", "application/json");
