--- a/tests/queue_access.rs
+++ b/tests/queue_access.rs
@@ -7,6 +7,8 @@
 mod queue_cell;
 mod support;
 
+use std::io::{Read as _, Write as _};
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::thread;
 use std::time::Duration;
@@ -149,6 +151,19 @@
     }
 }
 
+#[test]
+fn a_key_that_is_not_text_is_refused() {
+    let access = Access::start("access-bytes");
+    for key in ["ключ".as_bytes(), b"\xff\xfe"] {
+        let mut stream = TcpStream::connect(&access.cell.hosts[0].caller_address).unwrap();
+        let head = format!("GET {UNKNOWN} HTTP/1.1\r\nHost: queue.example\r\nApi-Key: ");
+        stream.write_all(&[head.as_bytes(), key, b"\r\n\r\n"].concat()).unwrap();
+        let mut answer = [0; 12];
+        let read = stream.read(&mut answer).unwrap();
+        assert_eq!(String::from_utf8_lossy(&answer[..read]), "HTTP/1.1 401", "{key:?}");
+    }
+}
+
 #[test]
 fn another_workspace_neither_reads_nor_cancels_a_job() {
     let access = Access::start("access-ownership");
