fix(queue): a cancellation repeats a failed read of its job's owner

Where a configuration has workspaces, a cancellation reads the submission record first, and a single failed read refused it, while the write is tried three times. The read is now tried as often, within the same deadline.

--- a/src/queue/caller_api.rs
+++ b/src/queue/caller_api.rs
@@ -340,13 +340,22 @@
         };
     };
     let mut is_submitted_meanwhile = false;
+    let mut failed_reads = 0;
     loop {
         let unless = match stored_owner(shared, id).await {
             Ok(Some(found)) if found == *owner => None,
             Ok(Some(_)) => return RelayOutcome::NoJob,
             // The submission may be on its way, and may be another owner's.
             Ok(None) => Some(record::job_key(id)),
-            Err(_) => return RelayOutcome::NotStored,
+            Err(_) => {
+                failed_reads += 1;
+                let is_late = clock::now_ms() + RETRY_MS >= deadline_ms;
+                if is_late || failed_reads >= MAX_FAILED_WRITES || shared.is_store_away() {
+                    return RelayOutcome::NotStored;
+                }
+                task::sleep(Duration::from_millis(RETRY_MS)).await;
+                continue;
+            }
         };
         let is_known = unless.is_none();
         match write_cancellation(shared, id, unless, deadline_ms).await {
--- a/tests/queue_workspaces.rs
+++ b/tests/queue_workspaces.rs
@@ -4,7 +4,9 @@
 
 use hemlockrock::place::spec::Resources;
 use hemlockrock::queue::authentication::{self, RefusedKey};
-use hemlockrock::queue::model::{Queue, QueueDirectory};
+use hemlockrock::queue::model::{JobId, Queue, QueueDirectory, Submission};
+use hemlockrock::queue::peer::RelayRequest;
+use hemlockrock::queue::record;
 use hemlockrock::queue::workspaces::{JobOwner, Workspace, Workspaces, MAX_KEY_BYTES};
 use proptest::prelude::*;
 
@@ -71,6 +73,23 @@
     assert_eq!(workspaces.iter().count(), 2);
 }
 
+// Guards against records and relayed operations that hosts of earlier versions cannot read.
+#[test]
+fn without_workspaces_records_and_relayed_operations_are_as_before() {
+    let record = br#"{"id":7,"queue":"q","spec":[],"steps":[],"accepted_unix_ms":9}"#;
+    let submission: Submission = serde_json::from_slice(record).unwrap();
+    assert_eq!(submission.workspace, None);
+    assert_eq!(serde_json::to_vec(&submission).unwrap(), record);
+    let read = record::encode(&RelayRequest::state(JobId(7), None)).unwrap();
+    assert_eq!(read, record::encode(&RelayRequest::State(JobId(7))).unwrap());
+    assert_eq!(
+        serde_json::to_string(&RelayRequest::cancel(JobId(7), None)).unwrap(),
+        r#"{"Cancel":7}"#
+    );
+    let owned = RelayRequest::cancel(JobId(7), Some(JobOwner::Workspace("a".into())));
+    assert_eq!(serde_json::to_string(&owned).unwrap(), r#"{"CancelOf":[7,{"Workspace":"a"}]}"#);
+}
+
 proptest! {
     // Guards against keys in logs: findings and debug output may be logged.
     #[test]
