feat(queue): no start brings a workspace above its limit

Workspaces had declared limits that the scheduler did not know. It now counts the declared needs of all runs of a workspace by assignment, and what a former leader may have started at runners that have not answered, and holds back the starts, calls for advice and preemptions that the limit forbids.

Work is ordered by the weighted dominant share of its workspace and by whether its job exceeds the weight. Without workspaces the order is as before.

--- a/src/configs/queue.rs
+++ b/src/configs/queue.rs
@@ -90,6 +90,10 @@
     /// Time for which a long-running task waits for room before work of a lower priority is
     /// stopped, in milliseconds.
     pub lasting_patience_ms: u64,
+    /// Longest time for which a job in excess of its workspace's weight goes behind the others of its
+    /// priority, in milliseconds; after each further period, the use of its workspace counts one
+    /// level less.
+    pub share_delay_ms: u64,
     /// Load of a latency-sensitive task, in thousandths of its latency target, from which
     /// best-effort tasks on the same runner are paused.
     pub disturbed_at_millis: u64,
@@ -139,6 +143,7 @@
             advice_runners: 30,
             urgent_reserve_millis: 100,
             lasting_patience_ms: 1_000,
+            share_delay_ms: 10_000,
             disturbed_at_millis: 700,
             calm_at_millis: 400,
             store_away_ms: 1_200,
--- a/src/place/queue.rs
+++ b/src/place/queue.rs
@@ -147,7 +147,7 @@
     /// Recomputes the sort key of a team after its use or limit changed.
     fn reorder(&mut self, key: TeamKey) {
         let Some(team) = self.teams.get_mut(key) else { return };
-        let rank = dominant_millionths(team.used, team.limit.unwrap_or(self.total));
+        let rank = team.used.dominant_millionths(team.limit.unwrap_or(self.total));
         if rank == team.rank {
             return;
         }
@@ -160,14 +160,3 @@
         team.rank = rank;
     }
 }
-
-/// Returns the largest part of `limit` that is used over the three resources, in millionths.
-fn dominant_millionths(used: Resources, limit: Resources) -> u64 {
-    let part = |used: u64, limit: u64| {
-        let part = u128::from(used) * 1_000_000 / u128::from(limit.max(1));
-        u64::try_from(part).unwrap_or(u64::MAX)
-    };
-    part(used.cpu_millis, limit.cpu_millis)
-        .max(part(used.memory_bytes, limit.memory_bytes))
-        .max(part(u64::from(used.accelerators), u64::from(limit.accelerators)))
-}
--- a/src/place/spec.rs
+++ b/src/place/spec.rs
@@ -92,6 +92,25 @@
         }
     }
 
+    /// Returns the largest part that the amounts are of those of `whole`, in millionths: the dominant
+    /// share.
+    ///
+    /// ```
+    /// use hemlockrock::place::spec::Resources;
+    ///
+    /// let used = Resources::new(1_000, 3 << 30, 0);
+    /// assert_eq!(used.dominant_millionths(Resources::new(4_000, 4 << 30, 0)), 750_000);
+    /// ```
+    pub fn dominant_millionths(self, whole: Self) -> u64 {
+        let part = |used: u64, whole: u64| {
+            let part = u128::from(used) * 1_000_000 / u128::from(whole.max(1));
+            u64::try_from(part).unwrap_or(u64::MAX)
+        };
+        part(self.cpu_millis, whole.cpu_millis)
+            .max(part(self.memory_bytes, whole.memory_bytes))
+            .max(part(u64::from(self.accelerators), u64::from(whole.accelerators)))
+    }
+
     /// Returns whether all amounts are 0.
     pub const fn is_zero(self) -> bool {
         self.cpu_millis == 0 && self.memory_bytes == 0 && self.accelerators == 0
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -19,6 +19,7 @@
 mod retention;
 mod runner;
 mod runner_status;
+mod shares;
 mod unclaimed;
 pub mod waiting;
 
@@ -39,6 +40,7 @@
 pub use job::{Job, JobKey};
 pub use persistence::WriteKey;
 pub use runner::{RunPhase, Runner, RunnerKey};
+pub use shares::{share_level, RateMeter, WorkspaceKey, WorkspaceUsage};
 
 /// Size of the range of run numbers of a term. Runs are numbered from the revision of the term's
 /// leader key times this value, so that run numbers increase from one leader to the next.
@@ -89,6 +91,7 @@
     is_term_confirmed: bool,
     inherited: inherited::InheritedWait,
     crashes: crash::CrashHistory,
+    shares: shares::Shares,
 }
 
 impl Scheduler {
@@ -120,6 +123,7 @@
             is_term_confirmed: false,
             inherited: inherited::InheritedWait::default(),
             crashes: crash::CrashHistory::default(),
+            shares: shares::Shares::default(),
         }
     }
 
@@ -128,7 +132,10 @@
     /// The resulting actions are returned by the next call of [`Scheduler::take_actions`].
     pub fn handle_event(&mut self, event: Event, now_ms: u64) {
         match event {
-            Event::DirectoryUpdated(directory) => self.directory = directory,
+            Event::DirectoryUpdated(directory) => {
+                self.shares.update(directory.workspaces.as_ref());
+                self.directory = directory;
+            }
             // A successor may already lead. It would not regard a job that arrives now as one that
             // this leader may have started, so that both might run it.
             Event::JobSubmitted(submission) if now_ms >= self.confirmed_until_ms => {
@@ -240,8 +247,10 @@
             return;
         }
         let queue = self.directory.queue(&submission.queue);
-        let job = Job::new(submission, queue, now_ms);
+        let mut job = Job::new(submission, queue, now_ms);
+        job.owner = self.shares.owner_of(job.submission.workspace.as_ref());
         let key = self.jobs.insert(job);
+        self.shares.expect_charge(key);
         self.job_keys.insert(id, key);
         self.claim(id, now_ms);
         if self.early_cancels.remove(&id).is_some() {
@@ -260,6 +269,7 @@
     fn restore(&mut self, key: JobKey, progress: &Progress, now_ms: u64) {
         if progress.state.is_final() {
             if let Some(job) = self.jobs.remove(key) {
+                self.keep_departed(&job, progress);
                 self.job_keys.remove(&job.submission.id);
                 self.retention.keep_lost_runs(job.submission.id, &progress.lost);
                 self.ended.insert(job.submission.id, (progress.state, now_ms));
--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -8,6 +8,7 @@
 use crate::queue::scheduler::crash::Suspicion;
 use crate::queue::scheduler::persistence::JobChanges;
 use crate::queue::scheduler::runner::RunnerKey;
+use crate::queue::scheduler::shares::Owner;
 
 slotmap::new_key_type! {
     /// Key of a job in the scheduler's slot map.
@@ -35,6 +36,12 @@
     pub(crate) changes: JobChanges,
     /// Number of the change that covers the last lost run.
     pub(crate) lost_run_change: u64,
+    pub(crate) owner: Owner,
+    /// Whether the job exceeded the weight of its workspace when it was accepted.
+    pub(crate) exceeds_weight: bool,
+    /// Time since which the job waits, as far as the share of its workspace is concerned, in
+    /// milliseconds: also before this leader learned of it.
+    pub(crate) shared_from_ms: u64,
 }
 
 /// Progress of a step.
@@ -113,6 +120,9 @@
             due_ms: now_ms.saturating_add(allowed_ms),
             changes: JobChanges::default(),
             lost_run_change: 0,
+            owner: Owner::Nobody,
+            exceeds_weight: false,
+            shared_from_ms: now_ms,
             submission,
         }
     }
--- a/src/queue/scheduler/orders.rs
+++ b/src/queue/scheduler/orders.rs
@@ -124,7 +124,7 @@
                     OrderError::Old => {}
                     _ => runner.paused_until_ms = paused_until_ms,
                 }
-                if let Some(assignment) = self.runners[key].release(task) {
+                if let Some(assignment) = self.release_run(key, task) {
                     self.forget_run(task, &assignment);
                 }
                 self.requeue_task(key, task, now_ms);
@@ -181,6 +181,7 @@
             for task in due {
                 let until_ms = runner.repeated_lease_until_ms(lease_ms, now_ms);
                 let target = runner.target();
+                let seen_ms = runner.renewal.seen_ms;
                 let Some(assignment) = runner.assignments.get_mut(&task) else { continue };
                 let run = assignment.run;
                 assignment.is_order_in_flight = true;
@@ -189,6 +190,16 @@
                     out.push(Action::Stop { runner: key, target, token, task, run });
                     continue;
                 }
+                // The run may not have begun. It need not once the limit of its workspace is lowered.
+                let charge = assignment.charge;
+                if self.shares.is_above_limit(charge.owner) {
+                    assignment.is_order_in_flight = false;
+                    let is_too_large = self.shares.is_too_large(charge.owner, charge.need);
+                    if is_too_large && seen_ms > assignment.retry_ms {
+                        assignment.stop(now_ms);
+                    }
+                    continue;
+                }
                 let job = self.job_keys.get(&task.step.job).and_then(|job| self.jobs.get(*job));
                 let step = job.and_then(|job| job.steps.get(task.step.step as usize));
                 let parts = (job, step, until_ms, is_over_full);
--- a/src/queue/scheduler/persistence.rs
+++ b/src/queue/scheduler/persistence.rs
@@ -169,6 +169,7 @@
     /// Removes a job whose final state is stored.
     fn forget_stored_job(&mut self, key: JobKey, now_ms: u64) {
         if let Some(job) = self.jobs.remove(key) {
+            self.keep_inherited(&job);
             self.job_keys.remove(&job.submission.id);
             self.retention.keep_lost_runs(job.submission.id, &job.lost_runs());
             self.ended.insert(job.submission.id, (job.state, now_ms));
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -4,6 +4,8 @@
 //! tasks hold most of the resources, and for admission policies that admit only a third of the
 //! runners.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::fmt::Write as _;
 
 use crate::decision_log;
@@ -13,7 +15,7 @@
 use crate::queue::scheduler::event::{Action, StartOrder};
 use crate::queue::scheduler::job::{JobKey, TaskState};
 use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey};
-use crate::queue::scheduler::waiting::{self, WaitingStep};
+use crate::queue::scheduler::waiting;
 use crate::queue::scheduler::Scheduler;
 
 /// Number of tasks for which admitted runners are sought, in thousandths of the waiting tasks. It
@@ -32,22 +34,32 @@
     pub(super) fn place_ready_steps(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let is_inherited_wait_over = self.update_inherited_wait(now_ms);
         self.end_probations();
-        let mut ready: Vec<(waiting::Rank, JobKey, usize)> = Vec::new();
+        let mut ready: Vec<(JobKey, usize)> = Vec::new();
         for (key, job) in &self.jobs {
             if job.state.is_final() {
                 continue;
             }
             for step in 0..job.steps.len() {
                 if job.is_ready(step) {
-                    let step_waiting = WaitingStep { priority: job.priority, due_ms: job.due_ms };
-                    ready.push((waiting::rank(&step_waiting), key, step));
+                    ready.push((key, step));
                 }
             }
         }
-        ready.sort_unstable();
-        for (_, key, step) in ready {
+        self.update_shares(&ready, is_inherited_wait_over, now_ms);
+        let ranked = ready.into_iter().map(|(key, step)| (self.rank_of(key, now_ms), key, step));
+        let mut queue: BinaryHeap<Reverse<(waiting::Rank, JobKey, usize)>> =
+            ranked.map(Reverse).collect();
+        while let Some(Reverse((rank, key, step))) = queue.pop() {
+            // Its workspace may have fallen behind others by what it has taken in this pass.
+            let current = self.rank_of(key, now_ms);
+            if current > rank {
+                queue.push(Reverse((current, key, step)));
+                continue;
+            }
             let first = out.len();
-            self.place_step(key, step, is_inherited_wait_over, now_ms, out);
+            if self.place_step(key, step, is_inherited_wait_over, now_ms, out) {
+                queue.push(Reverse((self.rank_of(key, now_ms), key, step)));
+            }
             self.log_starts(key, step, &out[first..], now_ms);
         }
         self.place_suspects(is_inherited_wait_over, now_ms, out);
@@ -76,6 +88,7 @@
             .end();
     }
 
+    /// Starts waiting tasks of a step; returns whether it is the turn of others before the rest.
     fn place_step(
         &mut self,
         key: JobKey,
@@ -83,14 +96,21 @@
         is_inherited_wait_over: bool,
         now_ms: u64,
         out: &mut Vec<Action>,
-    ) {
+    ) -> bool {
         let job = &self.jobs[key];
         let may_follow_lost_runs = now_ms < self.confirmed_until_ms && job.are_lost_runs_stored();
         let waiting: Vec<usize> =
             job.steps[step].unsuspected(is_inherited_wait_over, may_follow_lost_runs).collect();
         if waiting.is_empty() {
-            return;
+            return false;
+        }
+        let is_gang = job.submission.steps[step].is_gang;
+        let allowed = self.allowed_starts(key, step, waiting.len());
+        if allowed == 0 || is_gang && allowed < waiting.len() {
+            self.log_limit(key, step, now_ms);
+            return false;
         }
+        let job = &self.jobs[key];
         let policy = self.advice_policy(key);
         let declared = job.submission.steps[step].clone();
         let service = self.service_of(key);
@@ -105,9 +125,10 @@
             if waiting.len() == job.steps[step].tasks.len() {
                 self.place_gang(&request, &waiting, policy, now_ms, out);
             }
-            return;
+            return false;
         }
-        let mut left = waiting.len();
+        let level = self.share_level(key, now_ms);
+        let mut left = allowed;
         for index in waiting {
             let failed_at = self.jobs[key].steps[step].tasks[index].failed_at;
             let chosen = self.choose_runner(&request, index, failed_at, policy.is_some(), now_ms);
@@ -121,9 +142,12 @@
             let run = self.new_run();
             self.start_task(&request, index, runner, run, now_ms, out);
             left -= 1;
-        }
-        if left == 0 {
-            return;
+            if left == 0 {
+                return false;
+            }
+            if self.share_level(key, now_ms) > level {
+                return true;
+            }
         }
         if let Some(policy) = policy {
             self.request_advice(&request, policy, AdviceSubject::Tasks(left), now_ms);
@@ -131,13 +155,18 @@
         if declared.is_long_running {
             self.preempt(&request, now_ms);
         }
+        false
     }
 
     /// Service whose runners run the tasks of a job.
     pub(super) fn service_of(&self, key: JobKey) -> String {
+        self.service_name(key).to_owned()
+    }
+
+    pub(super) fn service_name(&self, key: JobKey) -> &str {
         let job = &self.jobs[key];
         let queue = self.directory.queue(&job.submission.queue);
-        queue.map_or(job.service.clone(), |queue| queue.service.clone())
+        queue.map_or(&job.service, |queue| &queue.service)
     }
 
     /// Runners for the members of a gang, those with the most room first, and how many fit on each.
@@ -274,6 +303,7 @@
         slots.min(limit.saturating_sub(assigned))
     }
 
+    /// Starts a task on a runner unless the limit of its workspace forbids it.
     pub(super) fn start_task(
         &mut self,
         request: &PlacementRequest<'_>,
@@ -283,7 +313,12 @@
         now_ms: u64,
         out: &mut Vec<Action>,
     ) {
+        let need = request.declared.need;
         let job = &mut self.jobs[request.key];
+        let owner = job.owner;
+        if self.shares.allowed(owner, need, 1) == 0 {
+            return;
+        }
         let id = job.task_id(request.step, index);
         let step = &mut job.steps[request.step];
         let ticket = step.advice.ticket(key);
@@ -298,11 +333,13 @@
         let until_ms = runner.extend_lease(lease_ms, now_ms).unwrap_or_default();
         let assignment = Assignment::new(run, request.declared, now_ms);
         let seen_ms = runner.renewal.seen_ms;
-        runner.assign(id, Assignment { former_run, seen_ms, ..assignment });
+        let charge = self.shares.charge_for(owner, need, &runner.service);
+        let (target, token) = (runner.target(), runner.token);
+        self.assign_run(key, id, Assignment { former_run, seen_ms, charge, ..assignment });
         out.push(Action::Start(StartOrder {
             runner: key,
-            target: runner.target(),
-            token: runner.token,
+            target,
+            token,
             task: id,
             run,
             spec,
--- a/src/queue/scheduler/probe.rs
+++ b/src/queue/scheduler/probe.rs
@@ -138,7 +138,10 @@
             .collect();
         for suspects in waiting {
             let first = out.len();
-            let placed = if probed.insert(self.jobs[suspects.key].submission.id) {
+            let placed = if self.is_held_back(&self.jobs[suspects.key], suspects.step) {
+                self.log_limit(suspects.key, suspects.step, now_ms);
+                Err("the limit of the workspace")
+            } else if probed.insert(self.jobs[suspects.key].submission.id) {
                 self.place_suspects_of_step(&suspects, now_ms, out)
             } else {
                 Err("others of the job are on probation")
@@ -191,7 +194,9 @@
         }
         let is_confirmed = now_ms < self.confirmed_until_ms;
         let waits = |job: &Job, number: usize, step: &StepRun| {
-            job.is_ready(number) && step.unsuspected(true, is_confirmed).next().is_some()
+            job.is_ready(number)
+                && step.unsuspected(true, is_confirmed).next().is_some()
+                && !self.is_held_back(job, number)
         };
         self.jobs
             .values()
@@ -266,7 +271,8 @@
             if let Some((runner, _)) = place {
                 self.reserve(runner, key, now_ms);
             }
-            if place.is_none_or(|(_, others)| others > 0) {
+            let is_allowed = self.allowed_starts(key, step, 1) > 0;
+            if is_allowed && place.is_none_or(|(_, others)| others > 0) {
                 self.request_probe_advice(&request, now_ms);
             }
         }
@@ -325,7 +331,7 @@
         if let Some(policy) = policy {
             if !self.jobs[key].steps[step].advice.admits(runner, now_ms) {
                 if is_late {
-                    let subject = AdviceSubject::Tasks(tasks.len());
+                    let subject = AdviceSubject::Tasks(self.allowed_starts(key, step, tasks.len()));
                     self.request_advice(&request, policy, subject, now_ms);
                 }
                 self.request_tickets(&request, policy, vec![runner], now_ms);
@@ -340,7 +346,8 @@
         }
         let slots = self.slots_beside_suspects(&request, &self.runners[runner], now_ms);
         let slots = usize::try_from(slots).unwrap_or(usize::MAX);
-        let starting: Vec<usize> = tasks.iter().copied().take(slots).collect();
+        let allowed = self.allowed_starts(key, step, slots.min(tasks.len()));
+        let starting: Vec<usize> = tasks.iter().copied().take(allowed).collect();
         self.begin_probation(&request, runner, &starting);
         for index in starting {
             let run = self.new_run();
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -7,6 +7,7 @@
 use crate::queue::model::{RunnerId, RunnerReport, Step, TaskId};
 use crate::queue::scheduler::crash::CrashState;
 use crate::queue::scheduler::job::JobKey;
+use crate::queue::scheduler::shares::Charge;
 
 slotmap::new_key_type! {
     /// Key of a runner in the scheduler's slot map.
@@ -164,6 +165,7 @@
     pub(crate) pace: u32,
     /// Time of the last pace order; 0 before the first.
     pub(crate) paced_ms: u64,
+    pub(crate) charge: Charge,
 }
 
 /// Phase of a run on a runner, as the leader knows it.
@@ -216,6 +218,7 @@
             percent: 0.0,
             pace: FULL_PACE_PERCENT,
             paced_ms: 0,
+            charge: Charge::default(),
         }
     }
 
@@ -362,11 +365,12 @@
             .min(by(u64::from(free.accelerators), u64::from(need.accelerators)))
     }
 
-    pub(crate) fn assign(&mut self, task: TaskId, assignment: Assignment) {
+    /// Assigns a run; returns the former one of the same task.
+    pub(crate) fn assign(&mut self, task: TaskId, assignment: Assignment) -> Option<Assignment> {
         self.used = self.used.plus(assignment.reserved);
-        if let Some(former) = self.assignments.insert(task, assignment) {
-            self.used = self.used.minus(former.reserved);
-        }
+        let former = self.assignments.insert(task, assignment)?;
+        self.used = self.used.minus(former.reserved);
+        Some(former)
     }
 
     pub(crate) fn release(&mut self, task: TaskId) -> Option<Assignment> {
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -10,6 +10,7 @@
 use crate::queue::scheduler::end_cause::EndCause;
 use crate::queue::scheduler::job::TaskState;
 use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey, UnsavedEnd};
+use crate::queue::scheduler::shares::Owner;
 use crate::queue::scheduler::Scheduler;
 
 /// Maximum number of ended runs in one status report; a report with as many may be incomplete.
@@ -245,10 +246,10 @@
         let is_current =
             runner.assignments.get(&task).is_some_and(|assignment| assignment.run == ended.run);
         if is_current {
-            runner.release(task);
+            self.release_run(key, task);
         }
         match ended.end {
-            RunEnd::Done => runner.failed_jobs.clear(),
+            RunEnd::Done => self.runners[key].failed_jobs.clear(),
             RunEnd::Failed => self.record_runner_failure(key, task, now_ms),
             _ => {}
         }
@@ -397,6 +398,10 @@
         let step =
             job.as_ref().and_then(|job| job.submission.steps.get(row.task.step.step as usize));
         let mut assignment = Assignment::new(row.run, step.unwrap_or(&unknown_step), now_ms);
+        let owner = job.as_ref().map_or(Owner::Unknown, |job| job.owner);
+        let runner = &self.runners[key];
+        let need = step.map_or(runner.capacity, |step| step.need);
+        assignment.charge = self.shares.charge_for(owner, need, &runner.service);
         if step.is_none() {
             // The needs of an unknown task are not known: it may use all resources of the runner.
             assignment.reserved = self.runners[key].capacity;
@@ -426,7 +431,7 @@
             .with("runner", &self.runners[key].id)
             .with("kept", matches!(assignment.phase, RunPhase::Running { .. }))
             .end();
-        self.runners[key].assign(row.task, assignment);
+        self.assign_run(key, row.task, assignment);
         self.keep_run(key, row.task);
     }
 
@@ -465,7 +470,7 @@
         now_ms: u64,
     ) {
         for task in tasks {
-            let Some(assignment) = self.runners[key].release(*task) else { continue };
+            let Some(assignment) = self.release_run(key, *task) else { continue };
             decision_log::line("run_lost")
                 .with("task", task)
                 .with("run", assignment.run)
--- a/src/queue/scheduler/unclaimed.rs
+++ b/src/queue/scheduler/unclaimed.rs
@@ -170,6 +170,7 @@
     /// Assigns a task to the runner that still has a run of it, so that it is not started elsewhere
     /// before that run has ended.
     fn claim_run(&mut self, runner: RunnerKey, task: TaskId) {
+        self.attribute_run(runner, task);
         let assignment = self.runners.get(runner).and_then(|found| found.assignments.get(&task));
         let Some(run) = assignment.map(|assignment| assignment.run) else { return };
         let Some(key) = self.job_keys.get(&task.step.job).copied() else { return };
--- a/src/queue/scheduler/waiting.rs
+++ b/src/queue/scheduler/waiting.rs
@@ -7,16 +7,22 @@
     pub priority: u32,
     /// Time at which its job should be completed, in milliseconds.
     pub due_ms: u64,
+    /// Whether its job exceeds the weight of its workspace.
+    pub exceeds_share: bool,
+    /// How much of its share the workspace uses, coarsely; 0 is the least.
+    pub share_level: u32,
 }
 
 /// Position of a waiting step; the least goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
     priority: u32,
+    share: (bool, u32),
     due_ms: u64,
 }
 
-/// Ranks a waiting step: by priority, then by due time.
+/// Ranks a waiting step: by priority, then by the share of its workspace, then by due time.
 pub fn rank(waiting: &WaitingStep) -> Rank {
-    Rank { priority: waiting.priority, due_ms: waiting.due_ms }
+    let share = (waiting.exceeds_share, waiting.share_level);
+    Rank { priority: waiting.priority, share, due_ms: waiting.due_ms }
 }
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -14,9 +14,11 @@
     Admission, AdvicePolicy, EndedRun, JobId, JobState, OrderError, Queue, QueueDirectory, RunEnd,
     RunnerId, RunnerReport, RunnerStatus, RunningTask, Step, StepId, Submission, TaskId,
 };
+use hemlockrock::queue::record::Progress;
 use hemlockrock::queue::scheduler::{
     Action, Event, OrderResult, RenewalOrder, RunnerKey, Scheduler, StartOrder, WriteKey,
 };
+use hemlockrock::queue::workspaces::{Workspace, Workspaces};
 
 /// Maximum number of failed runs of a task in the test queue.
 pub const ATTEMPTS: u32 = 3;
@@ -57,6 +59,12 @@
     is_of_other_service: bool,
 }
 
+impl FakeRunner {
+    fn next_end(&self) -> u64 {
+        self.ended.last().map_or(self.acknowledged, |last| last.number) + 1
+    }
+}
+
 /// An advice service whose answer about a step and a runner never changes.
 #[derive(Debug)]
 struct FakeAdvice {
@@ -122,6 +130,10 @@
     advice: Option<FakeAdvice>,
     /// Whether the leader's lease is confirmed again at each step.
     confirms_lease: bool,
+    /// Version, admission policy and workspaces of the directory.
+    declared: (u64, Option<AdvicePolicy>, Option<Workspaces>),
+    /// Progress of each job that was written last.
+    pub saved: BTreeMap<JobId, Progress>,
 }
 
 /// A job in the test queue.
@@ -136,6 +148,11 @@
     }
 }
 
+/// A job of a workspace in the test queue.
+pub fn job_of(id: u64, workspace: &str, steps: Vec<Step>) -> Submission {
+    Submission { workspace: Some(workspace.into()), ..job(id, steps) }
+}
+
 /// A step of `count` tasks, each of which needs `cpu_millis` thousandths of a core.
 pub fn step(count: u32, cpu_millis: u64) -> Step {
     let need = Resources::new(cpu_millis, 1, 0);
@@ -176,12 +193,33 @@
             renewal_tokens: BTreeMap::new(),
             advice: None,
             confirms_lease,
+            declared: (0, None, None),
+            saved: BTreeMap::new(),
         };
         harness.declare(1, None);
         harness
     }
 
     fn declare(&mut self, version: u64, advice: Option<AdvicePolicy>) {
+        self.declared = (version, advice, self.declared.2.clone());
+        let directory = self.directory();
+        self.handle(Event::DirectoryUpdated(directory));
+    }
+
+    /// Declares workspaces by name, weight and limit.
+    pub fn declare_workspaces(&mut self, workspaces: &[(&str, f64, Resources)]) {
+        let declared = workspaces.iter().map(|(name, weight, limit)| {
+            let workspace = Workspace { name: (*name).into(), weight: *weight, limit: *limit };
+            (workspace, [format!("key of {name}")])
+        });
+        let (workspaces, findings) = Workspaces::new(declared);
+        assert!(findings.is_empty(), "{findings:?}");
+        self.declared.2 = Some(workspaces);
+        self.declare(self.declared.0 + 1, self.declared.1);
+    }
+
+    fn directory(&self) -> Arc<QueueDirectory> {
+        let (version, advice, workspaces) = self.declared.clone();
         let queue = Queue {
             name: "q".to_owned(),
             host: "h".to_owned(),
@@ -209,9 +247,79 @@
             ..queue.clone()
         };
         let queues = vec![queue, less_urgent, other_service];
-        let directory =
-            QueueDirectory { version, queues, max_body_bytes: 1 << 18, workspaces: None };
-        self.handle(Event::DirectoryUpdated(Arc::new(directory)));
+        Arc::new(QueueDirectory { version, queues, max_body_bytes: 1 << 18, workspaces })
+    }
+
+    /// Replaces the leader by one that has read the records of these jobs and the roster, but has not
+    /// read any runner yet.
+    pub fn take_over(&mut self, token: u64, jobs: &[Submission]) {
+        self.scheduler = Scheduler::new(self.config.clone(), token);
+        self.actions.clear();
+        self.starts.clear();
+        self.stops.clear();
+        self.saves_in_flight.clear();
+        let mut events = vec![Event::DirectoryUpdated(self.directory())];
+        for id in self.runners.keys() {
+            events.push(Event::RunnerListed(self.report(id, false)));
+            events.push(Event::RosterEntryLoaded(RunnerId::clone(id), format!("{id}:1")));
+        }
+        events.extend(jobs.iter().cloned().map(Event::JobLoaded));
+        let saved = self.saved.iter();
+        events.extend(saved.map(|(id, progress)| Event::ProgressLoaded(*id, progress.clone())));
+        for event in events {
+            self.scheduler.handle_event(event, self.now_ms);
+        }
+        self.scheduler.await_former_terms(None, self.now_ms);
+        self.take_actions();
+    }
+
+    /// Lets a start order take effect although the scheduler gets no answer.
+    pub fn run_unanswered(&mut self, start: &StartOrder) {
+        self.begin_run(start);
+        self.answer_start(start, Err(OrderError::Unanswered));
+    }
+
+    /// Lets a start order take effect.
+    pub fn begin_run(&mut self, start: &StartOrder) {
+        let runner = self.runners.get_mut(&start.target.0).unwrap();
+        if !runner.running.contains(&(start.task, start.run)) {
+            runner.running.push((start.task, start.run));
+        }
+    }
+
+    /// Runs that are in progress, with their runners.
+    pub fn runs(&self) -> Vec<(RunnerId, TaskId, u64)> {
+        let runs = self.runners.iter().flat_map(|(id, runner)| {
+            runner.running.iter().map(|(task, run)| (RunnerId::clone(id), *task, *run))
+        });
+        runs.collect()
+    }
+
+    /// Ends the runs of runners whose lease has expired on their clock.
+    pub fn lapse_runs(&mut self) {
+        let lapsed: Vec<RunnerId> = self
+            .runners
+            .keys()
+            .filter(|id| self.clock_ms(id) >= self.lease_until_ms(id))
+            .cloned()
+            .collect();
+        for id in lapsed {
+            let runner = self.runners.get_mut(&id).unwrap();
+            for (task, run) in std::mem::take(&mut runner.running) {
+                let number = runner.next_end();
+                let end = RunEnd::Lapsed;
+                runner.ended.push(EndedRun { number, task, run, end, checkpoint: Bytes::new() });
+            }
+        }
+    }
+
+    /// Number of the next ended run of a runner.
+    pub fn next_end(&self, id: &str) -> u64 {
+        self.runners[id].next_end()
+    }
+
+    pub fn is_silent(&self, id: &str) -> bool {
+        self.runners[id].is_silent
     }
 
     /// Gives the queue an admission policy that admits `admitted_percent` of the runners, and
@@ -540,7 +648,11 @@
                 Action::Stop { runner, task, run, .. } => {
                     self.stops.push(Stop { runner, task, run });
                 }
-                Action::SaveProgress { write, .. } => self.save_progress(write),
+                Action::SaveProgress { write, records } => {
+                    let records = records.into_iter().map(|record| (record.job, record.progress));
+                    self.saved.extend(records);
+                    self.save_progress(write);
+                }
                 Action::RequestAdvice { step, advice_host, runners, expected_ms } => {
                     let advice = self.advice.as_mut().unwrap();
                     advice.ask(step, advice_host, runners, (self.now_ms, expected_ms));
