--- a/src/queue/control.rs
+++ b/src/queue/control.rs
@@ -36,6 +36,9 @@
 /// Shortest pause that is worth a timer, in microseconds.
 const MIN_PASS_PAUSE_US: u64 = 1_000;
 
+/// Time between two updates of the metrics by workspace, in milliseconds.
+const WORKSPACE_REPORT_MS: u64 = 1_000;
+
 /// Most inputs that are applied before the scheduler acts on them.
 const MAX_INPUT_BATCH: usize = 256;
 
@@ -215,10 +218,15 @@
     let mut actions: Vec<Action> = Vec::new();
     let own_address: Arc<str> = Arc::from(shared.host_info.peer_address.as_str());
     let yields_from_ms = clock::now_ms() + MIN_TERM_BEFORE_YIELD_MS;
+    let mut reported_ms = 0;
     loop {
         let [jobs, held_tasks, usable_runners] = scheduler.counts(clock::now_ms());
         executor.publish_gauges([jobs, held_tasks, usable_runners]);
         executor.publish_crash_counts(scheduler.take_crash_counts());
+        if clock::now_ms() >= reported_ms + WORKSPACE_REPORT_MS {
+            executor.publish_workspaces(&scheduler.workspace_usage());
+            reported_ms = clock::now_ms();
+        }
         let tick_ms = if jobs + held_tasks > 0 { BUSY_TICK_MS } else { IDLE_TICK_MS };
         let limit = Duration::from_millis(tick_ms);
         let mut next =
--- a/src/queue/leader.rs
+++ b/src/queue/leader.rs
@@ -8,6 +8,7 @@
 use crate::clock;
 use crate::collections::HashMap;
 use crate::decision_log;
+use crate::place::spec::Resources;
 use crate::platform::orders;
 use crate::queue::control::ControlInput;
 use crate::queue::election::Term;
@@ -17,7 +18,7 @@
 use crate::queue::record::{self, LeaderRecord, Progress, RosterEntry};
 use crate::queue::scheduler::{
     Action, CrashCounts, Event, OrderResult, ProgressWrite, RenewalOrder, RunnerKey, StartOrder,
-    WriteKey,
+    WorkspaceUsage, WriteKey,
 };
 use crate::queue::takeover::RecoveredState;
 use crate::queue::watch;
@@ -95,6 +96,42 @@
         }
     }
 
+    /// Publishes use, limit and share of the reported workspaces as metrics, and removes all others.
+    /// Amounts without a limit have no value.
+    pub fn publish_workspaces(&mut self, usage: &[WorkspaceUsage]) {
+        const OTHERS: &str = "(others)";
+        const BYTES_PER_MB: u64 = 1 << 20;
+        let gauges = &self.context.shared.metrics.workspaces;
+        gauges.reset();
+        for one in usage {
+            let name = one.name.as_deref().unwrap_or(OTHERS);
+            let set = |what: &str, amount: u64| {
+                gauges
+                    .with_label_values(&[name, what])
+                    .set(i64::try_from(amount).unwrap_or(i64::MAX));
+            };
+            let set_all = |prefix: &str, amounts: Resources| {
+                if amounts.cpu_millis != u64::MAX {
+                    set(&format!("{prefix}_cpu_millis"), amounts.cpu_millis);
+                }
+                if amounts.memory_bytes != u64::MAX {
+                    set(&format!("{prefix}_memory_mb"), amounts.memory_bytes / BYTES_PER_MB);
+                }
+                if amounts.accelerators != u32::MAX {
+                    set(&format!("{prefix}_accelerators"), u64::from(amounts.accelerators));
+                }
+            };
+            set_all("used", one.used);
+            set_all("inherited", one.inherited);
+            if let Some(limit) = one.limit {
+                set_all("limit", limit);
+            }
+            if one.name.is_some() {
+                set("share_millionths", one.share_millionths);
+            }
+        }
+    }
+
     /// Starts an action in a task of its own; its outcome is sent to the control loop as an event.
     pub fn execute(&mut self, action: Action) {
         let context = Arc::clone(&self.context);
--- a/src/queue/metrics.rs
+++ b/src/queue/metrics.rs
@@ -26,6 +26,8 @@
     pub unreadable_records: IntCounterVec,
     /// Crashes of runners, and suspected tasks, cleared tasks and jobs given up because of them.
     pub crash_events: IntCounterVec,
+    /// Use, limit and share of the workspaces with the largest use, and the use of the others in sum.
+    pub workspaces: IntGaugeVec,
 }
 
 impl QueueMetrics {
@@ -66,6 +68,10 @@
                 "Crashes of runners and their consequences",
                 &["event"],
             )?,
+            workspaces: IntGaugeVec::new(
+                Opts::new("queue_workspace", "Use, limit and share of workspaces, by the leader"),
+                &["workspace", "what"],
+            )?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.request_seconds.clone()))?;
@@ -75,6 +81,7 @@
         registry.register(Box::new(metrics.leader_gauges.clone()))?;
         registry.register(Box::new(metrics.unreadable_records.clone()))?;
         registry.register(Box::new(metrics.crash_events.clone()))?;
+        registry.register(Box::new(metrics.workspaces.clone()))?;
         Ok(metrics)
     }
 }
--- a/src/queue/scheduler/shares.rs
+++ b/src/queue/scheduler/shares.rs
@@ -563,9 +563,8 @@
         let shares = &mut self.shares;
         shares.newest_unix_ms = shares.newest_unix_ms.max(progress.ended_unix_ms);
         let Owner::Workspace(owner) = job.owner else { return };
-        // All tasks of a completed job are done, but further runs of copyable ones may go on.
         let is_completed = progress.state == JobState::Completed;
-        let needs = InheritedNeeds::of(job, |step, _| step.may_copy || !is_completed);
+        let needs = InheritedNeeds::of(job, |step, _| may_outlast_end(step) || !is_completed);
         let ended_unix_ms = progress.ended_unix_ms;
         shares.departed.push(Departed { owner, needs, ended_unix_ms });
     }
@@ -704,10 +703,15 @@
     }
 }
 
-/// Whether a former leader may have started the task at a runner that has not answered. A run of a
-/// copyable task may go on there although another one was found or has ended.
+/// Whether a former leader may have started the task at a runner that has not answered.
 fn may_be_unread(step: &Step, task: &Task) -> bool {
-    task.may_be_inherited && (step.may_copy || task.state == TaskState::Waiting)
+    task.may_be_inherited && (may_outlast_end(step) || task.state == TaskState::Waiting)
+}
+
+/// Whether a run may go on although the task is done: another run of a copyable task, or one of a gang
+/// of which another member has ended.
+fn may_outlast_end(step: &Step) -> bool {
+    step.may_copy || step.is_gang
 }
 
 /// Capacity of a runner; without bounds if its record has not been read.
