test(queue): the explorer knows workspaces, and the bench can have some

The explorer's worlds had no workspaces, so that its faults could not show a start above a limit. Its new rule Quota judges each start by the runs at the runners.

--- a/benches/queue.rs
+++ b/benches/queue.rs
@@ -1,6 +1,6 @@
 //! Processor time of the queue scheduler, by kind of input, at the load of a large cell.
 //!
-//! `cargo bench --bench queue -- [RUNNERS] [SECONDS]` simulates runners, the store and the advice
+//! `cargo bench --bench queue -- [RUNNERS] [SECONDS] [WORKSPACES]` simulates runners, the store and the advice
 //! service, and prints the time that the scheduler takes for each started run.
 
 #![allow(missing_docs, reason = "a benchmark")]
@@ -20,7 +20,8 @@
     let mut numbers = std::env::args().skip(1).filter_map(|argument| argument.parse().ok());
     let runners = numbers.next().unwrap_or(DEFAULT_RUNNERS);
     let seconds = numbers.next().unwrap_or(DEFAULT_SECONDS);
-    let mut cell = Cell::new(runners);
+    let workspaces = numbers.next().unwrap_or(0);
+    let mut cell = Cell::new(runners, workspaces);
     cell.run(seconds * 1_000);
     print_costs(&cell, runners, seconds);
 }
--- a/benches/queue/cell.rs
+++ b/benches/queue/cell.rs
@@ -12,6 +12,7 @@
     RunnerReport, RunnerStatus, RunningTask, Step, Submission, TaskId,
 };
 use hemlockrock::queue::scheduler::{Action, Event, OrderResult, RenewalOrder, Scheduler};
+use hemlockrock::queue::workspaces::{Workspace, Workspaces};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -101,10 +102,12 @@
     waits_ms: BTreeSet<(u64, JobId)>,
     random: StdRng,
     last_job: u64,
+    /// Number of workspaces that the jobs belong to; 0 if the deployment has none.
+    workspaces: u64,
 }
 
 impl Cell {
-    pub(crate) fn new(runners: u64) -> Self {
+    pub(crate) fn new(runners: u64, workspaces: u64) -> Self {
         let config = QueueConfig::default();
         let mut cell = Self {
             costs: BTreeMap::new(),
@@ -120,8 +123,9 @@
             waits_ms: BTreeSet::new(),
             random: StdRng::seed_from_u64(SEED),
             last_job: 0,
+            workspaces,
         };
-        cell.handle("directory", Event::DirectoryUpdated(Arc::new(directory())));
+        cell.handle("directory", Event::DirectoryUpdated(Arc::new(directory(runners, workspaces))));
         for number in 0..runners {
             cell.add_runner(number);
         }
@@ -205,7 +209,7 @@
                 spec: Bytes::from_static(&[b'x'; 300]),
                 steps: (0..steps).map(step).collect(),
                 accepted_unix_ms: 0,
-                workspace: None,
+                workspace: self.random_workspace(),
             };
             self.durations.insert(id, duration_ms);
             self.submitted_ms.insert(id, self.now_ms);
@@ -213,6 +217,13 @@
         }
     }
 
+    fn random_workspace(&mut self) -> Option<Arc<str>> {
+        if self.workspaces == 0 {
+            return None;
+        }
+        Some(workspace_name(self.random.random_range(0..self.workspaces)))
+    }
+
     fn end_runs(&mut self) {
         let later = self.ends.split_off(&(self.now_ms + 1));
         for (id, task, run) in std::mem::replace(&mut self.ends, later).into_values().flatten() {
@@ -338,7 +349,20 @@
     }
 }
 
-fn directory() -> QueueDirectory {
+fn workspace_name(number: u64) -> Arc<str> {
+    Arc::from(format!("workspace-{number}"))
+}
+
+/// Workspaces of equal weights, each of which may use a fifth of the runners.
+fn workspaces(runners: u64, count: u64) -> Option<Workspaces> {
+    let limit = Resources::new(runners * 36_000 / 5, u64::MAX, u32::MAX);
+    let declared = (0..count).map(|number| {
+        (Workspace { name: workspace_name(number), weight: 1.0, limit }, [format!("key-{number}")])
+    });
+    (count > 0).then(|| Workspaces::new(declared).0)
+}
+
+fn directory(runners: u64, workspace_count: u64) -> QueueDirectory {
     let queues = KINDS.iter().zip(0..).map(|(kind, priority)| Queue {
         name: kind.queue.to_owned(),
         host: "h".to_owned(),
@@ -359,6 +383,6 @@
         version: 1,
         queues: queues.collect(),
         max_body_bytes: 1 << 18,
-        workspaces: None,
+        workspaces: workspaces(runners, workspace_count),
     }
 }
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -1,4 +1,4 @@
-//! Assigns waiting tasks to runners, by queue priority and then by due time.
+//! Assigns waiting tasks to runners, by queue priority, share of the workspace and due time.
 //!
 //! It is made for bursts in which whole steps of short tasks arrive while long and long-running
 //! tasks hold most of the resources, and for admission policies that admit only a third of the
--- a/tests/queue_explorer/checks.rs
+++ b/tests/queue_explorer/checks.rs
@@ -5,6 +5,7 @@
 
 use hemlockrock::queue::model::{JobId, JobState, RunEnd, Submission, TaskId};
 
+use super::load;
 use super::runner::{Ended, Runner};
 
 /// Maximum number of failed runs of a task.
@@ -19,6 +20,8 @@
     Repeat,
     /// A start that exceeds the capacity of a runner.
     Limit,
+    /// A start that brings a workspace above its limit.
+    Quota,
     /// A start before the tasks of earlier steps are done.
     Order,
     /// A start after all attempts of a task have failed and their ends were acknowledged.
@@ -221,9 +224,32 @@
             let start = Start { is_stray: is_stray || runners[at].hides_stray(), ..start };
             self.record(Rule::Limit, now_ms, task, start, &text);
         }
+        self.check_quota(runners, task, start, now_ms);
         self.check_order(task, start, now_ms);
     }
 
+    fn check_quota(&mut self, runners: &[Runner], task: TaskId, start: Start, now_ms: u64) {
+        let workspace_of = |task: &TaskId| self.jobs.get(&task.step.job)?.workspace.as_deref();
+        let Some(workspace) = workspace_of(&task) else { return };
+        let running = runners.iter().filter(|runner| runner.is_up);
+        let running = running.flat_map(|runner| runner.running.iter());
+        let of_workspace = running.filter(|((task, _), _)| workspace_of(task) == Some(workspace));
+        let (mut used_millis, mut is_stray) = (self.cpu_millis(task), start.is_stray);
+        let mut listed = String::new();
+        for ((task, run), state) in of_workspace {
+            used_millis += self.cpu_millis(*task);
+            is_stray |= state.is_stray;
+            listed += &format!(" {task}:{run}");
+        }
+        if used_millis > load::WORKSPACE_LIMIT_MILLIS {
+            let text = format!(
+                "run {} brings workspace {workspace} to {used_millis}, beside{listed}",
+                start.run
+            );
+            self.record(Rule::Quota, now_ms, task, Start { is_stray, ..start }, &text);
+        }
+    }
+
     fn check_order(&mut self, task: TaskId, start: Start, now_ms: u64) {
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let Some(step) = job.steps.get(task.step.step as usize) else { return };
--- a/tests/queue_explorer/faults.rs
+++ b/tests/queue_explorer/faults.rs
@@ -34,6 +34,8 @@
     pub(super) outage_gap_ms: u64,
     /// Whether there are long-running tasks as well, which the faults can hit.
     pub(super) has_long_runs: bool,
+    /// Whether the jobs belong to workspaces, whose limits hold some of them back.
+    pub(super) has_workspaces: bool,
 }
 
 /// What happens to a call.
@@ -63,6 +65,7 @@
         write_millis: 0,
         outage_gap_ms: 0,
         has_long_runs: false,
+        has_workspaces: false,
     };
 
     /// Draws the fate of a call to a runner.
--- a/tests/queue_explorer/host.rs
+++ b/tests/queue_explorer/host.rs
@@ -4,12 +4,15 @@
 use std::sync::Arc;
 
 use hemlockrock::configs::queue::QueueConfig;
+use hemlockrock::place::spec::Resources;
 use hemlockrock::queue::model::{JobId, Queue, QueueDirectory};
 use hemlockrock::queue::record::RosterEntry;
 use hemlockrock::queue::scheduler::{Event, Scheduler};
+use hemlockrock::queue::workspaces::{Workspace, Workspaces};
 
 use super::agenda::{Process, Stage};
 use super::checks;
+use super::load;
 use super::store::{CommitOutcome, Entry, Key, TermRecord, Value};
 
 /// A host, which is restarted after it was killed.
@@ -279,6 +282,13 @@
     name.trim_start_matches('r').parse().unwrap()
 }
 
+fn workspaces() -> Workspaces {
+    let limit = Resources::new(load::WORKSPACE_LIMIT_MILLIS, u64::MAX, u32::MAX);
+    let declared = load::WORKSPACES
+        .map(|name| (Workspace { name: name.into(), weight: 1.0, limit }, [format!("key-{name}")]));
+    Workspaces::new(declared).0
+}
+
 fn directory() -> Arc<QueueDirectory> {
     let queue = Queue {
         name: "q".to_owned(),
@@ -296,6 +306,6 @@
         version: 1,
         queues: vec![queue],
         max_body_bytes: 1 << 18,
-        workspaces: None,
+        workspaces: Some(workspaces()),
     })
 }
--- a/tests/queue_explorer/load.rs
+++ b/tests/queue_explorer/load.rs
@@ -78,6 +78,19 @@
     steps
 }
 
+/// Names of the workspaces.
+pub(super) const WORKSPACES: [&str; 2] = ["a", "b"];
+
+/// Processor that each workspace may use at the same time, in thousandths of a core: less than the
+/// smallest world has.
+pub(super) const WORKSPACE_LIMIT_MILLIS: u64 = 3_000;
+
+/// Makes the job one of a workspace.
+pub(super) fn add_workspace(plan: &mut Plan) {
+    let name = if plan.submission.id.0 % 3 == 0 { WORKSPACES[1] } else { WORKSPACES[0] };
+    plan.submission.workspace = Some(name.into());
+}
+
 /// Draws how long a run of a long-running task lasts, in milliseconds, and how it ends.
 pub(super) fn long_run(rng: &mut SmallRng) -> (u64, RunEnd) {
     let end = if rng.random_ratio(1, 2) { RunEnd::Done } else { RunEnd::Failed };
--- a/tests/queue_explorer/main.rs
+++ b/tests/queue_explorer/main.rs
@@ -240,3 +240,36 @@
         is_no_stray(violation) && !is_untrue_state(violation)
     });
 }
+
+/// Whether a start exceeded the limit of a workspace, other than by an order that nothing let its
+/// runner refuse.
+fn is_above_limit(violation: &Violation) -> bool {
+    violation.rule == checks::Rule::Quota && !violation.is_stray
+}
+
+// Guards against starts above the limit of a workspace when answers are lost or late.
+#[test]
+fn no_workspace_exceeds_its_limit_while_orders_arrive_late() {
+    explore(Faults { has_workspaces: true, ..ORDERS }, is_above_limit);
+}
+
+// Guards against runs that nobody counts while runners are silent, and jobs that never end because
+// runs are counted that have ended.
+#[test]
+fn no_workspace_exceeds_its_limit_while_runners_are_cut_off() {
+    let faults = Faults { cut_gap_ms: 4_000, has_workspaces: true, ..Faults::NONE };
+    explore(faults, |violation| is_above_limit(violation) || is_unfinished(violation));
+}
+
+// Guards against successors that do not count what a former leader has started.
+#[test]
+fn no_workspace_exceeds_its_limit_while_leaders_change_and_runners_are_lost() {
+    explore(Faults { has_workspaces: true, ..LOSSES }, is_above_limit);
+}
+
+// Guards against the same while nothing else fails, and against jobs that never end.
+#[test]
+fn no_workspace_exceeds_its_limit_while_leaders_change() {
+    let faults = Faults { has_workspaces: true, ..LEADERS };
+    explore(faults, |violation| is_above_limit(violation) || is_unfinished(violation));
+}
--- a/tests/queue_explorer/world.rs
+++ b/tests/queue_explorer/world.rs
@@ -92,6 +92,9 @@
                 (ends_ms + LONG_RUNNING_ENDS_MS.0, ends_ms + LONG_RUNNING_ENDS_MS.1),
             ));
         }
+        if faults.has_workspaces {
+            plans.iter_mut().for_each(load::add_workspace);
+        }
         let mut world = Self {
             now_ms: BEGIN_MS,
             rng,
