--- a/tests/queue_shares.rs
+++ b/tests/queue_shares.rs
@@ -1,4 +1,13 @@
 //! Limits and shares of workspaces in the queue scheduler.
+//!
+//! The property test plays a few seeds. To play others: `SHARES_SEEDS=2000 cargo test --test
+//! queue_shares`.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::print_stdout,
+    reason = "tests panic on unexpected values and print a summary"
+)]
 
 mod queue_support;
 
