--- a/tests/queue_shares.rs
+++ b/tests/queue_shares.rs
@@ -214,6 +214,26 @@
     assert!(waited_ms > lease_left_ms, "{waited_ms} ms");
 }
 
+// Guards against tasks that are run in isolation after a crash without regard to the limit.
+#[test]
+fn suspects_of_a_crash_start_only_within_the_limit() {
+    let mut harness = with_workspaces(2, &[("a", 10.0, cpu_limit(4_000))]);
+    submit(&mut harness, job_of(1, "a", vec![step(4, 1_000)]));
+    let starts = confirmed_starts(&mut harness);
+    let crashed = starts[0].target.0.clone();
+    let suspects = starts.iter().filter(|start| start.target.0 == crashed).count();
+    assert_eq!(suspects, 2);
+    harness.restart_runner(&crashed);
+    harness.list_runner(&crashed);
+    let others = 1_000 * (starts.len() - suspects) as u64;
+    harness.declare_workspaces(&[("a", 10.0, cpu_limit(others + 500))]);
+    harness.advance(6_000);
+    assert!(harness.starts().is_empty());
+    harness.declare_workspaces(&[("a", 10.0, cpu_limit(others + 1_000))]);
+    harness.advance(3_000);
+    assert_eq!(harness.starts().len(), 1);
+}
+
 /// A new leader that knows 4 tasks of workspace `a`, one of them at each of 4 runners, of which
 /// `unread` do not answer.
 fn after_takeover(unread: u32, limit: Resources) -> Harness {
