feat(queue): runner speeds are measured and decide placement

Runners of one service can differ in speed by a factor of two and more, and nothing that they publish says so. Short urgent tasks were placed on slow ones as readily as on fast ones and were late.

The leader compares durations of runs of the same step and estimates the speed of each label and of each runner. Where speeds differ clearly, work with little slack prefers fast runners and other work the slowest sufficient ones, also in the choice of the runners that the advice service is asked about. Elsewhere placement is unchanged.

--- a/src/configs/queue.rs
+++ b/src/configs/queue.rs
@@ -87,6 +87,15 @@
     pub advice_runners: usize,
     /// Part of each runner that work of low priority leaves free for urgent work, in thousandths.
     pub urgent_reserve_millis: u64,
+    /// Largest part of a fast runner that work of low priority leaves free for urgent work where the
+    /// measured speeds of runners differ, in thousandths, at least `urgent_reserve_millis`.
+    pub fast_reserve_millis: u64,
+    /// Time in which a measured duration loses half of its weight in the speed of its runner, in
+    /// milliseconds.
+    pub speed_half_life_ms: u64,
+    /// Difference in speed below which runners count as alike, in thousandths. Placement is the same as
+    /// without measurements while no runner differs by more.
+    pub speed_dead_zone_millis: u64,
     /// Time for which a long-running task waits for room before work of a lower priority is
     /// stopped, in milliseconds.
     pub lasting_patience_ms: u64,
@@ -138,6 +147,9 @@
             peer_timeout_ms: 400,
             advice_runners: 30,
             urgent_reserve_millis: 100,
+            fast_reserve_millis: 300,
+            speed_half_life_ms: 30_000,
+            speed_dead_zone_millis: 200,
             lasting_patience_ms: 1_000,
             disturbed_at_millis: 700,
             calm_at_millis: 400,
@@ -163,6 +175,13 @@
         report.require(self.task_crash_limit >= 2, "task_crash_limit", "expected at least 2");
         let share = self.suspect_runners_millis <= 1_000;
         report.require(share, "suspect_runners_millis", "expected at most 1000");
+        let reserve = (self.urgent_reserve_millis..=900).contains(&self.fast_reserve_millis);
+        report.require(
+            reserve,
+            "fast_reserve_millis",
+            "expected at least urgent_reserve_millis and at most 900",
+        );
+        report.require(self.speed_half_life_ms > 0, "speed_half_life_ms", "expected at least 1");
         let calm = self.calm_at_millis < self.disturbed_at_millis;
         report.require(calm, "calm_at_millis", "expected less than disturbed_at_millis");
     }
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -19,6 +19,8 @@
 mod retention;
 mod runner;
 mod runner_status;
+pub mod speed;
+mod speed_placement;
 mod unclaimed;
 pub mod waiting;
 
@@ -89,6 +91,9 @@
     is_term_confirmed: bool,
     inherited: inherited::InheritedWait,
     crashes: crash::CrashHistory,
+    speeds: speed::Speeds,
+    /// Processor time of work with little slack that was started recently.
+    urgent_demand: speed_placement::UrgentDemand,
 }
 
 impl Scheduler {
@@ -97,6 +102,7 @@
     /// `term` is the revision at which the store created its leader key.
     pub fn new(config: QueueConfig, term: u64) -> Self {
         let first_token = term.saturating_mul(TOKENS_PER_TERM);
+        let speeds = speed::Speeds::new(config.speed_half_life_ms, config.speed_dead_zone_millis);
         Self {
             config,
             last_run: term.saturating_mul(RUNS_PER_TERM),
@@ -120,6 +126,8 @@
             is_term_confirmed: false,
             inherited: inherited::InheritedWait::default(),
             crashes: crash::CrashHistory::default(),
+            speeds,
+            urgent_demand: speed_placement::UrgentDemand::default(),
         }
     }
 
@@ -170,6 +178,7 @@
     pub fn take_actions(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         self.expire_runners(now_ms);
         self.stop_stalled(now_ms);
+        self.update_speeds(now_ms);
         self.send_due_orders(now_ms, out);
         // A term whose lease has lapsed during the takeover may have a successor already, which has
         // not read the jobs that this leader has.
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -13,6 +13,7 @@
 use crate::queue::scheduler::event::{Action, StartOrder};
 use crate::queue::scheduler::job::{JobKey, TaskState};
 use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey};
+use crate::queue::scheduler::speed_placement::SpeedRank;
 use crate::queue::scheduler::waiting::{self, WaitingStep};
 use crate::queue::scheduler::Scheduler;
 
@@ -25,7 +26,7 @@
 
 /// Lowest priority value of queues whose tasks leave a reserve on each runner to urgent work; 0 is
 /// the most urgent.
-const RESERVE_FROM_PRIORITY: u32 = 2;
+pub(super) const RESERVE_FROM_PRIORITY: u32 = 2;
 
 impl Scheduler {
     /// Starts waiting tasks, requests advice for the others, and preempts tasks for long-running ones.
@@ -152,7 +153,11 @@
             self.candidates(request, now_ms).collect()
         };
         let is_withheld = |key: RunnerKey| self.runners[key].withheld_end.is_some();
-        slots.sort_unstable_by_key(|(key, slots)| (is_withheld(*key), std::cmp::Reverse(*slots)));
+        let preference = self.speed_preference(request, now_ms);
+        slots.sort_unstable_by_key(|(key, slots)| {
+            let speed_rank = preference.rank(self.speeds.factor(*key));
+            (is_withheld(*key), std::cmp::Reverse((speed_rank, *slots)))
+        });
         slots
     }
 
@@ -191,6 +196,9 @@
     /// A runner that fails its tasks immediately always appears idle. A task therefore prefers any
     /// other runner to the one on which it failed last. Runners with a withheld end come last, since
     /// later ends there are not acknowledged either.
+    ///
+    /// Where measured speeds differ, the speed that suits the work comes before the share of processor
+    /// that stays free.
     fn choose_runner(
         &self,
         request: &PlacementRequest<'_>,
@@ -203,10 +211,13 @@
         let task = self.jobs[request.key].task_id(request.step, index);
         let is_vacant =
             |(key, _): &(RunnerKey, u64)| !self.runners[*key].assignments.contains_key(&task);
+        let preference = self.speed_preference(request, now_ms);
         let rank = |(key, _): &(RunnerKey, u64)| {
             let is_other = Some(*key) != failed_at;
             let runner = &self.runners[*key];
-            (is_other, runner.withheld_end.is_none(), score(runner, need, request.declared))
+            let speed_rank = preference.rank(self.speeds.factor(*key));
+            let score = score(runner, need, request.declared, speed_rank);
+            (is_other, runner.withheld_end.is_none(), score)
         };
         let best = if is_advised {
             self.admitted_candidates(request, now_ms).filter(is_vacant).max_by_key(rank)
@@ -264,7 +275,8 @@
             return 0;
         }
         let need = request.declared.reservation();
-        let slots = Runner::slots(runner.free(request.reserve_millis), need);
+        let reserve_millis = self.reserve_millis(request, runner);
+        let slots = Runner::slots(runner.free(reserve_millis), need);
         let limit = u64::from(request.declared.max_per_runner);
         if limit == 0 || slots == 0 {
             return slots;
@@ -298,7 +310,8 @@
         let until_ms = runner.extend_lease(lease_ms, now_ms).unwrap_or_default();
         let assignment = Assignment::new(run, request.declared, now_ms);
         let seen_ms = runner.renewal.seen_ms;
-        runner.assign(id, Assignment { former_run, seen_ms, ..assignment });
+        let is_from_start = checkpoint.is_empty();
+        runner.assign(id, Assignment { former_run, seen_ms, is_from_start, ..assignment });
         out.push(Action::Start(StartOrder {
             runner: key,
             target: runner.target(),
@@ -326,13 +339,15 @@
         let goal = (left as u64 * ADVICE_OVERBOOK_MILLIS).div_ceil(1_000);
         let mut known = Vec::new();
         let mut unknown = Vec::new();
+        let preference = self.speed_preference(request, now_ms);
         for (key, slots) in self.candidates(request, now_ms) {
+            let speed_rank = preference.rank(self.speeds.factor(key));
             if advice.has_admitted(key) {
                 if !advice.admits(key, now_ms) {
-                    known.push((slots, key));
+                    known.push((speed_rank, slots, key));
                 }
             } else if !advice.asked.contains(&key) {
-                unknown.push((slots, key));
+                unknown.push((speed_rank, slots, key));
             }
         }
         let limit = self.config.advice_runners * self.max_calls_for_step();
@@ -440,8 +455,13 @@
 /// Ranks a runner for a task; the greatest value is the best.
 ///
 /// The rack of the data comes first, then the separation of best-effort from latency-sensitive
-/// tasks, then the share of processor that stays free.
-fn score(runner: &Runner, need: Resources, step: &Step) -> (bool, bool, u64) {
+/// tasks, then the speed that suits the work, then the share of processor that stays free.
+fn score(
+    runner: &Runner,
+    need: Resources,
+    step: &Step,
+    speed_rank: SpeedRank,
+) -> (bool, bool, SpeedRank, u64) {
     const MILLI: u64 = 1_000;
     let is_near_data = step.data_rack.as_ref().is_none_or(|rack| runner.labels.contains(rack));
     let is_separated = match (step.is_best_effort, step.target_ms > 0) {
@@ -451,28 +471,30 @@
     };
     let left = runner.free(0).minus(need).cpu_millis;
     let share = left * MILLI / runner.capacity.cpu_millis.max(1);
-    (is_near_data, is_separated, share)
+    (is_near_data, is_separated, speed_rank, share)
 }
 
 /// Selects the runners to name in calls for advice, at most `limit`.
 ///
 /// Admitted runners whose ticket has expired (`known`) come first, then runners that have not been
 /// asked about (`unknown`), until the expected number of admitted tasks reaches `goal`. `share` is
-/// the expected share of admitted runners.
+/// the expected share of admitted runners. In both lists, runners of the speed that suits the step
+/// come first.
 fn select_runners_to_ask(
-    mut known: Vec<(u64, RunnerKey)>,
-    mut unknown: Vec<(u64, RunnerKey)>,
+    mut known: Vec<(SpeedRank, u64, RunnerKey)>,
+    mut unknown: Vec<(SpeedRank, u64, RunnerKey)>,
     goal: u64,
     share: f64,
     limit: usize,
 ) -> Vec<RunnerKey> {
-    let order = |left: &(u64, RunnerKey), right: &(u64, RunnerKey)| right.cmp(left);
+    let order =
+        |left: &(SpeedRank, u64, RunnerKey), right: &(SpeedRank, u64, RunnerKey)| right.cmp(left);
     known.sort_unstable_by(order);
     unknown.sort_unstable_by(order);
     let mut selected = Vec::new();
     #[allow(clippy::cast_precision_loss, reason = "a number of tasks")]
     let mut missing = goal as f64;
-    for (slots, key) in known {
+    for (_, slots, key) in known {
         if missing <= 0.0 || selected.len() >= limit {
             return selected;
         }
@@ -481,7 +503,7 @@
         missing -= expected;
         selected.push(key);
     }
-    for (position, (slots, key)) in unknown.into_iter().enumerate() {
+    for (position, (_, slots, key)) in unknown.into_iter().enumerate() {
         if missing <= 0.0 && position >= MIN_NEW_RUNNERS || selected.len() >= limit {
             break;
         }
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -136,6 +136,8 @@
     pub(crate) is_order_in_flight: bool,
     /// Time at which the start was ordered, or at which the run was found.
     pub(crate) assigned_ms: u64,
+    /// Whether this leader has started the run, from the beginning of its task.
+    pub(crate) is_from_start: bool,
     /// Time after which the runner was certainly up, before the start was ordered.
     pub(crate) seen_ms: u64,
     /// Whether the runner broke the connection off right after the first start order, although it had
@@ -203,6 +205,7 @@
             phase: RunPhase::Starting { is_unsure: false },
             is_order_in_flight: true,
             assigned_ms: now_ms,
+            is_from_start: false,
             seen_ms: 0,
             has_broken_off: false,
             is_start_confirmed: false,
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -244,9 +244,7 @@
         let task = ended.task;
         let is_current =
             runner.assignments.get(&task).is_some_and(|assignment| assignment.run == ended.run);
-        if is_current {
-            runner.release(task);
-        }
+        let released = if is_current { runner.release(task) } else { None };
         match ended.end {
             RunEnd::Done => runner.failed_jobs.clear(),
             RunEnd::Failed => self.record_runner_failure(key, task, now_ms),
@@ -256,6 +254,9 @@
             self.keep_end(key, ended, now_ms);
             return;
         }
+        if let (RunEnd::Done, Some(assignment)) = (ended.end, &released) {
+            self.measure_run(key, task, assignment, now_ms);
+        }
         self.apply_end(key, ended, is_current, now_ms);
         self.await_stored_outcome(key, ended);
     }
@@ -347,6 +348,9 @@
             return;
         }
         let is_done = job.is_done();
+        if job.steps[step].is_done() {
+            self.speeds.complete_step(job.step_id(step), now_ms);
+        }
         self.mark_dirty(job_key);
         for (task, state) in completed {
             // Another run of a completed task must not go on; the members of a gang end by themselves.
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -28,6 +28,12 @@
 /// and the service [`OTHER_SERVICE`].
 pub const OTHER_SERVICE_QUEUE: &str = "other-service";
 
+/// Name of an urgent queue whose objective leaves little slack.
+pub const TIGHT_QUEUE: &str = "tight";
+
+/// Name of a queue of low priority whose objective leaves much slack.
+pub const AMPLE_QUEUE: &str = "ample";
+
 /// Name of a service beside that of the test queue.
 pub const OTHER_SERVICE: &str = "t";
 
@@ -55,6 +61,9 @@
     started_ms: u64,
     /// Whether the runner is one of [`OTHER_SERVICE`].
     is_of_other_service: bool,
+    labels: Vec<String>,
+    /// Duration of runs relative to their estimate, in thousandths; see [`Harness::run_tasks`].
+    duration_millis: u64,
 }
 
 /// An advice service whose answer about a step and a runner never changes.
@@ -122,6 +131,10 @@
     advice: Option<FakeAdvice>,
     /// Whether the leader's lease is confirmed again at each step.
     confirms_lease: bool,
+    /// Estimates of the submitted steps, in milliseconds; see [`Harness::submit`].
+    estimates_ms: BTreeMap<StepId, u64>,
+    /// Runs that [`Harness::run_tasks`] ends, with the time of the end.
+    due_ends: Vec<(u64, StartOrder)>,
 }
 
 /// A job in the test queue.
@@ -157,8 +170,16 @@
         Self::with_confirmation(token, false)
     }
 
+    /// A leader with other settings than the default ones.
+    pub fn with_config(token: u64, config: QueueConfig) -> Self {
+        Self::with_settings(token, true, config)
+    }
+
     fn with_confirmation(token: u64, confirms_lease: bool) -> Self {
-        let config = QueueConfig::default();
+        Self::with_settings(token, confirms_lease, QueueConfig::default())
+    }
+
+    fn with_settings(token: u64, confirms_lease: bool, config: QueueConfig) -> Self {
         let mut harness = Self {
             scheduler: Scheduler::new(config.clone(), token),
             config,
@@ -176,6 +197,8 @@
             renewal_tokens: BTreeMap::new(),
             advice: None,
             confirms_lease,
+            estimates_ms: BTreeMap::new(),
+            due_ends: Vec::new(),
         };
         harness.declare(1, None);
         harness
@@ -208,7 +231,22 @@
             priority: 1,
             ..queue.clone()
         };
-        let queues = vec![queue, less_urgent, other_service];
+        let tight = Queue {
+            name: TIGHT_QUEUE.to_owned(),
+            prefix: "/tight/".to_owned(),
+            stretch: 1.5,
+            target_latency_ms: 250,
+            ..queue.clone()
+        };
+        let ample = Queue {
+            name: AMPLE_QUEUE.to_owned(),
+            prefix: "/ample/".to_owned(),
+            priority: 2,
+            stretch: 2.2,
+            target_latency_ms: 1_200,
+            ..queue.clone()
+        };
+        let queues = vec![queue, less_urgent, other_service, tight, ample];
         let directory =
             QueueDirectory { version, queues, max_body_bytes: 1 << 18, workspaces: None };
         self.handle(Event::DirectoryUpdated(Arc::new(directory)));
@@ -275,7 +313,7 @@
             service: service.to_owned(),
             is_draining,
             leaves_in_ms: None,
-            labels: Vec::new(),
+            labels: self.runners[id].labels.clone(),
             capacity: Resources::new(self.runners[id].capacity, 1 << 30, 0),
             started_unix_ms: BORN_MS + self.runners[id].started_ms,
         }
@@ -295,6 +333,83 @@
         self.advance(20);
     }
 
+    /// Adds a runner with labels, on which runs take `duration_millis` thousandths of their estimate.
+    pub fn add_labelled_runner(
+        &mut self,
+        id: &str,
+        capacity: u64,
+        labels: &[&str],
+        duration_millis: u64,
+    ) {
+        let labels = labels.iter().map(|label| (*label).to_owned()).collect();
+        let runner = FakeRunner { capacity, labels, duration_millis, ..FakeRunner::default() };
+        self.runners.insert(RunnerId::from(id), runner);
+        let report = self.report(id, false);
+        self.handle(Event::RunnerListed(report));
+        self.advance(20);
+    }
+
+    /// Submits a job whose runs [`Harness::run_tasks`] can end.
+    pub fn submit(&mut self, submission: Submission) {
+        for (number, step) in (0..).zip(&submission.steps) {
+            let id = StepId { job: submission.id, occurrence: 0, step: number };
+            self.estimates_ms.insert(id, step.estimate_ms);
+        }
+        self.handle(Event::JobSubmitted(submission));
+    }
+
+    /// Advances the time, confirms each start, and ends each run as done once its estimate is over,
+    /// times the duration factor of its runner and `duration_millis` of the task. Returns the starts.
+    pub fn run_tasks(
+        &mut self,
+        ms: u64,
+        duration_millis: impl Fn(TaskId) -> u64,
+    ) -> Vec<StartOrder> {
+        const STEP_MS: u64 = 10;
+        const MICRO: u64 = 1_000_000;
+        let mut started = Vec::new();
+        for _ in 0..ms / STEP_MS {
+            self.advance(STEP_MS);
+            let starts = self.starts();
+            self.answer_starts(&starts);
+            for start in &starts {
+                let estimate_ms = self.estimates_ms[&start.task.step];
+                let factor = self.runners[&start.target.0].duration_millis;
+                let run_ms = estimate_ms * factor * duration_millis(start.task) / MICRO;
+                self.due_ends.push((self.now_ms + run_ms, start.clone()));
+            }
+            started.extend(starts);
+            let stops = self.stops();
+            for stop in stops {
+                self.due_ends.retain(|(_, start)| start.run != stop.run);
+                self.answer_stop(&stop, Ok(()));
+                self.end_run(stop.runner, stop.task, stop.run, RunEnd::Stopped);
+            }
+            let now_ms = self.now_ms;
+            let ends = std::mem::take(&mut self.due_ends);
+            let (due, later) = ends.into_iter().partition(|(due_ms, _)| *due_ms <= now_ms);
+            self.due_ends = later;
+            let due: Vec<(u64, StartOrder)> = due;
+            for (_, start) in due {
+                self.end_run(start.runner, start.task, start.run, RunEnd::Done);
+            }
+        }
+        started
+    }
+
+    /// Ends a run at its runner, which reports it with the next renewal.
+    fn end_run(&mut self, key: RunnerKey, task: TaskId, run: u64, end: RunEnd) {
+        let id = self.runner_keys.iter().find(|(_, known)| **known == key);
+        let id = RunnerId::clone(id.unwrap().0);
+        let runner = self.runners.get_mut(&id).unwrap();
+        if !runner.running.contains(&(task, run)) {
+            return;
+        }
+        runner.running.retain(|running| *running != (task, run));
+        let number = runner.ended.last().map_or(runner.acknowledged, |last| last.number) + 1;
+        runner.ended.push(EndedRun { number, task, run, end, checkpoint: Bytes::new() });
+    }
+
     /// Adds a runner with runs that a previous leader started.
     pub fn add_runner_with_runs(&mut self, id: &str, capacity: u64, running: Vec<(TaskId, u64)>) {
         self.add_runner_with_ended_runs(id, capacity, running, Vec::new());
