--- a/src/queue/control.rs
+++ b/src/queue/control.rs
@@ -228,6 +228,7 @@
             executor.publish_workspaces(&scheduler.workspace_usage());
             reported_ms = clock::now_ms();
         }
+        executor.publish_speed_factors(scheduler.take_speed_factors());
         let tick_ms = if jobs + held_tasks > 0 { BUSY_TICK_MS } else { IDLE_TICK_MS };
         let limit = Duration::from_millis(tick_ms);
         let mut next =
--- a/src/queue/metrics.rs
+++ b/src/queue/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of a host.
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
 };
 
 /// Upper bounds of the latency histogram buckets, in seconds.
@@ -30,6 +30,8 @@
     pub crash_events: IntCounterVec,
     /// Use, limit and share of the workspaces with the largest use, and the use of the others in sum.
     pub workspaces: IntGaugeVec,
+    /// Duration of runs relative to the usual one, by kind of runner; only kinds that differ clearly.
+    pub speed_factors: GaugeVec,
 }
 
 impl QueueMetrics {
@@ -79,6 +81,13 @@
                 Opts::new("queue_workspace", "Use, limit and share of workspaces, by the leader"),
                 &["workspace", "what"],
             )?,
+            speed_factors: GaugeVec::new(
+                Opts::new(
+                    "queue_runner_speed_factor",
+                    "Duration of runs relative to the usual one, as measured by the leader",
+                ),
+                &["kind"],
+            )?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.refused_keys.clone()))?;
@@ -90,6 +99,7 @@
         registry.register(Box::new(metrics.unreadable_records.clone()))?;
         registry.register(Box::new(metrics.crash_events.clone()))?;
         registry.register(Box::new(metrics.workspaces.clone()))?;
+        registry.register(Box::new(metrics.speed_factors.clone()))?;
         Ok(metrics)
     }
 }
