test(queue): hostile clients at the listeners of a real host

The HTTP server buffers heads without end and any number of unfinished bodies, and its readiness, peer and metrics listeners accept connections in excess of the descriptors of the host. The tests start one hemlock-queue whose settings name 64 MB of memory, and 2,000 descriptors (300 for the connection tests), and check that it lives, that its peak memory and its descriptors stay below these, and that an ordinary submission over a new connection is answered.

--- a/tests/queue_cell/mod.rs
+++ b/tests/queue_cell/mod.rs
@@ -81,6 +81,17 @@
 
     /// As [`Cell::start`], with queue settings in YAML.
     pub fn start_with(directory: &Path, hosts: usize, runners: usize, settings: &str) -> Self {
+        Self::start_limited(directory, hosts, runners, settings, &json!({}))
+    }
+
+    /// As [`Cell::start_with`], with the `limits` of the platform's settings file.
+    pub fn start_limited(
+        directory: &Path,
+        hosts: usize,
+        runners: usize,
+        settings: &str,
+        limits: &Value,
+    ) -> Self {
         std::fs::create_dir_all(directory).unwrap();
         let platform = platform_support::SharedStore::default();
         let server = block_on(platform_support::start(&platform));
@@ -107,7 +118,7 @@
         let queue_settings = directory.join("queue.yaml");
         std::fs::write(&queue_settings, settings).unwrap();
         for number in 0..hosts {
-            let host = Host::new(directory, number, &store, &queue_settings);
+            let host = Host::new(directory, number, &store, &queue_settings, limits);
             cell.hosts.push(host);
             cell.hosts[number].start();
         }
@@ -230,7 +241,13 @@
 }
 
 impl Host {
-    fn new(directory: &Path, number: usize, store: &str, queue_settings: &Path) -> Self {
+    fn new(
+        directory: &Path,
+        number: usize,
+        store: &str,
+        queue_settings: &Path,
+        limits: &Value,
+    ) -> Self {
         let proxy = block_on(ProxyStandin::start("127.0.0.1:0", store)).unwrap();
         let ip = format!("127.0.0.{}", 10 + number);
         let port = free_ports(&ip);
@@ -241,6 +258,7 @@
             "internal-ports": [port + 2, port + 3],
             "platform": { "address": proxy.address() },
             "bounds": { "grace-s": 4 },
+            "limits": limits,
         });
         let path = directory.join(format!("host-{number}.json"));
         std::fs::write(&path, settings.to_string()).unwrap();
@@ -280,6 +298,11 @@
         self.child.as_mut().is_some_and(|child| child.try_wait().unwrap().is_none())
     }
 
+    /// Process id; `None` if the process was not started or was killed.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
