fix(http): bound the memory and connections that hostile clients take

Cause: the HTTP library buffers a line of a head without a bound, every unfinished body is kept until its time limit, the rest of an unread body is discarded without one, and three of four listeners of a host accept 12,000 connections whatever its descriptors.

The server reads heads itself up to max_head_bytes (431 beyond) and hands the library whole ones; heads of 8 KiB and more, which the library refuses, are reduced with httparse. Requests in flight of all servers of a process are charged to one budget as bytes arrive; when it runs out, the body that has stalled for the longest time is aborted, and waiting requests are served smallest first. When all connections of a listener are in use, the oldest without a completed request is closed for the new one. A request whose handler runs is never aborted, so 503 means that nothing was accepted. hemlock-queue derives the bounds from memory-mb and max-fds of its settings file. Refusals are counted by reason.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -157,6 +157,10 @@
         let app = api::app(Arc::clone(&shared));
         let server = Server::start_on(listener, app, config.http.clone())
             .wrap_err("cannot start the HTTP server")?;
+        server
+            .budget()
+            .register(shared.metrics.registry())
+            .wrap_err("cannot register the metrics of the HTTP server")?;
         task::spawn(heartbeat_sender::run(Arc::clone(&shared)));
         task::spawn(hosts::run(Arc::clone(&shared)));
         spdlog::info!("entry host is listening", kv: { name = config.name.as_str(), zone = config.zone.as_str() });
--- a/src/placer/daemon.rs
+++ b/src/placer/daemon.rs
@@ -92,6 +92,10 @@
         gateway.with_local(&config.zone, &address, messages.clone()).mount(&mut app);
         let server = Server::start_on(listener, app, config.http.clone())
             .wrap_err("cannot start the HTTP server")?;
+        server
+            .budget()
+            .register(&metrics.registry)
+            .wrap_err("cannot register the metrics of the HTTP server")?;
 
         let worker_client = WorkerClient {
             pool,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -46,6 +46,8 @@
 #[serde(rename_all = "kebab-case", default)]
 struct Limits {
     max_fds: usize,
+    /// Memory of the host, in megabytes.
+    memory_mb: u64,
     /// Fraction of the processor that the process may use.
     cpu_share: f64,
     /// Speed of the processor as a multiple of one core; not a number of cores, in spite of its
@@ -55,7 +57,7 @@
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { max_fds: 1_024, cpu_share: 1.0, cores: 1.0 }
+        Self { max_fds: 1_024, memory_mb: 256, cpu_share: 1.0, cores: 1.0 }
     }
 }
 
@@ -101,6 +103,7 @@
             settings.limits.cpu_share * settings.limits.cores * MILLIS_PER_CORE,
         ),
         descriptor_limit: settings.limits.max_fds,
+        memory_mb: settings.limits.memory_mb,
     })
 }
 
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -18,6 +18,7 @@
 pub mod peer;
 pub mod record;
 pub mod scheduler;
+pub mod server_limits;
 pub mod takeover;
 pub mod watch;
 pub mod workspaces;
--- a/src/queue/daemon.rs
+++ b/src/queue/daemon.rs
@@ -12,6 +12,7 @@
 
 use crate::configs::http::HttpConfig;
 use crate::configs::queue::QueueConfig;
+use crate::http::budget::Budget;
 use crate::http::client::Pool;
 use crate::http::server::Server;
 use crate::platform::callers;
@@ -19,6 +20,7 @@
 use crate::platform::store::{self, PlatformStore};
 use crate::queue::host_state::HostState;
 use crate::queue::metrics::QueueMetrics;
+use crate::queue::server_limits::ServerLimits;
 use crate::queue::{caller_api, control, election, peer, watch};
 use crate::{collections, decision_log, drain, telemetry};
 
@@ -37,10 +39,6 @@
 /// Interval at which the settings file is checked for changes, in milliseconds.
 const SETTINGS_POLL_MS: u64 = 5_000;
 
-/// File descriptors reserved for connections to runners, other hosts and the store; callers may use
-/// the rest.
-const RESERVED_DESCRIPTORS: usize = 1_500;
-
 /// Part of the shutdown grace period that is reserved for the exit of the process, in milliseconds.
 const EXIT_MARGIN_MS: u64 = 800;
 
@@ -138,32 +136,45 @@
 impl Servers {
     async fn start(shared: &Arc<HostState>, registry: prometheus::Registry) -> eyre::Result<Self> {
         let host_info = &shared.host_info;
-        let callers = HttpConfig {
-            max_connections: host_info
-                .descriptor_limit
-                .saturating_sub(RESERVED_DESCRIPTORS)
-                .max(64),
-            ..HttpConfig::default()
-        };
-        let front =
-            Server::start(&host_info.front_address, caller_api::app(Arc::clone(shared)), callers);
+        let limits = ServerLimits::new(host_info);
+        let budget = Budget::new(limits.inflight_bytes)?;
+        budget.register(&registry)?;
+        let http = |max_connections| HttpConfig { max_connections, ..HttpConfig::default() };
+        let front = Server::start_with_budget(
+            &host_info.front_address,
+            caller_api::app(Arc::clone(shared)),
+            http(limits.front_connections),
+            &budget,
+        );
         let front = front.await.wrap_err_with(|| {
             format!("cannot listen for callers at {}", host_info.front_address)
         })?;
-        let ready =
-            Server::start(&host_info.ready_address, ready_app(shared), HttpConfig::default());
+        let ready = Server::start_with_budget(
+            &host_info.ready_address,
+            ready_app(shared),
+            http(limits.probe_connections),
+            &budget,
+        );
         let ready = ready.await.wrap_err_with(|| {
             format!("cannot listen for readiness checks at {}", host_info.ready_address)
         })?;
-        let peers = peer::app(Arc::clone(shared));
-        let peer = Server::start(&host_info.peer_address, peers, HttpConfig::default());
+        let peer = Server::start_with_budget(
+            &host_info.peer_address,
+            peer::app(Arc::clone(shared)),
+            http(limits.peer_connections),
+            &budget,
+        );
         let peer = peer.await.wrap_err_with(|| {
             format!("cannot listen for other hosts at {}", host_info.peer_address)
         })?;
-        let metrics = metrics_app(registry);
         let address = &host_info.metrics_address;
-        let metrics = Server::start(address, metrics, HttpConfig::default()).await;
-        metrics.wrap_err_with(|| format!("cannot serve metrics at {address}"))?;
+        let metrics = Server::start_with_budget(
+            address,
+            metrics_app(registry),
+            http(limits.probe_connections),
+            &budget,
+        );
+        metrics.await.wrap_err_with(|| format!("cannot serve metrics at {address}"))?;
         Ok(Self { front, ready, peer })
     }
 
--- a/src/queue/host_info.rs
+++ b/src/queue/host_info.rs
@@ -26,4 +26,6 @@
     pub cpu_millis: u64,
     /// Maximum number of open file descriptors of the process.
     pub descriptor_limit: usize,
+    /// Memory of the host, in megabytes.
+    pub memory_mb: u64,
 }
--- a/tests/queue_hostile.rs
+++ b/tests/queue_hostile.rs
@@ -7,6 +7,7 @@
 
 #![allow(clippy::unwrap_used, reason = "tests panic on unexpected values")]
 #![allow(clippy::disallowed_methods, reason = "the test blocks on its own futures")]
+#![allow(clippy::print_stdout, reason = "the figures of an attack are part of the result")]
 
 mod platform_support;
 mod queue_cell;
