feat(queue): the measured factor of each kind of runner is a metric

The log told only when a kind becomes slow or fast.

Adds tests of gangs, of the reserve on fast runners and of the runs that are not measured.

--- a/src/queue/control.rs
+++ b/src/queue/control.rs
@@ -219,6 +219,7 @@
         let [jobs, held_tasks, usable_runners] = scheduler.counts(clock::now_ms());
         executor.publish_gauges([jobs, held_tasks, usable_runners]);
         executor.publish_crash_counts(scheduler.take_crash_counts());
+        executor.publish_speed_factors(scheduler.take_speed_factors());
         let tick_ms = if jobs + held_tasks > 0 { BUSY_TICK_MS } else { IDLE_TICK_MS };
         let limit = Duration::from_millis(tick_ms);
         let mut next =
--- a/src/queue/leader.rs
+++ b/src/queue/leader.rs
@@ -79,6 +79,16 @@
         }
     }
 
+    /// Publishes the measured speed factors of the kinds of runners, if they have changed.
+    pub fn publish_speed_factors(&mut self, factors: Option<Vec<(String, f64)>>) {
+        let Some(factors) = factors else { return };
+        let gauges = &self.context.shared.metrics.speed_factors;
+        gauges.reset();
+        for (kind, factor) in factors {
+            gauges.with_label_values(&[kind.as_str()]).set(factor);
+        }
+    }
+
     /// Adds crash events to the metrics.
     pub fn publish_crash_counts(&mut self, counts: CrashCounts) {
         if counts == CrashCounts::default() {
--- a/src/queue/metrics.rs
+++ b/src/queue/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of a host.
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+    GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
 };
 
 /// Upper bounds of the latency histogram buckets, in seconds.
@@ -26,6 +26,8 @@
     pub unreadable_records: IntCounterVec,
     /// Crashes of runners, and suspected tasks, cleared tasks and jobs given up because of them.
     pub crash_events: IntCounterVec,
+    /// Duration of runs relative to the usual one, by kind of runner; only kinds that differ clearly.
+    pub speed_factors: GaugeVec,
 }
 
 impl QueueMetrics {
@@ -66,6 +68,13 @@
                 "Crashes of runners and their consequences",
                 &["event"],
             )?,
+            speed_factors: GaugeVec::new(
+                Opts::new(
+                    "queue_runner_speed_factor",
+                    "Duration of runs relative to the usual one, as measured by the leader",
+                ),
+                &["kind"],
+            )?,
         };
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.request_seconds.clone()))?;
@@ -75,6 +84,7 @@
         registry.register(Box::new(metrics.leader_gauges.clone()))?;
         registry.register(Box::new(metrics.unreadable_records.clone()))?;
         registry.register(Box::new(metrics.crash_events.clone()))?;
+        registry.register(Box::new(metrics.speed_factors.clone()))?;
         Ok(metrics)
     }
 }
--- a/src/queue/scheduler/speed.rs
+++ b/src/queue/scheduler/speed.rs
@@ -216,6 +216,8 @@
     /// Mean logarithm of the runners' speeds. Only differences of speeds are measured, so that it is not
     /// 0 in general.
     usual: f64,
+    /// Whether factors of labels may have changed since they were last taken.
+    have_labels_changed: bool,
     has_differences: bool,
     are_uneven: bool,
     /// Factor of the slow runners, on the average.
@@ -243,6 +245,8 @@
             queues: HashMap::default(),
             steps: HashMap::default(),
             usual: 0.0,
+            // Those of a former term are no longer known.
+            have_labels_changed: true,
             has_differences: false,
             are_uneven: false,
             slow_factor: 1.0,
@@ -293,6 +297,15 @@
         listed
     }
 
+    /// Like [`Speeds::label_factors`], if they may have changed since the last call.
+    pub fn take_label_factors(&mut self) -> Option<Vec<(String, f64)>> {
+        if !std::mem::take(&mut self.have_labels_changed) {
+            return None;
+        }
+        let factors = self.label_factors();
+        Some(factors.into_iter().map(|(label, factor)| (label.to_owned(), factor)).collect())
+    }
+
     /// Sets the name and the labels of a runner.
     pub fn set_runner(&mut self, key: RunnerKey, name: &str, labels: &[String]) {
         if let Some(known) = self.runners.get_mut(key) {
@@ -484,7 +497,9 @@
             let is_known = known.runners > 0 && known.average.weight >= MIN_LABEL_WEIGHT;
             let error = known.average.error();
             let is_clear = is_known && is_clear(deviation, error, self.dead_zone, known.is_clear);
-            known.factor = if is_clear { rounded_factor(deviation) } else { 1.0 };
+            let factor = if is_clear { rounded_factor(deviation) } else { 1.0 };
+            self.have_labels_changed |= (factor - known.factor).abs() > f64::EPSILON;
+            known.factor = factor;
             if is_clear != known.is_clear {
                 known.is_clear = is_clear;
                 log_change("kind", label, is_clear, deviation, known.average.weight);
--- a/src/queue/scheduler/speed_placement.rs
+++ b/src/queue/scheduler/speed_placement.rs
@@ -97,9 +97,10 @@
 }
 
 impl Scheduler {
-    /// Measured factors of the kinds of runners that differ clearly from the usual ones.
-    pub fn speed_factors(&self) -> Vec<(&str, f64)> {
-        self.speeds.label_factors()
+    /// Measured factors of the kinds of runners that differ clearly from the usual ones, if they have
+    /// changed since the last call.
+    pub fn take_speed_factors(&mut self) -> Option<Vec<(String, f64)>> {
+        self.speeds.take_label_factors()
     }
 
     /// Records the duration of a run that completed its task, unless something else than the speed of
--- a/tests/queue_speed.rs
+++ b/tests/queue_speed.rs
@@ -21,6 +21,9 @@
 const TASKS_PER_STEP: usize = 10;
 const ESTIMATE_MS: f64 = 850.0;
 
+/// A run that has begun: its step, the position of its runner and its duration in milliseconds.
+type PlannedEnd = (StepId, usize, u64);
+
 /// Runners with a kind and a rack, and runs of steps that are spread over them.
 struct Fleet {
     rng: SmallRng,
@@ -30,8 +33,8 @@
     factors: Vec<f64>,
     now_ms: f64,
     next_job: u64,
-    /// Ends of runs to come: time, step, runner and duration.
-    ends: BTreeMap<(u64, u64, usize), (StepId, usize, u64)>,
+    /// Ends of runs to come, by time, job and task.
+    ends: BTreeMap<(u64, u64, usize), PlannedEnd>,
     left: BTreeMap<StepId, usize>,
     recorded: usize,
 }
@@ -375,3 +378,64 @@
     assert_eq!(placed(&measured, 1_000), placed(&blind, 1_000));
     assert_ne!(placed(&measured, 1_700), placed(&blind, 1_700));
 }
+
+/// Guards against gangs that are spread over slow runners although fast ones have room.
+#[test]
+fn an_urgent_gang_gets_fast_runners() {
+    let mut harness = harness(QueueConfig::default(), 700, 1_700);
+    mixed_load(&mut harness);
+    harness.run_tasks(20_000, |_| 1_000);
+    let gang = Step { is_gang: true, ..timed_step(10, 2_200, 850) };
+    harness.submit(job_in(TIGHT_QUEUE, 1, gang));
+    let starts = harness.run_tasks(200, |_| 1_000);
+    assert_eq!(starts.len(), 10);
+    assert!((share_on_fast(&starts) - 1.0).abs() < f64::EPSILON, "{}", share_on_fast(&starts));
+}
+
+/// Guards against long work that fills the fast runners just before the next urgent work arrives.
+#[test]
+fn long_work_leaves_a_larger_reserve_on_fast_runners() {
+    let mut harness = harness(QueueConfig::default(), 700, 1_700);
+    mixed_load(&mut harness);
+    for round in 0..80 {
+        harness.submit(job_in(TIGHT_QUEUE, 5_000 + round, timed_step(10, 2_200, 850)));
+        harness.run_tasks(500, |_| 1_000);
+    }
+    harness.run_tasks(1_000, |_| 1_000);
+    // Three tasks fit beside the usual reserve of a tenth of a runner, but not beside a larger one.
+    harness.submit(job_in(AMPLE_QUEUE, 2, timed_step(40, 4_800, 3_200)));
+    let long = harness.run_tasks(100, |_| 1_000);
+    let most_on_fast = count_by_runner(&long, 'x').into_values().max().unwrap_or_default();
+    assert!(most_on_fast <= 2, "{most_on_fast} long tasks on a fast runner");
+    let most_on_slow = count_by_runner(&long, 'y').into_values().max().unwrap_or_default();
+    assert_eq!(most_on_slow, 3);
+}
+
+fn count_by_runner(starts: &[StartOrder], initial: char) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for start in starts.iter().filter(|start| start.target.0.starts_with(initial)) {
+        *counts.entry(start.target.0.to_string()).or_default() += 1;
+    }
+    counts
+}
+
+/// Guards against measurements of runs whose duration says nothing about the runner: found by a new
+/// leader, gangs, and tasks away from their data. With them, all runners of kind `y` would be slow.
+#[test]
+fn runs_that_depend_on_more_than_the_runner_are_not_measured() {
+    for excluded in ["gang", "data", "rack", "long-running"] {
+        let mut harness = harness(QueueConfig::default(), 700, 1_700);
+        for round in 0..30 {
+            let plain = timed_step(10, 2_200, 850);
+            let step = match excluded {
+                "gang" => Step { is_gang: true, ..plain },
+                "data" => Step { data_rack: Some("elsewhere".to_owned()), ..plain },
+                "rack" => Step { same_rack: true, ..plain },
+                _ => Step { is_long_running: true, ..plain },
+            };
+            harness.submit(job_in(TIGHT_QUEUE, round, step));
+            harness.run_tasks(1_000, |_| 1_000);
+        }
+        assert_eq!(harness.scheduler.take_speed_factors(), Some(Vec::new()), "{excluded}");
+    }
+}
