feat(queue): overdue runs of copyable tasks are copied where runners are uneven

Three tasks in a hundred take seven times as long as their siblings, and a step waits for the last one. Where runners are uneven, a run of a copyable task that takes 1.6 times what its siblings and its runner's speed explain gets a copy on another runner with room. The first end counts; the other run is stopped. A task is copied once. Where runners are alike nothing changes.

Work may use 0.9 of its slack rather than 0.8: by calculation, long work of two steps with advice calls of half a second would otherwise have come within 5% of the limit at which it prefers fast runners.

--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -4,6 +4,7 @@
 //! it an [`Event`] for everything it learns and carries out each [`Action`] it returns.
 
 mod advice;
+mod copies;
 mod crash;
 mod end_cause;
 mod event;
@@ -94,6 +95,8 @@
     speeds: speed::Speeds,
     /// Processor time of work with little slack that was started recently.
     urgent_demand: speed_placement::UrgentDemand,
+    /// Time before which copies of overdue runs are not sought again.
+    next_copies_ms: u64,
 }
 
 impl Scheduler {
@@ -128,6 +131,7 @@
             crashes: crash::CrashHistory::default(),
             speeds,
             urgent_demand: speed_placement::UrgentDemand::default(),
+            next_copies_ms: 0,
         }
     }
 
--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -66,6 +66,8 @@
     /// Number of the first run that was lost: its runner had not reported how it ended; 0 for none.
     pub(crate) first_lost_run: u64,
     pub(crate) suspicion: Suspicion,
+    /// Whether a copy of a run in progress was started; the task has at most one.
+    pub(crate) is_copied: bool,
 }
 
 /// Whether a task waits, is assigned to a runner or is done.
@@ -288,6 +290,7 @@
             has_lost_run: false,
             first_lost_run: 0,
             suspicion: Suspicion::default(),
+            is_copied: false,
         }
     }
 
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -52,6 +52,7 @@
             self.log_starts(key, step, &out[first..], now_ms);
         }
         self.place_suspects(is_inherited_wait_over, now_ms, out);
+        self.start_copies(now_ms, out);
         self.send_advice_requests(now_ms, out);
     }
 
@@ -199,7 +200,7 @@
     ///
     /// Where measured speeds differ, the speed that suits the work comes before the share of processor
     /// that stays free.
-    fn choose_runner(
+    pub(super) fn choose_runner(
         &self,
         request: &PlacementRequest<'_>,
         index: usize,
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -341,7 +341,8 @@
         for index in ended {
             let state = job.steps[step].tasks.get(index).map(|task| task.state);
             if job.mark_done(step, index) {
-                completed.push((job.task_id(step, index), state));
+                let is_copied = job.steps[step].tasks[index].is_copied;
+                completed.push((job.task_id(step, index), state, is_copied));
             }
         }
         if completed.is_empty() {
@@ -352,7 +353,10 @@
             self.speeds.complete_step(job.step_id(step), now_ms);
         }
         self.mark_dirty(job_key);
-        for (task, state) in completed {
+        for (task, state, is_copied) in completed {
+            if is_copied {
+                self.stop_runs_of(task, now_ms);
+            }
             // Another run of a completed task must not go on; the members of a gang end by themselves.
             if let (Some(TaskState::Assigned(at)), false) = (state, is_gang) {
                 if let Some(other) = self.runners[at].assignments.get_mut(&task) {
--- a/src/queue/scheduler/speed_placement.rs
+++ b/src/queue/scheduler/speed_placement.rs
@@ -12,7 +12,7 @@
 
 /// Part of the slack of work that runners may use, in thousandths: durations vary, and the last of the
 /// tasks of a step decides when the next step starts.
-const SLACK_USE_MILLIS: u64 = 800;
+const SLACK_USE_MILLIS: u64 = 900;
 
 /// Time that ordering the runs of a step and learning of their ends takes, in milliseconds.
 const STEP_OVERHEAD_MS: u64 = 60;
@@ -292,7 +292,7 @@
 /// The run began between the order and its answer. Excluded are runs that resume from a checkpoint or
 /// were found by this leader, orders that were repeated, gangs, whose members wait for each other, and
 /// tasks that take longer the farther away from their data or from each other they run.
-fn measured_ms(
+pub(super) fn measured_ms(
     runner: &Runner,
     step: &Step,
     assignment: &Assignment,
--- a/tests/queue_speed.rs
+++ b/tests/queue_speed.rs
@@ -7,7 +7,9 @@
 use std::collections::BTreeMap;
 
 use hemlockrock::configs::queue::QueueConfig;
-use hemlockrock::queue::model::{AdvicePolicy, JobId, Step, StepId, Submission, TaskId};
+use hemlockrock::queue::model::{
+    AdvicePolicy, JobId, JobState, RunEnd, Step, StepId, Submission, TaskId,
+};
 use hemlockrock::queue::scheduler::speed::{CompletedRun, Speeds};
 use hemlockrock::queue::scheduler::{Action, RunnerKey, StartOrder};
 use queue_support::{job, step, Harness, AMPLE_QUEUE, TIGHT_QUEUE};
@@ -439,3 +441,72 @@
         assert_eq!(harness.scheduler.take_speed_factors(), Some(Vec::new()), "{excluded}");
     }
 }
+
+/// Task 0 takes seven times as long as its siblings on the runner that gets it first.
+fn slow_first(task: TaskId) -> u64 {
+    if task.index == 0 && task.step.job == JobId(1) {
+        7_000
+    } else {
+        1_000
+    }
+}
+
+/// A harness whose runners are known to be uneven and idle, with the starts of a copyable step whose
+/// first task is overdue, and the start of the copy.
+fn overdue_run(may_copy: bool, factors: (u64, u64)) -> (Harness, Vec<StartOrder>) {
+    let mut harness = harness(QueueConfig::default(), factors.0, factors.1);
+    mixed_load(&mut harness);
+    harness.run_tasks(40_000, |_| 1_000);
+    let step = Step { may_copy, ..timed_step(10, 2_200, 850) };
+    harness.submit(job_in(TIGHT_QUEUE, 1, step));
+    let starts = harness.run_tasks(1_700, slow_first);
+    (harness, starts)
+}
+
+/// Guards against a job that waits for one overdue run although runners are free, against more than one
+/// copy, and against a copy on the runner of the first run.
+#[test]
+fn an_overdue_run_is_copied_once_to_another_runner() {
+    let (mut harness, mut starts) = overdue_run(true, (700, 1_700));
+    starts.extend(harness.run_tasks(200, |_| 7_000));
+    let of_first: Vec<&StartOrder> = starts.iter().filter(|start| start.task.index == 0).collect();
+    assert_eq!((starts.len(), of_first.len()), (11, 2));
+    assert_ne!(of_first[0].runner, of_first[1].runner);
+    assert!(of_first[1].target.0.starts_with('x'), "{}", of_first[1].target.0);
+}
+
+/// Guards against a first run that goes on, and holds its resources, after its copy has ended.
+#[test]
+fn the_first_run_is_stopped_when_its_copy_ends() {
+    let (mut harness, starts) = overdue_run(true, (700, 1_700));
+    let first = starts.iter().find(|start| start.task.index == 0).unwrap();
+    let copy = starts.iter().rfind(|start| start.task.index == 0).unwrap();
+    assert_ne!(first.run, copy.run);
+    harness.end(copy, RunEnd::Done);
+    assert_eq!(harness.state(1), Some(JobState::Completed));
+    let stopped: Vec<u64> = harness.stops().iter().map(|stop| stop.run).collect();
+    assert_eq!(stopped, [first.run]);
+}
+
+/// Guards against a copy that goes on after the first run has ended.
+#[test]
+fn the_copy_is_stopped_when_the_first_run_ends() {
+    let (mut harness, starts) = overdue_run(true, (700, 1_700));
+    let first = starts.iter().find(|start| start.task.index == 0).unwrap();
+    let copy = starts.iter().rfind(|start| start.task.index == 0).unwrap();
+    assert_ne!(first.run, copy.run);
+    harness.end(first, RunEnd::Done);
+    assert_eq!(harness.state(1), Some(JobState::Completed));
+    let stopped: Vec<u64> = harness.stops().iter().map(|stop| stop.run).collect();
+    assert_eq!(stopped, [copy.run]);
+}
+
+/// Guards against copies of tasks that must not run twice, and against copies where runners are alike.
+#[test]
+fn other_overdue_runs_are_not_copied() {
+    for (may_copy, factors) in [(false, (700, 1_700)), (true, (1_000, 1_000))] {
+        let (mut harness, mut starts) = overdue_run(may_copy, factors);
+        starts.extend(harness.run_tasks(2_000, slow_first));
+        assert_eq!(starts.len(), 10, "{may_copy} {factors:?}");
+    }
+}
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -135,6 +135,8 @@
     estimates_ms: BTreeMap<StepId, u64>,
     /// Runs that [`Harness::run_tasks`] ends, with the time of the end.
     due_ends: Vec<(u64, StartOrder)>,
+    /// Begin and end of the runs of [`Harness::run_tasks`], by run number.
+    run_times_ms: BTreeMap<u64, (u64, u64)>,
 }
 
 /// A job in the test queue.
@@ -199,6 +201,7 @@
             confirms_lease,
             estimates_ms: BTreeMap::new(),
             due_ends: Vec::new(),
+            run_times_ms: BTreeMap::new(),
         };
         harness.declare(1, None);
         harness
@@ -377,6 +380,7 @@
                 let factor = self.runners[&start.target.0].duration_millis;
                 let run_ms = estimate_ms * factor * duration_millis(start.task) / MICRO;
                 self.due_ends.push((self.now_ms + run_ms, start.clone()));
+                self.run_times_ms.insert(start.run, (self.now_ms, self.now_ms + run_ms));
             }
             started.extend(starts);
             let stops = self.stops();
@@ -584,7 +588,14 @@
             task: *task,
             run: *run,
             checkpoint: Bytes::new(),
-            percent: if runner.is_stalled { 10.0 } else { progress },
+            percent: match self.run_times_ms.get(run) {
+                _ if runner.is_stalled => 10.0,
+                Some((begun_ms, end_ms)) => {
+                    let total_ms = (end_ms - begun_ms).max(1);
+                    (self.now_ms - begun_ms) as f64 * 100.0 / total_ms as f64
+                }
+                None => progress,
+            },
             load: 0.0,
         });
         RunnerStatus {
