fix(http): header values that are not ASCII reach the handler as empty ones

Callers whose key had bytes that are not text got 400, or no answer, since the HTTP library refuses such values or panics at them; they get 401 now like any unknown key. The head is reduced to its framing headers then, and the others are put back, with values that are not ASCII as empty ones.

--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -25,19 +25,17 @@
 }
 
 /// Splits received bytes after a head of `length` bytes. A head that is too long for the HTTP library
-/// is reduced to the headers that the library needs; the others are set aside.
+/// is reduced to the headers that the library needs; the others are set aside. So is one with header
+/// values that are not ASCII, at which the library panics; these values become empty.
 ///
 /// # Errors
 /// 400 if the head is malformed, 431 if it is too long even so.
 pub(crate) fn split(mut bytes: Vec<u8>, length: usize) -> Result<RequestBytes, ApiError> {
     let rest = bytes.split_off(length);
-    // The library panics at header values that are not ASCII, but takes such paths.
-    if !headers(&bytes).is_ascii() {
-        return Err(malformed("a header has bytes that are not ASCII"));
-    }
     let is_short = bytes.len() < LIBRARY_HEAD_BYTES;
     let lines = if is_short { count_lines(&bytes) } else { 0 };
-    if is_short && lines < LIBRARY_HEAD_LINES {
+    // The library takes paths that are not ASCII.
+    if is_short && lines < LIBRARY_HEAD_LINES && headers(&bytes).is_ascii() {
         return Ok(RequestBytes { head: bytes, rest, set_aside: Vec::new() });
     }
     reduce(&bytes, rest)
@@ -69,9 +67,14 @@
     let mut head = format!("{method} {path} HTTP/1.{version}\r\n");
     let mut set_aside = Vec::new();
     for header in request.headers.iter() {
-        let value = std::str::from_utf8(header.value);
-        let value = value.map_err(|error| malformed(error.to_string()))?;
-        if LIBRARY_HEADERS.iter().any(|name| header.name.eq_ignore_ascii_case(name)) {
+        let is_framing = LIBRARY_HEADERS.iter().any(|name| header.name.eq_ignore_ascii_case(name));
+        let text = std::str::from_utf8(header.value).ok().filter(|value| value.is_ascii());
+        let value = match text {
+            Some(value) => value,
+            None if is_framing => return Err(malformed("a header for framing is not ASCII")),
+            None => "",
+        };
+        if is_framing {
             head.push_str(&format!("{}: {value}\r\n", header.name));
         } else {
             set_aside.push((header.name.to_owned(), value.to_owned()));
