feat(queue): waiting steps are ordered by what their jobs are worth to their callers

Cause: when capacity is insufficient, ordering by due time starts the jobs that are just about to become late, so that most of them are late when they end.

Change: within a priority, jobs that can still meet their objective go first, by due time; then late ones with value left, least remaining work first; then those without value, oldest first. A late job of late_job_patience_ms goes with the first. Remaining work is the longest chain of estimates, corrected by a running median of each queue's actual durations. The age of a job outlasts a change of leader. Only where the configuration declares workspaces; order_by_value forces it on or off.

--- a/src/configs/queue.rs
+++ b/src/configs/queue.rs
@@ -4,6 +4,20 @@
 
 use crate::settings::{Report, Validate};
 
+/// When waiting steps are ordered by what their jobs are still worth to their callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum OrderByValue {
+    /// Where callers compete for insufficient capacity: the deployment declares workspaces.
+    #[default]
+    Auto,
+    /// In every deployment.
+    Always,
+    /// In no deployment.
+    Never,
+}
+
 /// Timing and limits of a queue host. One of the queue hosts is the leader, elected by a lease in
 /// the store; it sends orders to the runners and renews the leases of the tasks that run there.
 #[derive(Clone, Debug)]
@@ -90,6 +104,13 @@
     /// Time for which a long-running task waits for room before work of a lower priority is
     /// stopped, in milliseconds.
     pub lasting_patience_ms: u64,
+    /// When waiting steps are ordered by what their jobs are still worth to their callers, rather
+    /// than by due time only.
+    pub order_by_value: OrderByValue,
+    /// Age from which a job that is late goes with those that are in time, in milliseconds: later
+    /// than any job of the known deployments has lost its value, so that an overload which is
+    /// shorter than this does not bring late work to the front.
+    pub late_job_patience_ms: u64,
     /// Load of a latency-sensitive task, in thousandths of its latency target, from which
     /// best-effort tasks on the same runner are paused.
     pub disturbed_at_millis: u64,
@@ -139,6 +160,8 @@
             advice_runners: 30,
             urgent_reserve_millis: 100,
             lasting_patience_ms: 1_000,
+            order_by_value: OrderByValue::Auto,
+            late_job_patience_ms: 120_000,
             disturbed_at_millis: 700,
             calm_at_millis: 400,
             store_away_ms: 1_200,
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -89,6 +89,9 @@
     is_term_confirmed: bool,
     inherited: inherited::InheritedWait,
     crashes: crash::CrashHistory,
+    estimate_errors: waiting::EstimateErrors,
+    /// Time of acceptance of the newest job that was read from the store, in Unix milliseconds.
+    newest_loaded_unix_ms: u64,
 }
 
 impl Scheduler {
@@ -120,6 +123,8 @@
             is_term_confirmed: false,
             inherited: inherited::InheritedWait::default(),
             crashes: crash::CrashHistory::default(),
+            estimate_errors: waiting::EstimateErrors::default(),
+            newest_loaded_unix_ms: 0,
         }
     }
 
@@ -134,9 +139,8 @@
             Event::JobSubmitted(submission) if now_ms >= self.confirmed_until_ms => {
                 self.deferred.push(submission);
             }
-            Event::JobSubmitted(submission) | Event::JobLoaded(submission) => {
-                self.submit(submission, now_ms);
-            }
+            Event::JobSubmitted(submission) => self.submit(submission, now_ms),
+            Event::JobLoaded(submission) => self.load(submission, now_ms),
             Event::ProgressLoaded(id, progress) => self.load_progress(id, progress, now_ms),
             Event::JobCanceled(id) => self.cancel(id, now_ms),
             Event::JobsRead { absent } => self.jobs_read(&absent, now_ms),
@@ -249,6 +253,16 @@
         }
     }
 
+    /// Adds a job that was read from the store when the term began.
+    fn load(&mut self, submission: Submission, now_ms: u64) {
+        let id = submission.id;
+        self.newest_loaded_unix_ms = self.newest_loaded_unix_ms.max(submission.accepted_unix_ms);
+        self.submit(submission, now_ms);
+        if let Some(key) = self.job_keys.get(&id) {
+            self.jobs[*key].is_loaded = true;
+        }
+    }
+
     fn load_progress(&mut self, id: JobId, progress: Progress, now_ms: u64) {
         let Some(key) = self.job_keys.get(&id).copied() else {
             self.keep_progress(id, progress, now_ms);
--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -32,6 +32,10 @@
     pub(crate) known_ms: u64,
     /// Time at which the job should be completed by the latency objective of its queue.
     pub(crate) due_ms: u64,
+    /// Time that the latency objective of its queue allows for the job, in milliseconds.
+    pub(crate) allowed_ms: u64,
+    /// Whether the job was read from the store when the term began.
+    pub(crate) is_loaded: bool,
     pub(crate) changes: JobChanges,
     /// Number of the change that covers the last lost run.
     pub(crate) lost_run_change: u64,
@@ -111,6 +115,8 @@
             service: queue.map(|queue| queue.service.clone()).unwrap_or_default(),
             known_ms: now_ms,
             due_ms: now_ms.saturating_add(allowed_ms),
+            allowed_ms,
+            is_loaded: false,
             changes: JobChanges::default(),
             lost_run_change: 0,
             submission,
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -13,7 +13,7 @@
 use crate::queue::scheduler::event::{Action, StartOrder};
 use crate::queue::scheduler::job::{JobKey, TaskState};
 use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey};
-use crate::queue::scheduler::waiting::{self, WaitingStep};
+use crate::queue::scheduler::waiting;
 use crate::queue::scheduler::Scheduler;
 
 /// Number of tasks for which admitted runners are sought, in thousandths of the waiting tasks. It
@@ -37,10 +37,11 @@
             if job.state.is_final() {
                 continue;
             }
+            let mut rank = None;
             for step in 0..job.steps.len() {
                 if job.is_ready(step) {
-                    let step_waiting = WaitingStep { priority: job.priority, due_ms: job.due_ms };
-                    ready.push((waiting::rank(&step_waiting), key, step));
+                    let rank = *rank.get_or_insert_with(|| self.rank_job(job, now_ms));
+                    ready.push((rank, key, step));
                 }
             }
         }
@@ -292,13 +293,14 @@
         task.has_lost_run = false;
         let former_run = std::mem::replace(&mut task.last_run, run);
         let checkpoint = task.checkpoint.clone();
+        let is_partial = !checkpoint.is_empty();
         let spec = job.submission.spec.clone();
         let lease_ms = self.run_lease_ms(now_ms);
         let runner = &mut self.runners[key];
         let until_ms = runner.extend_lease(lease_ms, now_ms).unwrap_or_default();
         let assignment = Assignment::new(run, request.declared, now_ms);
         let seen_ms = runner.renewal.seen_ms;
-        runner.assign(id, Assignment { former_run, seen_ms, ..assignment });
+        runner.assign(id, Assignment { former_run, seen_ms, is_partial, ..assignment });
         out.push(Action::Start(StartOrder {
             runner: key,
             target: runner.target(),
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -164,6 +164,9 @@
     pub(crate) pace: u32,
     /// Time of the last pace order; 0 before the first.
     pub(crate) paced_ms: u64,
+    /// Whether the run has resumed from a checkpoint or was started by a previous leader, so that the
+    /// time since its start is not the duration of the whole task.
+    pub(crate) is_partial: bool,
 }
 
 /// Phase of a run on a runner, as the leader knows it.
@@ -216,6 +219,7 @@
             percent: 0.0,
             pace: FULL_PACE_PERCENT,
             paced_ms: 0,
+            is_partial: false,
         }
     }
 
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -244,9 +244,11 @@
         let task = ended.task;
         let is_current =
             runner.assignments.get(&task).is_some_and(|assignment| assignment.run == ended.run);
-        if is_current {
-            runner.release(task);
+        let released = if is_current { runner.release(task) } else { None };
+        if let Some(assignment) = released.filter(|_| ended.end == RunEnd::Done) {
+            self.record_estimate_error(task, &assignment, now_ms);
         }
+        let runner = &mut self.runners[key];
         match ended.end {
             RunEnd::Done => runner.failed_jobs.clear(),
             RunEnd::Failed => self.record_runner_failure(key, task, now_ms),
@@ -397,6 +399,7 @@
         let step =
             job.as_ref().and_then(|job| job.submission.steps.get(row.task.step.step as usize));
         let mut assignment = Assignment::new(row.run, step.unwrap_or(&unknown_step), now_ms);
+        assignment.is_partial = true;
         if step.is_none() {
             // The needs of an unknown task are not known: it may use all resources of the runner.
             assignment.reserved = self.runners[key].capacity;
