feat(queue): steps near the front ask for advice before there is room

Cause: under a backlog, a step asked about the one runner that had just got room. Calls of over 500 ms about single runners kept all hosts busy while the room stayed idle.

Change: where callers compete for insufficient capacity, a step seeks tickets for runners whose runs are expected to end soon, former tickets first, in filled calls, and only until it holds enough. Steps far behind in the order do not ask. Hosts reserved for short calls follow their measured demand. A long call is not prepared while no host may make it.

--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -7,6 +7,7 @@
 mod crash;
 mod end_cause;
 mod event;
+mod expected_room;
 mod inherited;
 mod job;
 mod lease;
@@ -90,6 +91,7 @@
     inherited: inherited::InheritedWait,
     crashes: crash::CrashHistory,
     estimate_errors: waiting::EstimateErrors,
+    room_demand: expected_room::RoomDemand,
     /// Time of acceptance of the newest job that was read from the store, in Unix milliseconds.
     newest_loaded_unix_ms: u64,
 }
@@ -124,6 +126,7 @@
             inherited: inherited::InheritedWait::default(),
             crashes: crash::CrashHistory::default(),
             estimate_errors: waiting::EstimateErrors::default(),
+            room_demand: expected_room::RoomDemand::default(),
             newest_loaded_unix_ms: 0,
         }
     }
--- a/src/queue/scheduler/advice.rs
+++ b/src/queue/scheduler/advice.rs
@@ -11,6 +11,7 @@
 use crate::decision_log;
 use crate::queue::model::{Admission, AdvicePolicy, Step, StepId};
 use crate::queue::scheduler::event::Action;
+use crate::queue::scheduler::expected_room;
 use crate::queue::scheduler::job::JobKey;
 use crate::queue::scheduler::placement::PlacementRequest;
 use crate::queue::scheduler::runner::RunnerKey;
@@ -78,6 +79,8 @@
     reserve_millis: u64,
     policy: AdvicePolicy,
     subject: AdviceSubject,
+    /// How many tasks of other steps compete for the room that is expected, in thousandths of it.
+    competition_millis: u64,
 }
 
 /// What a call to the advice service is to find out.
@@ -197,6 +200,14 @@
         subject: AdviceSubject,
         now_ms: u64,
     ) {
+        let competition_millis = match &subject {
+            AdviceSubject::Tasks(left) if self.is_contended() => {
+                let competition = self.competition_millis(request, policy, *left, now_ms);
+                let Some(competition) = competition else { return };
+                competition
+            }
+            _ => 0,
+        };
         let advice = &self.jobs[request.key].steps[request.step].advice;
         if advice.calls_in_flight > 0 || now_ms < advice.retry_ms || !self.has_idle_advice_host() {
             return;
@@ -209,6 +220,7 @@
             reserve_millis: request.reserve_millis,
             policy,
             subject,
+            competition_millis,
         });
     }
 
@@ -250,11 +262,25 @@
         if self.jobs[pending.key].steps[pending.step].advice.calls_in_flight > 0 {
             return;
         }
-        let selected;
+        if self.is_contended() && !self.has_host_for(pending.policy, now_ms) {
+            return;
+        }
+        let mut selected;
         let runners = match &pending.subject {
             AdviceSubject::Runners(runners) => runners,
             AdviceSubject::Tasks(count) => {
                 selected = self.runners_to_ask(&request, *count, now_ms);
+                if self.is_contended() {
+                    let (policy, competition) = (pending.policy, pending.competition_millis);
+                    self.add_expected_runners(
+                        &request,
+                        policy,
+                        *count,
+                        competition,
+                        &mut selected,
+                        now_ms,
+                    );
+                }
                 &selected
             }
         };
@@ -273,18 +299,33 @@
         let oldest_ms = now_ms.saturating_sub(self.config.hello_ms * MISSED_HEARTBEATS);
         self.advice_hosts
             .retain(|advice_host| advice_host.seen_ms >= oldest_ms || advice_host.call.is_some());
-        if call.is_long() {
-            let calls = self.advice_hosts.iter().filter_map(|known| known.call.as_ref());
-            let most = self.advice_hosts.len().saturating_sub(SHORT_CALL_HOSTS).max(1);
-            if calls.filter(|call| call.is_long()).count() >= most {
-                return None;
-            }
+        if call.is_long() && !self.may_call_long(now_ms) {
+            return None;
         }
         self.advice_hosts
             .iter_mut()
             .find(|advice_host| advice_host.call.is_none() && advice_host.seen_ms >= oldest_ms)
     }
 
+    /// Whether another host may make a long call, rather than stay free for short ones.
+    fn may_call_long(&self, now_ms: u64) -> bool {
+        let hosts = self.advice_hosts.len();
+        let reserved = if self.is_contended() {
+            self.room_demand.short_call_hosts(SHORT_CALL_HOSTS, hosts, now_ms)
+        } else {
+            SHORT_CALL_HOSTS
+        };
+        let most = hosts.saturating_sub(reserved).max(1);
+        let calls = self.advice_hosts.iter().filter_map(|known| known.call.as_ref());
+        calls.filter(|call| call.is_long()).count() < most
+    }
+
+    /// Whether a host may make a call by this policy.
+    fn has_host_for(&self, policy: AdvicePolicy, now_ms: u64) -> bool {
+        let is_long = expected_room::call_ms(policy, 1) > LONG_CALL_MS;
+        self.has_idle_advice_host() && (!is_long || self.may_call_long(now_ms))
+    }
+
     /// Asks the advice service about these runners; returns false if no host is free for the call.
     fn send_advice_request(
         &mut self,
@@ -294,13 +335,7 @@
         now_ms: u64,
         out: &mut Vec<Action>,
     ) -> bool {
-        #[allow(
-            clippy::cast_precision_loss,
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a duration in milliseconds"
-        )]
-        let expected_ms = (policy.base_ms + policy.per_runner_ms * runners.len() as f64) as u64;
+        let expected_ms = expected_room::call_ms(policy, runners.len());
         let call = AdviceCall { service: request.service.to_owned(), expected_ms };
         let Some(advice_host) = self.free_advice_host(&call, now_ms) else { return false };
         advice_host.call = Some(call);
@@ -323,7 +358,10 @@
         if let Some(advice_host) =
             self.advice_hosts.iter_mut().find(|known| known.address == *advice_host)
         {
-            advice_host.call = None;
+            let call = advice_host.call.take();
+            if call.is_some_and(|call| !call.is_long()) {
+                self.room_demand.record_short_call(now_ms.saturating_sub(sent_ms), now_ms);
+            }
         }
         decision_log::line("advised")
             .with("step", step)
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -32,6 +32,7 @@
     pub(super) fn place_ready_steps(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let is_inherited_wait_over = self.update_inherited_wait(now_ms);
         self.end_probations();
+        self.room_demand.begin_pass();
         let mut ready: Vec<(waiting::Rank, JobKey, usize)> = Vec::new();
         for (key, job) in &self.jobs {
             if job.state.is_final() {
@@ -284,6 +285,7 @@
         now_ms: u64,
         out: &mut Vec<Action>,
     ) {
+        let expected_ms = self.expected_run_ms(request);
         let job = &mut self.jobs[request.key];
         let id = job.task_id(request.step, index);
         let step = &mut job.steps[request.step];
@@ -300,7 +302,8 @@
         let until_ms = runner.extend_lease(lease_ms, now_ms).unwrap_or_default();
         let assignment = Assignment::new(run, request.declared, now_ms);
         let seen_ms = runner.renewal.seen_ms;
-        runner.assign(id, Assignment { former_run, seen_ms, is_partial, ..assignment });
+        runner
+            .assign(id, Assignment { former_run, seen_ms, is_partial, expected_ms, ..assignment });
         out.push(Action::Start(StartOrder {
             runner: key,
             target: runner.target(),
@@ -434,7 +437,7 @@
 }
 
 impl PlacementRequest<'_> {
-    fn has_label(&self, runner: &Runner) -> bool {
+    pub(super) fn has_label(&self, runner: &Runner) -> bool {
         self.declared.label.as_ref().is_none_or(|label| runner.labels.contains(label))
     }
 }
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -167,6 +167,8 @@
     /// Whether the run has resumed from a checkpoint or was started by a previous leader, so that the
     /// time since its start is not the duration of the whole task.
     pub(crate) is_partial: bool,
+    /// Usual duration of such a run, in milliseconds; 0 if it has no end.
+    pub(crate) expected_ms: u64,
 }
 
 /// Phase of a run on a runner, as the leader knows it.
@@ -220,6 +222,7 @@
             pace: FULL_PACE_PERCENT,
             paced_ms: 0,
             is_partial: false,
+            expected_ms: if step.is_long_running { 0 } else { step.estimate_ms },
         }
     }
 
--- a/src/queue/scheduler/waiting.rs
+++ b/src/queue/scheduler/waiting.rs
@@ -174,23 +174,19 @@
 }
 
 impl Scheduler {
-    /// Whether waiting steps are ordered by what their jobs are still worth.
-    pub(super) fn is_ordered_by_value(&self) -> bool {
+    /// Whether callers compete for insufficient capacity: waiting steps are ordered by what their jobs
+    /// are worth, and advice is requested before there is room.
+    pub(super) fn is_contended(&self) -> bool {
         match self.config.order_by_value {
-            OrderByValue::Auto => self.is_capacity_contended(),
+            OrderByValue::Auto => self.directory.workspaces.is_some(),
             OrderByValue::Always => true,
             OrderByValue::Never => false,
         }
     }
 
-    /// Whether the deployment is one in which callers compete for insufficient capacity.
-    fn is_capacity_contended(&self) -> bool {
-        self.directory.workspaces.is_some()
-    }
-
     /// Position of the waiting steps of a job.
     pub(super) fn rank_job(&self, job: &Job, now_ms: u64) -> Rank {
-        if !self.is_ordered_by_value() {
+        if !self.is_contended() {
             return rank_by_due_time(job.priority, job.due_ms);
         }
         rank(&self.waiting_step(job, now_ms))
@@ -214,15 +210,20 @@
         }
     }
 
+    /// Usual duration of work of a queue that is estimated at `estimate_ms`, in milliseconds.
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a duration in milliseconds"
+    )]
+    pub(super) fn expected_duration_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
+        (estimate_ms as f64 * self.estimate_errors.ratio(queue)) as u64
+    }
+
     fn waiting_step(&self, job: &Job, now_ms: u64) -> WaitingStep {
-        let ratio = self.estimate_errors.ratio(&job.submission.queue);
-        #[allow(
-            clippy::cast_precision_loss,
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a duration in milliseconds"
-        )]
-        let remaining_ms = (remaining_chain_ms(job) as f64 * ratio) as u64;
+        let remaining_ms =
+            self.expected_duration_ms(&job.submission.queue, remaining_chain_ms(job));
         WaitingStep {
             priority: job.priority,
             age_ms: self.age_ms(job, now_ms),
