feat(queue): preemption stops the runs that lose the least work

Cause: the runs to stop were chosen in no particular order, so that one that was nearly done could be stopped beside one that had just started.

Change: where callers compete for insufficient capacity, runs go in the order of the processor time since their start or last reported checkpoint, and runs that a later choice has made needless are spared.

--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -370,7 +370,9 @@
             if limit > 0 && assigned_count >= limit as usize {
                 continue;
             }
-            let Some(victims) = self.select_victims(runner, need, priority) else { continue };
+            let Some(victims) = self.select_victims(runner, need, priority, now_ms) else {
+                continue;
+            };
             if victims.is_empty() {
                 // Runs that are being stopped already free enough resources.
                 return;
@@ -398,13 +400,18 @@
         runner: &Runner,
         need: Resources,
         priority: u32,
+        now_ms: u64,
     ) -> Option<Vec<TaskId>> {
         let assignments = runner.assignments.values();
         let mut used = assignments
             .filter(|assignment| !matches!(assignment.phase, RunPhase::Stopping { .. }))
             .fold(Resources::default(), |used, assignment| used.plus(assignment.reserved));
         let mut victims = Vec::new();
-        for (task, assignment) in &runner.assignments {
+        let mut candidates: Vec<(&TaskId, &Assignment)> = runner.assignments.iter().collect();
+        if self.is_contended() {
+            candidates.sort_by_key(|(task, assignment)| (assignment.unsaved_work(now_ms), **task));
+        }
+        for (task, assignment) in candidates {
             if used.plus(need).fits(runner.capacity) {
                 break;
             }
@@ -421,6 +428,15 @@
                 victims.push(*task);
             }
         }
+        if self.is_contended() {
+            // A later victim may have made earlier ones needless.
+            victims.retain(|task| {
+                let reserved = runner.assignments[task].reserved;
+                let is_needed = !used.plus(reserved).plus(need).fits(runner.capacity);
+                used = if is_needed { used } else { used.plus(reserved) };
+                is_needed
+            });
+        }
         used.plus(need).fits(runner.capacity).then_some(victims)
     }
 }
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -169,6 +169,8 @@
     pub(crate) is_partial: bool,
     /// Usual duration of such a run, in milliseconds; 0 if it has no end.
     pub(crate) expected_ms: u64,
+    /// Time at which the reported checkpoint last changed, in milliseconds; 0 before.
+    pub(crate) saved_ms: u64,
 }
 
 /// Phase of a run on a runner, as the leader knows it.
@@ -223,6 +225,7 @@
             paced_ms: 0,
             is_partial: false,
             expected_ms: if step.is_long_running { 0 } else { step.estimate_ms },
+            saved_ms: 0,
         }
     }
 
@@ -241,6 +244,13 @@
         self.reports_progress && answered_ms > self.progressed_ms.max(since_ms) + patience_ms
     }
 
+    /// Work that is lost if the run is stopped: processor time since its start or since its last
+    /// checkpoint, in thousandths of a core times milliseconds.
+    pub(crate) fn unsaved_work(&self, now_ms: u64) -> u64 {
+        let since_ms = self.assigned_ms.max(self.saved_ms);
+        now_ms.saturating_sub(since_ms).saturating_mul(self.reserved.cpu_millis.max(1))
+    }
+
     /// Marks the run to be stopped; the stop order follows.
     pub(crate) fn stop(&mut self, now_ms: u64) {
         if !matches!(self.phase, RunPhase::Stopping { .. }) {
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -380,6 +380,9 @@
                     job.state = JobState::Active;
                 }
                 if let Some(task) = job.task_mut(row.task) {
+                    if task.checkpoint != row.checkpoint {
+                        assignment.saved_ms = now_ms;
+                    }
                     task.checkpoint = row.checkpoint;
                 }
             }
