--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -8,6 +8,7 @@
 mod crash;
 mod end_cause;
 mod event;
+pub mod expected_room;
 mod inherited;
 mod job;
 mod lease;
@@ -101,6 +102,10 @@
     urgent_demand: speed_placement::UrgentDemand,
     /// Time before which copies of overdue runs are not sought again.
     next_copies_ms: u64,
+    estimate_errors: waiting::EstimateErrors,
+    room_demand: expected_room::RoomDemand,
+    /// Time of acceptance of the newest job that was read from the store, in Unix milliseconds.
+    newest_loaded_unix_ms: u64,
 }
 
 impl Scheduler {
@@ -137,6 +142,9 @@
             speeds,
             urgent_demand: speed_placement::UrgentDemand::default(),
             next_copies_ms: 0,
+            estimate_errors: waiting::EstimateErrors::default(),
+            room_demand: expected_room::RoomDemand::default(),
+            newest_loaded_unix_ms: 0,
         }
     }
 
@@ -154,9 +162,8 @@
             Event::JobSubmitted(submission) if now_ms >= self.confirmed_until_ms => {
                 self.deferred.push(submission);
             }
-            Event::JobSubmitted(submission) | Event::JobLoaded(submission) => {
-                self.submit(submission, now_ms);
-            }
+            Event::JobSubmitted(submission) => self.submit(submission, now_ms),
+            Event::JobLoaded(submission) => self.load(submission, now_ms),
             Event::ProgressLoaded(id, progress) => self.load_progress(id, progress, now_ms),
             Event::JobCanceled(id) => self.cancel(id, now_ms),
             Event::JobsRead { absent } => self.jobs_read(&absent, now_ms),
@@ -282,6 +289,16 @@
         }
     }
 
+    /// Adds a job that was read from the store when the term began.
+    fn load(&mut self, submission: Submission, now_ms: u64) {
+        let id = submission.id;
+        self.newest_loaded_unix_ms = self.newest_loaded_unix_ms.max(submission.accepted_unix_ms);
+        self.submit(submission, now_ms);
+        if let Some(key) = self.job_keys.get(&id) {
+            self.jobs[*key].is_loaded = true;
+        }
+    }
+
     fn load_progress(&mut self, id: JobId, progress: Progress, now_ms: u64) {
         let Some(key) = self.job_keys.get(&id).copied() else {
             self.keep_progress(id, progress, now_ms);
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -35,6 +35,7 @@
     pub(super) fn place_ready_steps(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let is_inherited_wait_over = self.update_inherited_wait(now_ms);
         self.end_probations();
+        self.room_demand.begin_pass();
         let mut ready: Vec<(JobKey, usize)> = Vec::new();
         for (key, job) in &self.jobs {
             if job.state.is_final() {
@@ -52,14 +53,15 @@
             ranked.map(Reverse).collect();
         while let Some(Reverse((rank, key, step))) = queue.pop() {
             // Its workspace may have fallen behind others by what it has taken in this pass.
-            let current = self.rank_of(key, now_ms);
+            let current = rank.with_share(self.share_position(key, now_ms));
             if current > rank {
                 queue.push(Reverse((current, key, step)));
                 continue;
             }
             let first = out.len();
             if self.place_step(key, step, is_inherited_wait_over, now_ms, out) {
-                queue.push(Reverse((self.rank_of(key, now_ms), key, step)));
+                let behind = rank.with_share(self.share_position(key, now_ms));
+                queue.push(Reverse((behind, key, step)));
             }
             self.log_starts(key, step, &out[first..], now_ms);
         }
@@ -327,6 +329,7 @@
         out: &mut Vec<Action>,
     ) {
         let need = request.declared.need;
+        let expected_ms = self.expected_run_ms(request);
         let job = &mut self.jobs[request.key];
         let owner = job.owner;
         if self.shares.allowed(owner, need, 1) == 0 {
@@ -349,7 +352,8 @@
         let is_from_start = checkpoint.is_empty();
         let charge = self.shares.charge_for(owner, need, &runner.service);
         let (target, token) = (runner.target(), runner.token);
-        let assignment = Assignment { former_run, seen_ms, is_from_start, charge, ..assignment };
+        let assignment =
+            Assignment { former_run, seen_ms, is_from_start, expected_ms, charge, ..assignment };
         self.assign_run(key, id, assignment);
         out.push(Action::Start(StartOrder {
             runner: key,
@@ -419,7 +423,9 @@
             if limit > 0 && assigned_count >= limit as usize {
                 continue;
             }
-            let Some(victims) = self.select_victims(runner, need, priority) else { continue };
+            let Some(victims) = self.select_victims(runner, need, priority, now_ms) else {
+                continue;
+            };
             if victims.is_empty() {
                 // Runs that are being stopped already free enough resources.
                 return;
@@ -447,13 +453,18 @@
         runner: &Runner,
         need: Resources,
         priority: u32,
+        now_ms: u64,
     ) -> Option<Vec<TaskId>> {
         let assignments = runner.assignments.values();
         let mut used = assignments
             .filter(|assignment| !matches!(assignment.phase, RunPhase::Stopping { .. }))
             .fold(Resources::default(), |used, assignment| used.plus(assignment.reserved));
         let mut victims = Vec::new();
-        for (task, assignment) in &runner.assignments {
+        let mut candidates: Vec<(&TaskId, &Assignment)> = runner.assignments.iter().collect();
+        if self.is_contended() {
+            candidates.sort_by_key(|(task, assignment)| (assignment.unsaved_work(now_ms), **task));
+        }
+        for (task, assignment) in candidates {
             if used.plus(need).fits(runner.capacity) {
                 break;
             }
@@ -470,6 +481,15 @@
                 victims.push(*task);
             }
         }
+        if self.is_contended() {
+            // A later victim may have made earlier ones needless.
+            victims.retain(|task| {
+                let reserved = runner.assignments[task].reserved;
+                let is_needed = !used.plus(reserved).plus(need).fits(runner.capacity);
+                used = if is_needed { used } else { used.plus(reserved) };
+                is_needed
+            });
+        }
         used.plus(need).fits(runner.capacity).then_some(victims)
     }
 }
@@ -486,7 +506,7 @@
 }
 
 impl PlacementRequest<'_> {
-    fn has_label(&self, runner: &Runner) -> bool {
+    pub(super) fn has_label(&self, runner: &Runner) -> bool {
         self.declared.label.as_ref().is_none_or(|label| runner.labels.contains(label))
     }
 }
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -257,6 +257,7 @@
         }
         if let (RunEnd::Done, Some(assignment)) = (ended.end, &released) {
             self.measure_run(key, task, assignment, now_ms);
+            self.record_estimate_error(key, task, assignment, now_ms);
         }
         self.apply_end(key, ended, is_current, now_ms);
         self.await_stored_outcome(key, ended);
@@ -387,6 +388,9 @@
                     job.state = JobState::Active;
                 }
                 if let Some(task) = job.task_mut(row.task) {
+                    if task.checkpoint != row.checkpoint {
+                        assignment.saved_ms = now_ms;
+                    }
                     task.checkpoint = row.checkpoint;
                 }
             }
--- a/src/queue/scheduler/shares.rs
+++ b/src/queue/scheduler/shares.rs
@@ -12,7 +12,6 @@
 use crate::queue::record::Progress;
 use crate::queue::scheduler::job::{Job, JobKey, Task, TaskState};
 use crate::queue::scheduler::runner::{Assignment, Runner, RunnerKey};
-use crate::queue::scheduler::waiting::{self, WaitingStep};
 use crate::queue::scheduler::Scheduler;
 use crate::queue::workspaces::{WorkspaceName, Workspaces};
 
@@ -593,15 +592,10 @@
         }
     }
 
-    /// Rank of a waiting step of the job among all others.
-    pub(super) fn rank_of(&self, key: JobKey, now_ms: u64) -> waiting::Rank {
-        let job = &self.jobs[key];
-        waiting::rank(&WaitingStep {
-            priority: job.priority,
-            due_ms: job.due_ms,
-            exceeds_share: self.exceeds_share(key, now_ms),
-            share_level: self.share_level(key, now_ms),
-        })
+    /// Position of the job's workspace among the others: whether the job exceeds its weight, and its
+    /// share level.
+    pub(super) fn share_position(&self, key: JobKey, now_ms: u64) -> (bool, u32) {
+        (self.exceeds_share(key, now_ms), self.share_level(key, now_ms))
     }
 
     /// Whether a job exceeds the weight of its workspace and has not waited for `share_delay_ms` yet.
