fix(queue): a copy that a limit holds back starts once the limit allows it

A task counted as copied although the limit of its workspace had refused the copy's start, so that it was never copied: found by reading. The limit is asked before the copy is decided. Test: a_copy_that_a_limit_holds_back_starts_once_the_ limit_allows_it, which failed before (0 starts for 1).

--- a/src/queue/scheduler/copies.rs
+++ b/src/queue/scheduler/copies.rs
@@ -105,6 +105,9 @@
     fn start_copy(&mut self, overdue: OverdueRun, now_ms: u64, out: &mut Vec<Action>) {
         let OverdueRun { key, task, runner: former, ratio } = overdue;
         let (step, index) = (task.step.step as usize, task.index as usize);
+        if self.allowed_starts(key, step, 1) == 0 {
+            return;
+        }
         let declared = self.jobs[key].submission.steps[step].clone();
         let service = self.service_of(key);
         let policy = self.advice_policy(key);
--- a/tests/queue_speed.rs
+++ b/tests/queue_speed.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 use hemlockrock::configs::queue::QueueConfig;
+use hemlockrock::place::spec::Resources;
 use hemlockrock::queue::model::{
     AdvicePolicy, JobId, JobState, RunEnd, Step, StepId, Submission, TaskId,
 };
@@ -510,3 +511,20 @@
         assert_eq!(starts.len(), 10, "{may_copy} {factors:?}");
     }
 }
+
+/// Guards against a task that counts as copied although the limit of its workspace held the copy back.
+#[test]
+fn a_copy_that_a_limit_holds_back_starts_once_the_limit_allows_it() {
+    let limit = |cpu_millis| [("w", 100.0, Resources::new(cpu_millis, u64::MAX, u32::MAX))];
+    let mut harness = harness(QueueConfig::default(), 700, 1_700);
+    mixed_load(&mut harness);
+    harness.run_tasks(40_000, |_| 1_000);
+    harness.declare_workspaces(&limit(22_000));
+    let step = Step { may_copy: true, ..timed_step(10, 2_200, 850) };
+    harness.submit(Submission { workspace: Some("w".into()), ..job_in(TIGHT_QUEUE, 1, step) });
+    assert_eq!(harness.run_tasks(1_000, slow_first).len(), 10);
+    harness.declare_workspaces(&limit(2_200));
+    assert_eq!(harness.run_tasks(1_000, slow_first).len(), 0, "the copy does not fit");
+    harness.declare_workspaces(&limit(22_000));
+    assert_eq!(harness.run_tasks(500, slow_first).len(), 1);
+}
