fix(queue): the order by value and advice ahead of room apply to workspaces only

With uneven runners as a condition, calls for advice were filled with runners whose speed does not suit the work: advice_is_requested_about_the_runners_that_ suit_the_work named 8 runners for 4. Advice is not requested ahead where runners are uneven.

--- a/src/queue/scheduler/advice.rs
+++ b/src/queue/scheduler/advice.rs
@@ -201,7 +201,7 @@
         now_ms: u64,
     ) {
         let competition_millis = match &subject {
-            AdviceSubject::Tasks(left) if self.is_contended() => {
+            AdviceSubject::Tasks(left) if self.requests_advice_ahead() => {
                 let competition = self.competition_millis(request, policy, *left, now_ms);
                 let Some(competition) = competition else { return };
                 competition
@@ -262,7 +262,7 @@
         if self.jobs[pending.key].steps[pending.step].advice.calls_in_flight > 0 {
             return;
         }
-        if self.is_contended() && !self.has_host_for(pending.policy, now_ms) {
+        if self.requests_advice_ahead() && !self.has_host_for(pending.policy, now_ms) {
             return;
         }
         let mut selected;
@@ -270,7 +270,7 @@
             AdviceSubject::Runners(runners) => runners,
             AdviceSubject::Tasks(count) => {
                 selected = self.runners_to_ask(&request, *count, now_ms);
-                if self.is_contended() {
+                if self.requests_advice_ahead() {
                     let (policy, competition) = (pending.policy, pending.competition_millis);
                     self.add_expected_runners(
                         &request,
@@ -310,7 +310,7 @@
     /// Whether another host may make a long call, rather than stay free for short ones.
     fn may_call_long(&self, now_ms: u64) -> bool {
         let hosts = self.advice_hosts.len();
-        let reserved = if self.is_contended() {
+        let reserved = if self.requests_advice_ahead() {
             self.room_demand.short_call_hosts(SHORT_CALL_HOSTS, hosts, now_ms)
         } else {
             SHORT_CALL_HOSTS
--- a/src/queue/scheduler/waiting.rs
+++ b/src/queue/scheduler/waiting.rs
@@ -224,16 +224,22 @@
 }
 
 impl Scheduler {
-    /// Whether callers compete for insufficient capacity: waiting steps are ordered by what their jobs
-    /// are worth, and advice is requested before there is room.
+    /// Whether callers compete for insufficient capacity, so that waiting steps are ordered by what their
+    /// jobs are worth.
     pub(super) fn is_contended(&self) -> bool {
         match self.config.order_by_value {
-            OrderByValue::Auto => self.directory.workspaces.is_some() || self.speeds.are_uneven(),
+            OrderByValue::Auto => self.directory.workspaces.is_some(),
             OrderByValue::Always => true,
             OrderByValue::Never => false,
         }
     }
 
+    /// Whether steps near the front request advice before there is room. Where runners are uneven, they
+    /// would fill their calls with runners whose speed does not suit them.
+    pub(super) fn requests_advice_ahead(&self) -> bool {
+        self.is_contended() && !self.speeds.are_uneven()
+    }
+
     /// Position of the waiting steps of a job among all others.
     ///
     /// Where estimates are unreliable they would name jobs as late that are not, which would wait behind
