fix(queue): where estimates are unreliable, due times count from the acceptance of a job

After a change of leader, jobs of a queue whose estimates had not been measured yet were ordered as if all had been accepted at once (after_a_change_of_leader_ jobs_start_in_the_order_of_their_ages: 1, 2, 3 for 2, 3, 1).

--- a/src/queue/scheduler/waiting.rs
+++ b/src/queue/scheduler/waiting.rs
@@ -99,7 +99,8 @@
     Rank { priority: waiting.priority, share: waiting.share, prospect, order_ms }
 }
 
-/// Ranks a waiting step by priority, the share of its workspace, and the time left until it is due.
+/// Ranks a waiting step by priority, the share of its workspace, and the time left until it is due,
+/// which is `due_ms` less `now_ms`.
 pub fn rank_by_due_time(priority: u32, share: (bool, u32), due_ms: u64, now_ms: u64) -> Rank {
     let order_ms = signed(due_ms) - signed(now_ms);
     Rank { priority, share, prospect: Prospect::InTime, order_ms }
@@ -247,10 +248,14 @@
     pub(super) fn rank_of(&self, key: JobKey, now_ms: u64) -> Rank {
         let job = &self.jobs[key];
         let share = self.share_position(key, now_ms);
-        if self.is_contended() && self.estimate_errors.are_reliable(&job.submission.queue) {
-            return rank(&self.waiting_step(job, share, now_ms));
+        if !self.is_contended() {
+            return rank_by_due_time(job.priority, share, job.due_ms, now_ms);
         }
-        rank_by_due_time(job.priority, share, job.due_ms, now_ms)
+        let waiting = self.waiting_step(job, share, now_ms);
+        if self.estimate_errors.are_reliable(&job.submission.queue) {
+            return rank(&waiting);
+        }
+        rank_by_due_time(job.priority, share, waiting.allowed_ms, waiting.age_ms)
     }
 
     /// Compares the duration of a completed run with its estimate. Runs that have resumed from a
--- a/tests/queue_overload.rs
+++ b/tests/queue_overload.rs
@@ -465,6 +465,14 @@
         let step = Step { estimate_ms, ..step(1, 4_000) };
         Submission { queue: BATCH.to_owned(), ..job(id, vec![step]) }
     };
+    // The order by value needs estimates that have proved reliable.
+    for id in 100..130 {
+        harness.handle(Event::JobSubmitted(batch(id, 1_000)));
+        let measured = harness.starts();
+        harness.answer_starts(&measured);
+        harness.advance(1_000);
+        harness.end(&measured[0], RunEnd::Done);
+    }
     harness.handle(Event::JobSubmitted(batch(1, 1_000)));
     let mut running = harness.starts();
     harness.answer_starts(&running);
