--- a/review/standin-b/smallcell.py
+++ b/review/standin-b/smallcell.py
@@ -47,6 +47,7 @@
         self.writers = set()
         self.tasks = set()
         self.port = 0
+        self.is_cut = False  # behind a partition: nothing arrives, and no answer leaves
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
@@ -92,8 +93,10 @@
                 url = urllib.parse.urlsplit(target)
                 query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
                 path = urllib.parse.unquote(url.path)
-                answer = await self.handler(method, path, query, headers, body)
-                if answer is None:  # no answer, and nothing more on this connection
+                answer = None
+                if not self.is_cut:
+                    answer = await self.handler(method, path, query, headers, body)
+                if answer is None or self.is_cut:  # no answer, and nothing more on this connection
                     while await reader.read(4096):
                         pass
                     return
@@ -318,6 +321,7 @@
         self.runs = {}
         self.ended = []
         self.end_count = 0
+        self.ended_ms = {}
         self.past = {}
         self.event = asyncio.Event()
         self.server = HttpServer(self.handle)
@@ -367,6 +371,7 @@
         self.end_count += 1
         saved = "" if how == "done" else run.checkpoint
         self.ended.append([self.end_count, run.task, run.number, how, saved])
+        self.ended_ms[self.end_count] = mono_ms()
         self.cell.run_over(self, run, how)
         self.event.set()
         self.event = asyncio.Event()
