fix(queue): the reserve for urgent work no longer keeps accepted tasks from running

Cause: the reserve was a hard bound on each runner, an empty one included. By the same bound, tasks beside long-running ones, gangs and tasks that need a ticket waited for good.

The reserve is now in one place, scheduler/reserve.rs, which all paths ask. It leaves room for one task beside those that do not end by themselves, and a task that fits on no other runner uses it while at most half of the service is in use. So a reserve decides where work runs, and no accepted task waits for it once the runs around it have ended.

--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -18,6 +18,7 @@
 mod persistence;
 mod placement;
 mod probe;
+mod reserve;
 mod retention;
 mod runner;
 mod runner_status;
--- a/src/queue/scheduler/expected_room.rs
+++ b/src/queue/scheduler/expected_room.rs
@@ -100,11 +100,11 @@
     (policy.base_ms + policy.per_runner_ms * runners as f64) as u64
 }
 
-/// Resources that are expected to be free on a runner at a later time.
-fn free_at(runner: &Runner, reserve_millis: u64, at_ms: u64, now_ms: u64) -> Resources {
+/// Resources that are expected to be free beside a reserve on a runner at a later time.
+fn free_at(runner: &Runner, reserve: Resources, at_ms: u64, now_ms: u64) -> Resources {
     let assignments = runner.assignments.values();
     let ending = assignments.filter(|assignment| assignment.expected_end_ms(now_ms) <= at_ms);
-    ending.fold(runner.free(reserve_millis), |free, assignment| free.plus(assignment.reserved))
+    ending.fold(runner.free().minus(reserve), |free, assignment| free.plus(assignment.reserved))
 }
 
 impl Assignment {
@@ -189,7 +189,9 @@
         }
         let runners = self.runners.values();
         let usable = runners.filter(|runner| runner.service == service && runner.is_usable(now_ms));
-        let free = usable.map(|runner| free_at(runner, 0, now_ms + horizon_ms, now_ms).cpu_millis);
+        let at_ms = now_ms + horizon_ms;
+        let free =
+            usable.map(|runner| free_at(runner, Resources::default(), at_ms, now_ms).cpu_millis);
         let expected = free.sum();
         let entry = (now_ms, horizon_ms, expected);
         self.room_demand.expected_cpu_millis.insert(service.to_owned(), entry);
@@ -226,7 +228,8 @@
             if selected.contains(&key) || !self.may_get_room(request, runner, now_ms) {
                 continue;
             }
-            let slots = Runner::slots(free_at(runner, request.reserve_millis, at_ms, now_ms), need);
+            let reserve = self.urgent_reserve(request, runner);
+            let slots = Runner::slots(free_at(runner, reserve, at_ms, now_ms), need);
             let limit = u64::from(request.declared.max_per_runner);
             let slots = if limit == 0 { slots } else { slots.min(limit) }.min(left as u64);
             if slots == 0 {
@@ -239,7 +242,7 @@
                 missing -= expected;
             } else if is_admitted || !advice.asked.contains(&key) {
                 let expected = if is_admitted { expected } else { expected * share };
-                let room_ms = room_ms(runner, request, need, now_ms);
+                let room_ms = room_ms(runner, reserve, need, now_ms);
                 later.push((!is_admitted, room_ms, key, expected));
             }
         }
@@ -282,9 +285,9 @@
     }
 }
 
-/// Time at which one more task is expected to fit on the runner, in milliseconds.
-fn room_ms(runner: &Runner, request: &PlacementRequest<'_>, need: Resources, now_ms: u64) -> u64 {
-    let mut free = runner.free(request.reserve_millis);
+/// Time at which one more task is expected to fit on the runner beside a reserve, in milliseconds.
+fn room_ms(runner: &Runner, reserve: Resources, need: Resources, now_ms: u64) -> u64 {
+    let mut free = runner.free().minus(reserve);
     let ends = runner.assignments.values();
     let mut ends: Vec<(u64, Resources)> =
         ends.map(|known| (known.expected_end_ms(now_ms), known.reserved)).collect();
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -26,10 +26,6 @@
 /// Minimum number of runners that a call names for the first time, if there are as many.
 const MIN_NEW_RUNNERS: usize = 8;
 
-/// Lowest priority value of queues whose tasks leave a reserve on each runner to urgent work; 0 is
-/// the most urgent.
-pub(super) const RESERVE_FROM_PRIORITY: u32 = 2;
-
 impl Scheduler {
     /// Starts waiting tasks, requests advice for the others, and preempts tasks for long-running ones.
     pub(super) fn place_ready_steps(&mut self, now_ms: u64, out: &mut Vec<Action>) {
@@ -114,20 +110,19 @@
             self.log_limit(key, step, now_ms);
             return false;
         }
-        let job = &self.jobs[key];
         let policy = self.advice_policy(key);
-        let declared = job.submission.steps[step].clone();
+        let declared = self.jobs[key].submission.steps[step].clone();
         let service = self.service_of(key);
-        let reserve_millis = if job.priority >= RESERVE_FROM_PRIORITY {
-            self.config.urgent_reserve_millis
-        } else {
-            0
+        let mut request = PlacementRequest {
+            key,
+            step,
+            declared: &declared,
+            service: &service,
+            reserve_millis: self.usual_reserve_millis(key),
         };
-        let request =
-            PlacementRequest { key, step, declared: &declared, service: &service, reserve_millis };
         if declared.is_gang {
-            if waiting.len() == job.steps[step].tasks.len() {
-                self.place_gang(&request, &waiting, policy, now_ms, out);
+            if waiting.len() == self.jobs[key].steps[step].tasks.len() {
+                self.place_gang(&mut request, &waiting, policy, now_ms, out);
             }
             return false;
         }
@@ -135,7 +130,12 @@
         let mut left = allowed;
         for index in waiting {
             let failed_at = self.jobs[key].steps[step].tasks[index].failed_at;
-            let chosen = self.choose_runner(&request, index, failed_at, policy.is_some(), now_ms);
+            let is_advised = policy.is_some();
+            let mut chosen = self.choose_runner(&request, index, failed_at, is_advised, now_ms);
+            if chosen.is_none() && self.may_use_reserve(&request, now_ms) {
+                request.reserve_millis = 0;
+                chosen = self.choose_runner(&request, index, failed_at, is_advised, now_ms);
+            }
             let Some(runner) = chosen else {
                 // Only copyable tasks may differ in the runners that they can use.
                 if declared.may_copy {
@@ -145,6 +145,7 @@
             };
             let run = self.new_run();
             self.start_task(&request, index, runner, run, now_ms, out);
+            request.reserve_millis = self.usual_reserve_millis(key);
             left -= 1;
             if left == 0 {
                 return false;
@@ -195,15 +196,20 @@
 
     fn place_gang(
         &mut self,
-        request: &PlacementRequest<'_>,
+        request: &mut PlacementRequest<'_>,
         waiting: &[usize],
         policy: Option<AdvicePolicy>,
         now_ms: u64,
         out: &mut Vec<Action>,
     ) {
-        let slots = self.gang_slots(request, now_ms);
-        let total_slots: u64 = slots.iter().map(|(_, slots)| *slots).sum();
-        if total_slots < waiting.len() as u64 {
+        let count =
+            |slots: &[(RunnerKey, u64)]| -> u64 { slots.iter().map(|(_, slots)| slots).sum() };
+        let mut slots = self.gang_slots(request, now_ms);
+        if count(&slots) < waiting.len() as u64 && self.may_use_reserve(request, now_ms) {
+            request.reserve_millis = 0;
+            slots = self.gang_slots(request, now_ms);
+        }
+        if count(&slots) < waiting.len() as u64 {
             if let Some(policy) = policy {
                 let subject = AdviceSubject::Tasks(waiting.len());
                 self.request_advice(request, policy, subject, now_ms);
@@ -272,6 +278,22 @@
         })
     }
 
+    /// Number of tasks of a step for which usable runners have room, apart from runners that its admission
+    /// policy refuses.
+    pub(super) fn open_slots(&self, request: &PlacementRequest<'_>, now_ms: u64) -> u64 {
+        let candidates = self.candidates(request, now_ms);
+        let open = candidates.filter(|(key, _)| !self.is_refused(request, *key));
+        open.map(|(_, slots)| slots).sum()
+    }
+
+    /// Whether the admission policy of a step refuses a runner, as far as known.
+    pub(super) fn is_refused(&self, request: &PlacementRequest<'_>, key: RunnerKey) -> bool {
+        let advice = &self.jobs[request.key].steps[request.step].advice;
+        self.advice_policy(request.key).is_some()
+            && advice.asked.contains(&key)
+            && !advice.has_admitted(key)
+    }
+
     /// Usable runners with free resources for at least one task, and for how many.
     fn candidates<'a>(
         &'a self,
@@ -307,8 +329,8 @@
             return 0;
         }
         let need = request.declared.reservation();
-        let reserve_millis = self.reserve_millis(request, runner);
-        let slots = Runner::slots(runner.free(reserve_millis), need);
+        let free = runner.free().minus(self.urgent_reserve(request, runner));
+        let slots = Runner::slots(free, need);
         let limit = u64::from(request.declared.max_per_runner);
         if limit == 0 || slots == 0 {
             return slots;
@@ -501,7 +523,8 @@
     pub(super) step: usize,
     pub(super) declared: &'a Step,
     pub(super) service: &'a str,
-    /// Part of each runner that must stay free for urgent work, in thousandths.
+    /// Part of each runner that is left free for urgent work, in thousandths; see
+    /// [`Scheduler::urgent_reserve`].
     pub(super) reserve_millis: u64,
 }
 
@@ -528,7 +551,7 @@
         (_, true) => !runner.has_best_effort(),
         _ => true,
     };
-    let left = runner.free(0).minus(need).cpu_millis;
+    let left = runner.free().minus(need).cpu_millis;
     let share = left * MILLI / runner.capacity.cpu_millis.max(1);
     (is_near_data, is_separated, speed_rank, share)
 }
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -150,6 +150,8 @@
     /// Time before which no order is repeated.
     pub(crate) retry_ms: u64,
     pub(crate) is_best_effort: bool,
+    /// Whether the run does not end by itself.
+    pub(crate) is_long_running: bool,
     /// Whether another run of the task may overlap with this one.
     pub(crate) may_copy: bool,
     /// Whether the progress of the run shows if it is stalled: not so for members of a gang, for
@@ -217,6 +219,7 @@
             is_start_confirmed: false,
             retry_ms: now_ms,
             is_best_effort: step.is_best_effort,
+            is_long_running: step.is_long_running,
             may_copy: step.may_copy,
             reports_progress: !step.is_gang && !step.is_long_running && !step.is_best_effort,
             progressed_ms: now_ms,
@@ -362,15 +365,19 @@
         !self.used.fits(self.capacity)
     }
 
-    /// Free resources less a reserve, given in thousandths of the capacity.
-    pub(crate) fn free(&self, reserve_millis: u64) -> Resources {
+    /// Free resources.
+    pub(crate) fn free(&self) -> Resources {
+        self.capacity.minus(self.used)
+    }
+
+    /// Part of the processor and the memory, given in thousandths.
+    pub(crate) fn share(&self, millis: u64) -> Resources {
         const MILLI: u64 = 1_000;
-        let reserve = Resources {
-            cpu_millis: self.capacity.cpu_millis.saturating_mul(reserve_millis) / MILLI,
-            memory_bytes: self.capacity.memory_bytes / MILLI * reserve_millis,
+        Resources {
+            cpu_millis: self.capacity.cpu_millis.saturating_mul(millis) / MILLI,
+            memory_bytes: self.capacity.memory_bytes / MILLI * millis,
             accelerators: 0,
-        };
-        self.capacity.minus(self.used).minus(reserve)
+        }
     }
 
     /// Number of tasks with these needs that fit into `free`.
--- a/src/queue/scheduler/speed_placement.rs
+++ b/src/queue/scheduler/speed_placement.rs
@@ -5,7 +5,8 @@
 
 use crate::queue::model::{Step, TaskId};
 use crate::queue::scheduler::job::Job;
-use crate::queue::scheduler::placement::{PlacementRequest, RESERVE_FROM_PRIORITY};
+use crate::queue::scheduler::placement::PlacementRequest;
+use crate::queue::scheduler::reserve::RESERVE_FROM_PRIORITY;
 use crate::queue::scheduler::runner::{Assignment, RunPhase, Runner, RunnerKey};
 use crate::queue::scheduler::speed::CompletedRun;
 use crate::queue::scheduler::Scheduler;
@@ -67,6 +68,11 @@
 }
 
 impl UrgentDemand {
+    /// Part of the fast runners that urgent work takes, in thousandths.
+    pub(super) fn share_millis(&self) -> u64 {
+        self.share_millis
+    }
+
     fn decay(&mut self, now_ms: u64) {
         #[allow(clippy::cast_precision_loss, reason = "a duration in milliseconds")]
         let elapsed_ms = now_ms.saturating_sub(self.at_ms) as f64;
@@ -203,29 +209,6 @@
         }
     }
 
-    /// Part of a runner that must stay free for urgent work, in thousandths. It is larger on fast
-    /// runners, in proportion to the urgent work that was measured recently, unless the task could then
-    /// never start there.
-    pub(super) fn reserve_millis(&self, request: &PlacementRequest<'_>, runner: &Runner) -> u64 {
-        let usual_millis = request.reserve_millis;
-        if usual_millis == 0 || !self.speeds.are_uneven() {
-            return usual_millis;
-        }
-        let key = self.runner_keys.get(&runner.id);
-        if key.is_none_or(|key| self.speeds.factor(*key) >= 1.0) {
-            return usual_millis;
-        }
-        let millis = self.urgent_demand.share_millis.min(self.config.fast_reserve_millis);
-        let left = MILLI.saturating_sub(millis);
-        let is_possible =
-            request.declared.need.cpu_millis * MILLI <= runner.capacity.cpu_millis * left;
-        if is_possible {
-            usual_millis.max(millis)
-        } else {
-            usual_millis
-        }
-    }
-
     /// Whether the objective of a job leaves too little slack for the slow runners.
     fn is_tight(&self, job: &Job) -> bool {
         self.speeds.has_differences() && self.whole_factor(job) < self.speeds.slow_factor()
