--- a/src/queue/scheduler/inherited.rs
+++ b/src/queue/scheduler/inherited.rs
@@ -129,6 +129,7 @@
         let silent = if have_answered && may_have_leases { 0 } else { self.inherited.silent };
         decision_log::line("inherited_wait_over")
             .with("silent_runners", silent)
+            .with("silent", self.list_silent_runners())
             .with("left_ms", self.inherited.until_ms.unwrap_or(now_ms).saturating_sub(now_ms))
             .end();
         self.inherited.is_waiting = false;
@@ -138,6 +139,17 @@
         true
     }
 
+    /// Names of the first runners that have not answered, each with the start of the incarnation in its
+    /// record, in Unix milliseconds.
+    fn list_silent_runners(&self) -> String {
+        const MAX_LISTED: usize = 8;
+        let silent = self.runners.values().filter(|runner| !runner.is_fenced);
+        let listed = silent
+            .take(MAX_LISTED)
+            .map(|runner| format!("{}:{}", runner.id, runner.listed_started_unix_ms));
+        listed.collect::<Vec<_>>().join(" ")
+    }
+
     /// Requests the write that leaves only this term in the stored ones, once the orders of former
     /// terms have lost their effect.
     pub(super) fn settle_terms(&mut self, now_ms: u64, out: &mut Vec<Action>) {
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -453,6 +453,15 @@
         self.withheld_end = None;
     }
 
+    /// Number of start orders that are not answered, for the log.
+    pub(crate) fn orders_in_flight(&self) -> usize {
+        let is_unanswered = |assignment: &&Assignment| {
+            assignment.is_order_in_flight
+                || assignment.phase == RunPhase::Starting { is_unsure: true }
+        };
+        self.assignments.values().filter(is_unanswered).count()
+    }
+
     /// Whether a start order may take effect in a later incarnation than the one that answered last.
     pub(crate) fn has_unconfirmed_start(&self) -> bool {
         self.assignments.values().any(|assignment| !assignment.is_start_confirmed)
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -195,6 +195,8 @@
         let max_run_lease_ms = self.config.max_run_lease_ms;
         let runner = &mut self.runners[key];
         let former = runner.started_unix_ms;
+        let (former_clock, former_until_ms) = (runner.clock_sample, runner.lease_sent_until_ms);
+        let unanswered_orders = runner.orders_in_flight();
         runner.begin_incarnation(status.started_unix_ms);
         if former.is_none() {
             return;
@@ -209,6 +211,11 @@
         decision_log::line("runner_reborn")
             .with("runner", &runner.id)
             .with("tasks", runner.assignments.len())
+            .with("started_unix_ms", status.started_unix_ms)
+            .with("clock_ms", status.clock_ms)
+            .with("former_clock_ms", former_clock.map_or(0, |(clock_ms, _)| clock_ms))
+            .with("former_lease_until_ms", former_until_ms)
+            .with("unanswered_orders", unanswered_orders)
             .end();
         self.record_restart(key, now_ms);
         let runner = &mut self.runners[key];
