perf(queue): no scan of the runners for each step that waits

On the deployments with heavy load, hundreds of steps wait in each pass. For each one, the use of the reserve was decided by a scan of all runners, and each look at a runner added up its long-running tasks and compared addresses.

Now a service is found to be busy once in a pass, runners keep the sum of their long-running tasks, the match of the roster is kept with the entry, and restarted runners are only looked for while there are any.

--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -33,7 +33,7 @@
 
 use slotmap::SlotMap;
 
-use crate::collections::HashMap;
+use crate::collections::{HashMap, HashSet};
 use crate::configs::queue::QueueConfig;
 use crate::decision_log;
 use crate::queue::model::{JobId, JobState, QueueDirectory, RunnerId, Submission};
@@ -91,6 +91,9 @@
     pending_advice: Vec<advice::PendingAdvice>,
     persistence: persistence::Persistence,
     roster_writes: roster::RosterWrites,
+    /// Services of which too much is in use for less urgent work to use the reserve, as found in this
+    /// placement pass.
+    busy_services: HashSet<String>,
     /// Estimated share of runners that the policy of each queue admits, by queue name.
     admitted_share: HashMap<String, f64>,
     /// Time until which the leader's lease certainly holds.
@@ -137,6 +140,7 @@
             pending_advice: Vec::new(),
             persistence: persistence::Persistence::default(),
             roster_writes: roster::RosterWrites::default(),
+            busy_services: HashSet::default(),
             admitted_share: HashMap::default(),
             confirmed_until_ms: 0,
             is_term_confirmed: false,
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -32,6 +32,7 @@
         let is_inherited_wait_over = self.update_inherited_wait(now_ms);
         self.end_probations();
         self.room_demand.begin_pass();
+        self.busy_services.clear();
         let mut ready: Vec<(JobKey, usize)> = Vec::new();
         for (key, job) in &self.jobs {
             if job.state.is_final() {
--- a/src/queue/scheduler/reserve.rs
+++ b/src/queue/scheduler/reserve.rs
@@ -32,18 +32,26 @@
 
     /// Whether a task for which no runner has room beside the reserve may use it: so much of the service
     /// is free that urgent work does not depend on it.
-    pub(super) fn may_use_reserve(&self, request: &PlacementRequest<'_>, now_ms: u64) -> bool {
-        if request.reserve_millis == 0 || self.open_slots(request, now_ms) > 0 {
+    pub(super) fn may_use_reserve(&mut self, request: &PlacementRequest<'_>, now_ms: u64) -> bool {
+        if request.reserve_millis == 0 || self.busy_services.contains(request.service) {
             return false;
         }
-        let usable =
-            |runner: &&Runner| runner.service == request.service && runner.is_usable(now_ms);
+        if self.is_busy(request.service, now_ms) {
+            self.busy_services.insert(request.service.to_owned());
+            return false;
+        }
+        self.open_slots(request, now_ms) == 0
+    }
+
+    /// Whether so much of a service is in use that urgent work may depend on the reserve.
+    fn is_busy(&self, service: &str, now_ms: u64) -> bool {
+        let usable = |runner: &&Runner| runner.service == service && runner.is_usable(now_ms);
         let (mut used, mut capacity) = (0_u64, 0_u64);
         for runner in self.runners.values().filter(usable) {
             used = used.saturating_add(runner.used.cpu_millis);
             capacity = capacity.saturating_add(runner.capacity.cpu_millis);
         }
-        used.saturating_mul(MILLI) <= capacity.saturating_mul(SPARE_MILLIS)
+        used.saturating_mul(MILLI) > capacity.saturating_mul(SPARE_MILLIS)
     }
 
     /// Resources that a task has to leave free on a runner, at most what is left beside it if all other
@@ -57,11 +65,8 @@
         if millis == 0 {
             return Resources::default();
         }
-        let lasting = runner.assignments.values().filter(|assignment| assignment.is_long_running);
-        let left = lasting
-            .fold(runner.capacity, |left, assignment| left.minus(assignment.reserved))
-            .minus(request.declared.reservation());
-        runner.share(millis).smaller(left)
+        let left = runner.capacity.minus(runner.used_by_long_running);
+        runner.share(millis).smaller(left.minus(request.declared.reservation()))
     }
 
     /// Part of a runner that a task leaves free for urgent work, in thousandths. It is larger on fast
--- a/src/queue/scheduler/roster.rs
+++ b/src/queue/scheduler/roster.rs
@@ -27,6 +27,8 @@
     is_in_flight: bool,
     /// Whether the stored roster names runners that are gone, or the last write has failed.
     is_outdated: bool,
+    /// Whether runners got no tasks in the last pass only because leases may be long there.
+    has_held_back_runners: bool,
     /// Time before which the roster is not written unless a runner cannot be used without it.
     next_ms: u64,
     /// Entries of the write in flight.
@@ -38,6 +40,8 @@
 pub(crate) struct RosterState {
     /// The stored entry, as far as known.
     pub(crate) stored: Option<RosterEntry>,
+    /// Whether the stored entry names the address and the current incarnation of the runner.
+    is_match: bool,
     /// Time from which leases of the current incarnation are certainly usual ones, in milliseconds;
     /// `None` before it is known.
     usual_leases_from_ms: Option<u64>,
@@ -86,10 +90,31 @@
 impl Runner {
     /// Whether the stored roster allows tasks to start on the current incarnation.
     pub(crate) fn is_in_roster(&self, now_ms: u64) -> bool {
-        let Some(stored) = &self.roster.stored else { return false };
-        stored.address == self.address
-            && self.started_unix_ms == Some(stored.started_unix_ms)
-            && (self.roster.has_usual_leases(now_ms) || stored.leases == RunLeases::Longest)
+        self.roster.is_match
+            && (self.roster.has_usual_leases(now_ms) || self.has_stored_leases(RunLeases::Longest))
+    }
+
+    fn has_stored_leases(&self, leases: RunLeases) -> bool {
+        self.roster.stored.as_ref().is_some_and(|stored| stored.leases == leases)
+    }
+
+    /// Records the stored roster entry.
+    pub(super) fn set_roster_entry(&mut self, entry: RosterEntry) {
+        self.roster.stored = Some(entry);
+        self.update_roster_match();
+    }
+
+    /// Compares the stored entry with the runner, of which the address or the incarnation may have
+    /// changed.
+    pub(super) fn update_roster_match(&mut self) {
+        self.roster.is_match = self.roster.stored.as_ref().is_some_and(|stored| {
+            stored.address == self.address && self.started_unix_ms == Some(stored.started_unix_ms)
+        });
+    }
+
+    /// Whether the runner gets no tasks only because leases may be long there.
+    fn is_held_back(&self, now_ms: u64) -> bool {
+        self.is_fenced && !self.roster.is_wanted && !self.roster.has_usual_leases(now_ms)
     }
 
     /// What the roster should say of the runner now: the incarnation and its leases; `None` if it need
@@ -128,6 +153,14 @@
 
     /// How soon the stored entry has to be replaced.
     fn roster_change(&self, now_ms: u64) -> RosterChange {
+        let is_settled = self.roster.is_match
+            && self.is_fenced
+            && self.started_unix_ms == Some(self.listed_started_unix_ms)
+            && self.roster.has_usual_leases(now_ms)
+            && self.has_stored_leases(RunLeases::Usual);
+        if is_settled {
+            return RosterChange::None;
+        }
         let claim = self.roster_claim(now_ms).filter(|_| self.is_listed);
         let Some((started_unix_ms, leases)) = claim else { return RosterChange::None };
         let Some(stored) = &self.roster.stored else { return RosterChange::Urgent };
@@ -160,12 +193,12 @@
     /// Adds a runner to which a previous leader may have sent orders.
     pub(super) fn add_roster_runner(&mut self, entry: RosterEntry) {
         if let Some(key) = self.runner_keys.get(entry.id.as_str()) {
-            self.runners[*key].roster.stored = Some(entry);
+            self.runners[*key].set_roster_entry(entry);
             return;
         }
         let id = RunnerId::from(entry.id.as_str());
         let mut runner = Runner::from_roster(id.clone(), entry.address.clone(), self.last_token);
-        runner.roster.stored = Some(entry);
+        runner.set_roster_entry(entry);
         let key = self.runners.insert(runner);
         self.runner_keys.insert(id, key);
     }
@@ -184,12 +217,11 @@
         count: usize,
         now_ms: u64,
     ) {
-        let is_held_back = |runner: &Runner| {
-            !runner.roster.is_wanted
-                && runner.is_fenced
-                && !runner.roster.has_usual_leases(now_ms)
-                && runner.service == request.service
-        };
+        if !self.roster_writes.has_held_back_runners {
+            return;
+        }
+        let is_held_back =
+            |runner: &Runner| runner.is_held_back(now_ms) && runner.service == request.service;
         if !self.runners.values().any(is_held_back) {
             return;
         }
@@ -226,6 +258,8 @@
     /// that are gone, or long leases that have become usual ones, it is written less often: a successor
     /// would wait longer than necessary.
     pub(super) fn save_roster(&mut self, now_ms: u64, out: &mut Vec<Action>) {
+        let is_held_back = |runner: &Runner| runner.is_held_back(now_ms);
+        self.roster_writes.has_held_back_runners = self.runners.values().any(is_held_back);
         if self.roster_writes.is_in_flight {
             return;
         }
@@ -244,7 +278,9 @@
         let sent: Vec<(RunnerKey, RosterEntry)> = self.runners.iter().filter_map(entry).collect();
         out.push(Action::SaveRoster(sent.iter().map(|(_, entry)| entry.clone()).collect()));
         let next_ms = now_ms + ROSTER_GAP_MS;
-        self.roster_writes = RosterWrites { is_in_flight: true, is_outdated: false, next_ms, sent };
+        let writes = &mut self.roster_writes;
+        (writes.is_in_flight, writes.is_outdated) = (true, false);
+        (writes.next_ms, writes.sent) = (next_ms, sent);
     }
 
     pub(super) fn roster_saved(&mut self, is_stored: bool) {
@@ -256,7 +292,7 @@
         }
         for (key, entry) in sent {
             if let Some(runner) = self.runners.get_mut(key) {
-                runner.roster.stored = Some(entry);
+                runner.set_roster_entry(entry);
             }
         }
     }
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -79,6 +79,8 @@
     pub(crate) assignments: HashMap<TaskId, Assignment>,
     /// Sum of the resources that the assignments reserve.
     pub(crate) used: Resources,
+    /// Part of it that long-running tasks reserve.
+    pub(crate) used_by_long_running: Resources,
     pub(crate) renewal: RenewalState,
     /// Time until which the runner gets no new tasks.
     pub(crate) paused_until_ms: u64,
@@ -299,6 +301,7 @@
             withheld_end: None,
             assignments: HashMap::default(),
             used: Resources::default(),
+            used_by_long_running: Resources::default(),
             renewal: RenewalState::default(),
             paused_until_ms: 0,
             long_lease_until_ms: 0,
@@ -320,6 +323,7 @@
             self.set_capacity(report.capacity);
         }
         self.listed_started_unix_ms = report.started_unix_ms;
+        self.update_roster_match();
     }
 
     /// Sets the capacity, also as the reservation of runs with unknown needs.
@@ -395,14 +399,24 @@
     /// Assigns a run; returns the former one of the same task.
     pub(crate) fn assign(&mut self, task: TaskId, assignment: Assignment) -> Option<Assignment> {
         self.used = self.used.plus(assignment.reserved);
+        if assignment.is_long_running {
+            self.used_by_long_running = self.used_by_long_running.plus(assignment.reserved);
+        }
         let former = self.assignments.insert(task, assignment)?;
-        self.used = self.used.minus(former.reserved);
+        self.return_resources(&former);
         Some(former)
     }
 
+    fn return_resources(&mut self, assignment: &Assignment) {
+        self.used = self.used.minus(assignment.reserved);
+        if assignment.is_long_running {
+            self.used_by_long_running = self.used_by_long_running.minus(assignment.reserved);
+        }
+    }
+
     pub(crate) fn release(&mut self, task: TaskId) -> Option<Assignment> {
         let assignment = self.assignments.remove(&task)?;
-        self.used = self.used.minus(assignment.reserved);
+        self.return_resources(&assignment);
         Some(assignment)
     }
 
@@ -455,6 +469,7 @@
         self.unsaved_ends.clear();
         self.unclaimed_ends.clear();
         self.withheld_end = None;
+        self.update_roster_match();
     }
 
     /// Number of start orders that are not answered, for the log.
