perf(queue): a bounded number of searches in each placement pass

A step that waits for tickets finds no runner and was taken for one that may need the reserve, so that each pass looked at all runners once more for each of them.

A pass makes at most four searches of each kind, and a step is searched for at most twice a second.

--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -94,6 +94,8 @@
     /// Services of which too much is in use for less urgent work to use the reserve, as found in this
     /// placement pass.
     busy_services: HashSet<String>,
+    /// Number of searches in this placement pass for tasks that need the reserve.
+    reserve_searches: u32,
     /// Estimated share of runners that the policy of each queue admits, by queue name.
     admitted_share: HashMap<String, f64>,
     /// Time until which the leader's lease certainly holds.
@@ -141,6 +143,7 @@
             persistence: persistence::Persistence::default(),
             roster_writes: roster::RosterWrites::default(),
             busy_services: HashSet::default(),
+            reserve_searches: 0,
             admitted_share: HashMap::default(),
             confirmed_until_ms: 0,
             is_term_confirmed: false,
--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -58,6 +58,8 @@
     pub(crate) failed: Vec<(u32, u64)>,
     /// Time at which the log last told why suspects of the step wait, in milliseconds.
     pub(crate) wait_logged_ms: u64,
+    /// Time of the last search of whether the tasks need the reserve for urgent work, in milliseconds.
+    pub(crate) reserve_searched_ms: u64,
 }
 
 /// State of a task.
@@ -103,6 +105,7 @@
                 advice: StepAdvice::default(),
                 failed: Vec::new(),
                 wait_logged_ms: 0,
+                reserve_searched_ms: 0,
             })
             .collect();
         let work_ms: u64 = submission.steps.iter().map(|step| step.estimate_ms).sum();
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -33,6 +33,7 @@
         self.end_probations();
         self.room_demand.begin_pass();
         self.busy_services.clear();
+        self.reserve_searches = 0;
         let mut ready: Vec<(JobKey, usize)> = Vec::new();
         for (key, job) in &self.jobs {
             if job.state.is_final() {
--- a/src/queue/scheduler/reserve.rs
+++ b/src/queue/scheduler/reserve.rs
@@ -18,6 +18,13 @@
 /// urgent work then finds room on other runners.
 const SPARE_MILLIS: u64 = 500;
 
+/// Shortest time between two searches for a step of whether its tasks need the reserve, in
+/// milliseconds. Each search looks at all runners, and hundreds of steps may wait.
+const SEARCH_GAP_MS: u64 = 500;
+
+/// Maximum number of such searches in a placement pass.
+const MAX_SEARCHES: u32 = 4;
+
 const MILLI: u64 = 1_000;
 
 impl Scheduler {
@@ -33,9 +40,16 @@
     /// Whether a task for which no runner has room beside the reserve may use it: so much of the service
     /// is free that urgent work does not depend on it.
     pub(super) fn may_use_reserve(&mut self, request: &PlacementRequest<'_>, now_ms: u64) -> bool {
-        if request.reserve_millis == 0 || self.busy_services.contains(request.service) {
+        let step = &mut self.jobs[request.key].steps[request.step];
+        if request.reserve_millis == 0
+            || self.reserve_searches >= MAX_SEARCHES
+            || now_ms < step.reserve_searched_ms + SEARCH_GAP_MS
+            || self.busy_services.contains(request.service)
+        {
             return false;
         }
+        step.reserve_searched_ms = now_ms;
+        self.reserve_searches += 1;
         if self.is_busy(request.service, now_ms) {
             self.busy_services.insert(request.service.to_owned());
             return false;
--- a/src/queue/scheduler/roster.rs
+++ b/src/queue/scheduler/roster.rs
@@ -21,6 +21,10 @@
 /// milliseconds.
 const ROSTER_GAP_MS: u64 = 1_000;
 
+/// Maximum number of steps in a placement pass for which restarted runners are looked for. Each search
+/// looks at all runners, and hundreds of steps may wait.
+const MAX_SEARCHES: u32 = 4;
+
 /// State of the writes of the roster.
 #[derive(Debug, Default)]
 pub(super) struct RosterWrites {
@@ -29,6 +33,8 @@
     is_outdated: bool,
     /// Whether runners got no tasks in the last pass only because leases may be long there.
     has_held_back_runners: bool,
+    /// Number of searches since the last pass for steps that need those runners.
+    searches: u32,
     /// Time before which the roster is not written unless a runner cannot be used without it.
     next_ms: u64,
     /// Entries of the write in flight.
@@ -217,9 +223,11 @@
         count: usize,
         now_ms: u64,
     ) {
-        if !self.roster_writes.has_held_back_runners {
+        if !self.roster_writes.has_held_back_runners || self.roster_writes.searches >= MAX_SEARCHES
+        {
             return;
         }
+        self.roster_writes.searches += 1;
         let is_held_back =
             |runner: &Runner| runner.is_held_back(now_ms) && runner.service == request.service;
         if !self.runners.values().any(is_held_back) {
@@ -260,6 +268,7 @@
     pub(super) fn save_roster(&mut self, now_ms: u64, out: &mut Vec<Action>) {
         let is_held_back = |runner: &Runner| runner.is_held_back(now_ms);
         self.roster_writes.has_held_back_runners = self.runners.values().any(is_held_back);
+        self.roster_writes.searches = 0;
         if self.roster_writes.is_in_flight {
             return;
         }
