--- a/review/standin-c/cell.py
+++ b/review/standin-c/cell.py
@@ -118,7 +118,8 @@
 
     def spawn_standin(self, program, *arguments):
         command = [sys.executable, "-B", os.path.join(HERE, program), *arguments]
-        return self.spawn(command, dict(os.environ), program + str(len(self.processes)))
+        return self.spawn(command, dict(os.environ),
+                          os.path.basename(program) + str(len(self.processes)))
 
     def start(self, routes):
         """Declares the routes, starts the hosts and runners, and waits until they are ready."""
