fix(queue): successors count on the longest lease at restarted runners

Callers saw a task run twice (TWICE): a runner restarted under its id, an order to its former incarnation gave the new one a lease of 10 s, its leader handed over, and the successor, which had reached the runner, started the task elsewhere 4.0 s after the runner was cut off.

Cause: two places answered which leases a runner may hold. The roster entry said that they may be the longest, and the leader that saw the restart counted on them; a successor that met the runner did so only if the runner's clock showed less than 10 s. A new clock may begin at any value. Likewise, a leader to which the new incarnation had confirmed a start took its lease for a usual one until it had read its status.

Change: `Runner::unknown_lease_ms` answers for all answers of an incarnation that is not fenced: the longest lease unless the roster says that leases are usual ones. A restart that only a confirmed start or the runner's record shows is entered in the roster's state, and the lease of the runner is counted as the longest from then on.

--- a/src/queue/scheduler/orders.rs
+++ b/src/queue/scheduler/orders.rs
@@ -51,12 +51,14 @@
         sent_ms: u64,
         now_ms: u64,
     ) {
-        let config = &self.config;
+        let (max_run_lease_ms, long_lease_ms) =
+            (self.config.max_run_lease_ms, self.long_lease_ms());
         let runner = &mut self.runners[key];
         let is_confirmed = runner.is_clock_continuous(clock_ms, sent_ms);
         if !is_confirmed {
             runner.renewal.next_ms = now_ms;
-            runner.expect_long_lease(config.max_run_lease_ms, config.run_lease_ms, now_ms);
+            runner.expect_long_lease(max_run_lease_ms, now_ms);
+            runner.long_lease_until_ms = runner.long_lease_until_ms.max(now_ms + long_lease_ms);
             decision_log::line("start_on_other_incarnation")
                 .with("task", task)
                 .with("runner", &runner.id)
--- a/src/queue/scheduler/roster.rs
+++ b/src/queue/scheduler/roster.rs
@@ -9,6 +9,7 @@
 //! may be long there, only if other runners lack room. The roster tells a successor of such use, and it
 //! also shows which runners have restarted without the knowledge of their leader.
 
+use crate::configs::queue::QueueConfig;
 use crate::decision_log;
 use crate::queue::model::RunnerId;
 use crate::queue::record::{RosterEntry, RunLeases};
@@ -118,6 +119,21 @@
         });
     }
 
+    /// Longest lease that former leaders, or orders to former incarnations, may have obtained at the
+    /// incarnation that has answered with this clock, from then on, in milliseconds.
+    ///
+    /// A clock that shows less than the longest lease tells that the incarnation is young. Any other
+    /// tells nothing, since a clock may begin at any value.
+    pub(super) fn unknown_lease_ms(&self, config: &QueueConfig, clock_ms: u64, now_ms: u64) -> u64 {
+        // The roster forgets runners that are gone, so that one which it does not name may be back.
+        let is_young = clock_ms < config.max_run_lease_ms;
+        if is_young || !self.roster.has_usual_leases(now_ms) {
+            config.max_run_lease_ms
+        } else {
+            config.run_lease_ms
+        }
+    }
+
     /// Whether the runner gets no tasks only because leases may be long there.
     fn is_held_back(&self, now_ms: u64) -> bool {
         self.is_fenced && !self.roster.is_wanted && !self.roster.has_usual_leases(now_ms)
--- a/src/queue/scheduler/runner.rs
+++ b/src/queue/scheduler/runner.rs
@@ -84,8 +84,8 @@
     pub(crate) renewal: RenewalState,
     /// Time until which the runner gets no new tasks.
     pub(crate) paused_until_ms: u64,
-    /// Time until which the lease of the runner may last for longer than a run lease from now. It
-    /// gets no new tasks, since a successor would not wait for them that long.
+    /// Time until which the runner gets no new tasks because it has confirmed a start that was meant for
+    /// another incarnation, so that leases there may be long.
     pub(crate) long_lease_until_ms: u64,
     /// Jobs with a failed task on this runner since the last task that completed on it.
     pub(crate) failed_jobs: Vec<u64>,
@@ -437,11 +437,11 @@
         Some(until_ms)
     }
 
-    /// Records that the runner may have been given a lease of `max_lease_ms` just before, rather than
-    /// of `lease_ms`.
-    pub(crate) fn expect_long_lease(&mut self, max_lease_ms: u64, lease_ms: u64, now_ms: u64) {
-        let usual_from_ms = now_ms + certain_expiry_ms(max_lease_ms).saturating_sub(lease_ms);
-        self.long_lease_until_ms = self.long_lease_until_ms.max(usual_from_ms);
+    /// Records that an order may have reached a later incarnation than the one that answered last, where
+    /// it obtains a lease of up to `max_lease_ms`.
+    pub(crate) fn expect_long_lease(&mut self, max_lease_ms: u64, now_ms: u64) {
+        self.extend_lease(max_lease_ms, now_ms);
+        self.roster.restart();
     }
 
     /// Expiry of the lease in a repeated start order, on the runner's clock: that of the first order,
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -52,7 +52,7 @@
         if runner.listed_started_unix_ms != report.started_unix_ms {
             runner.renewal.next_ms = now_ms;
             if runner.has_unconfirmed_start() {
-                runner.extend_lease(self.config.max_run_lease_ms, now_ms);
+                runner.expect_long_lease(self.config.max_run_lease_ms, now_ms);
             }
         }
         runner.update(report);
@@ -116,8 +116,6 @@
             self.begin_incarnation(key, &status, now_ms);
         }
         self.record_answer(key);
-        let (run_lease_ms, max_run_lease_ms) =
-            (self.config.run_lease_ms, self.config.max_run_lease_ms);
         let long_lease_ms = self.long_lease_ms();
         let runner = &mut self.runners[key];
         if !is_restarted {
@@ -125,12 +123,8 @@
             runner.delivered_end = runner.delivered_end.max(runner.sent_end);
         }
         if !runner.is_fenced {
-            // A previous leader may have renewed the lease just before. Its orders to the former
-            // incarnation, whose clock was ahead, may reach the new one.
-            let is_young = status.clock_ms < max_run_lease_ms;
-            let former_until_ms =
-                status.clock_ms + if is_young { max_run_lease_ms } else { run_lease_ms };
-            runner.lease_sent_until_ms = runner.lease_sent_until_ms.max(former_until_ms);
+            let lease_ms = runner.unknown_lease_ms(&self.config, status.clock_ms, now_ms);
+            runner.lease_sent_until_ms = runner.lease_sent_until_ms.max(status.clock_ms + lease_ms);
         }
         // This answer belongs to an order with the token of the former incarnation.
         runner.is_fenced = !is_restarted;
@@ -183,7 +177,6 @@
     /// The runs of the previous incarnation have ended with it. An unanswered start order may still
     /// reach the new one, so that its run is stopped.
     fn begin_incarnation(&mut self, key: RunnerKey, status: &RunnerStatus, now_ms: u64) {
-        let max_run_lease_ms = self.config.max_run_lease_ms;
         let runner = &mut self.runners[key];
         let former = runner.started_unix_ms;
         let (former_clock, former_until_ms) = (runner.clock_sample, runner.lease_sent_until_ms);
@@ -199,8 +192,6 @@
         runner.token = token;
         runner.is_fenced = false;
         runner.renewal.next_ms = now_ms;
-        // Delayed orders carry times on the clock of the former incarnation, which was ahead.
-        runner.lease_sent_until_ms = status.clock_ms + max_run_lease_ms;
         decision_log::line("runner_reborn")
             .with("runner", &runner.id)
             .with("tasks", runner.assignments.len())
--- a/tests/queue_long_leases.rs
+++ b/tests/queue_long_leases.rs
@@ -154,3 +154,80 @@
     let at_restarted = starts.iter().filter(|start| &*start.target.0 == "r1").count();
     assert_eq!((starts.len(), at_restarted), (6, 2));
 }
+
+/// Clocks with which a new incarnation begins, in milliseconds.
+const FIRST_CLOCKS_MS: [u64; 2] = [0, 2_882_307];
+
+/// What the former leader does about a restart of r1 before it is replaced.
+#[derive(Clone, Copy, Debug)]
+enum Takeover {
+    /// It has seen the restart, and the roster names the new incarnation.
+    Recorded,
+    /// It has seen the restart, but the roster does not name the new incarnation yet.
+    NotRecorded,
+    /// It has not seen the restart.
+    NotSeen,
+}
+
+/// A successor that has reached r1, which restarted under its former leader and runs the task of an
+/// order that was meant for its former incarnation.
+fn with_successor_at_restarted_runner(first_clock_ms: u64, takeover: Takeover) -> Harness {
+    let mut harness = Harness::new(1);
+    harness.add_runner("r1", 4_000);
+    harness.advance(12_000);
+    harness.handle(Event::JobSubmitted(first_job()));
+    let starts = harness.starts();
+    harness.refuse_roster_writes(matches!(takeover, Takeover::NotRecorded));
+    harness.restart_runner_with_clock("r1", first_clock_ms);
+    harness.begin_run(&starts[0]);
+    if !matches!(takeover, Takeover::NotSeen) {
+        harness.list_runner("r1");
+        harness.advance(PASS_MS);
+    }
+    harness.refuse_roster_writes(false);
+    harness.take_over_from_ended_term(2, &[first_job()]);
+    harness.advance(PASS_MS);
+    harness
+}
+
+// Guards against tasks that run twice: a successor that had reached a restarted runner took its run for
+// ended after a usual lease, unless the clock of the new incarnation had begun at 0.
+#[test]
+fn a_successor_that_reached_a_restarted_runner_counts_on_the_longest_lease_there() {
+    for takeover in [Takeover::Recorded, Takeover::NotRecorded, Takeover::NotSeen] {
+        for first_clock_ms in FIRST_CLOCKS_MS {
+            let mut harness = with_successor_at_restarted_runner(first_clock_ms, takeover);
+            let reached_ms = harness.now_ms;
+            harness.cut_off_runner("r1");
+            harness.add_runner("r3", 4_000);
+            while !harness.has_started(task(1, 0, 0)) {
+                assert!(harness.now_ms < reached_ms + 20_000, "the task does not start again");
+                harness.advance(25);
+            }
+            // An order to the former incarnation may have arrived right before r1 was reached.
+            let earliest_ms = reached_ms - PASS_MS + harness.config.max_run_lease_ms;
+            assert!(
+                harness.now_ms >= earliest_ms,
+                "{takeover:?}, clock from {first_clock_ms} ms: started again {} ms too early",
+                earliest_ms - harness.now_ms
+            );
+        }
+    }
+}
+
+// Guards against tasks that run twice at the successor of that successor, which does not reach the
+// runner.
+#[test]
+fn a_successor_records_that_leases_on_a_restarted_runner_may_be_the_longest() {
+    for takeover in [Takeover::Recorded, Takeover::NotRecorded, Takeover::NotSeen] {
+        for first_clock_ms in FIRST_CLOCKS_MS {
+            let mut harness = with_successor_at_restarted_runner(first_clock_ms, takeover);
+            let wait_ms = wait_of_successor(&mut harness, 3);
+            let longest = wait_for(harness.config.max_run_lease_ms);
+            assert!(
+                longest.contains(&wait_ms),
+                "{takeover:?}, clock from {first_clock_ms} ms: waited for {wait_ms} ms"
+            );
+        }
+    }
+}
--- a/tests/queue_restarts.rs
+++ b/tests/queue_restarts.rs
@@ -86,6 +86,17 @@
     assert_not_started_before_the_longest_lease(&mut harness, &start);
 }
 
+// Guards against tasks that run twice: the new incarnation confirmed the start on its own clock and was
+// silent from then on, and its run was taken for ended after a usual lease.
+#[test]
+fn a_lease_from_before_a_restart_bounds_a_run_that_the_new_incarnation_confirmed() {
+    let (mut harness, start) = with_unanswered_start();
+    harness.add_runner("r2", 4_000);
+    harness.restart_runner("r1");
+    harness.answer_start(&start, Ok(()));
+    assert_not_started_before_the_longest_lease(&mut harness, &start);
+}
+
 /// Fencing tokens of the renewals at r1 that were requested since the last call and not answered.
 fn renewal_tokens(harness: &Harness) -> Vec<u64> {
     let renewals = harness.actions.iter().filter_map(|action| match action {
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -59,8 +59,10 @@
     /// Whether the runs report no progress.
     is_stalled: bool,
     capacity: u64,
-    /// Time at which the current incarnation of the runner started, which is 0 on its clock.
+    /// Time at which the current incarnation of the runner started.
     started_ms: u64,
+    /// Time that its clock showed then, in milliseconds.
+    first_clock_ms: u64,
     /// Whether the runner is one of [`OTHER_SERVICE`].
     is_of_other_service: bool,
     labels: Vec<String>,
@@ -143,6 +145,8 @@
     declared: (u64, Option<AdvicePolicy>, Option<Workspaces>),
     /// The stored roster.
     roster: Vec<RosterEntry>,
+    /// Whether the store refuses writes of the roster.
+    refuses_roster: bool,
     /// Progress of each job that was written last.
     pub saved: BTreeMap<JobId, Progress>,
     /// Estimates of the submitted steps, in milliseconds; see [`Harness::submit`].
@@ -220,6 +224,7 @@
             confirms_lease,
             declared: (0, None, None),
             roster: Vec::new(),
+            refuses_roster: false,
             saved: BTreeMap::new(),
             estimates_ms: BTreeMap::new(),
             due_ends: Vec::new(),
@@ -658,16 +663,27 @@
     /// Starts a runner again under the same name: it runs nothing and numbers its ends from 1. The
     /// pending renewal is not answered.
     pub fn restart_runner(&mut self, id: &str) {
+        self.restart_runner_with_clock(id, 0);
+    }
+
+    /// Like [`Harness::restart_runner`]; the clock of the new incarnation begins at `first_clock_ms`.
+    pub fn restart_runner_with_clock(&mut self, id: &str, first_clock_ms: u64) {
         self.make_silent(id);
         self.renew(id);
-        let capacity = self.runners[id].capacity;
-        let runner = FakeRunner { capacity, started_ms: self.now_ms, ..FakeRunner::default() };
+        let (capacity, started_ms) = (self.runners[id].capacity, self.now_ms);
+        let runner = FakeRunner { capacity, started_ms, first_clock_ms, ..FakeRunner::default() };
         self.runners.insert(RunnerId::from(id), runner);
     }
 
+    /// Makes the store refuse all further writes of the roster, or no longer.
+    pub fn refuse_roster_writes(&mut self, is_refused: bool) {
+        self.refuses_roster = is_refused;
+    }
+
     /// The runner's clock, in milliseconds.
     fn clock_ms(&self, id: &str) -> u64 {
-        self.now_ms - self.runners[id].started_ms
+        let runner = &self.runners[id];
+        runner.first_clock_ms + self.now_ms - runner.started_ms
     }
 
     /// Makes the runs of a runner report no more progress.
@@ -810,9 +826,11 @@
                     advice.ask(step, advice_host, runners, (self.now_ms, expected_ms));
                 }
                 Action::SaveRoster(entries) => {
-                    self.roster = entries;
-                    self.scheduler
-                        .handle_event(Event::RosterSaved { is_stored: true }, self.now_ms);
+                    let is_stored = !self.refuses_roster;
+                    if is_stored {
+                        self.roster = entries;
+                    }
+                    self.scheduler.handle_event(Event::RosterSaved { is_stored }, self.now_ms);
                 }
                 Action::RenewLease(renewal) => {
                     let id = renewal.target.0;
