fix(queue): suspects request tickets for the runners on which they may start

Callers saw jobs that never went on (LOST): one runner of eleven was lost, and the tasks of three of six jobs were never started again, with nine tenths of the room free.

Cause: on which runners may a suspect start? Placement answered with the runner that is reserved for the job, the request for advice with those that are not reserved. A suspect that had waited for long asked for both; the first request took the step's turn, so that the reserved runner was never asked about, and the tickets for the others could not be used while too many runners were reserved for suspects, by the same waiting suspects.

Change: `suspect_places` lists the runners with room for suspects, in one order, for starts and for requests. A suspect asks for the ticket of the runner that it is placed on, and for nothing else; if the policy admits none of the known ones, it asks about the best that are not known, its own reserved ones included. Among runners that are alike, one with a valid ticket comes first.

--- a/src/queue/scheduler/probe.rs
+++ b/src/queue/scheduler/probe.rs
@@ -53,6 +53,23 @@
     tasks: Vec<usize>,
 }
 
+/// A runner on which suspects may start; the least one is the best: an idle one comes first, then one
+/// that is reserved for their job, then the one with the fewest other runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct SuspectPlace {
+    /// Whether too many runners are reserved for suspects already.
+    is_withheld: bool,
+    is_occupied: bool,
+    /// Whether the runner is not reserved for the job.
+    is_foreign: bool,
+    /// Number of other runs.
+    others: usize,
+    slots: Reverse<u64>,
+    needs_ticket: bool,
+    answered_ms: Reverse<u64>,
+    runner: RunnerKey,
+}
+
 /// Runners that may be reserved for suspects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reservable {
@@ -267,34 +284,33 @@
             };
             let service = self.service_of(key);
             let request = probe_request(key, step, &declared, &service);
-            let place = self.least_occupied(&request, &[], &[], now_ms);
-            if let Some((runner, _)) = place {
-                self.reserve(runner, key, now_ms);
+            let place = self.best_place(&request, &[], &[], false, now_ms);
+            if let Some(place) = &place {
+                self.reserve(place.runner, key, now_ms);
             }
             let is_allowed = self.allowed_starts(key, step, 1) > 0;
-            if is_allowed && place.is_none_or(|(_, others)| others > 0) {
-                self.request_probe_advice(&request, now_ms);
+            if is_allowed && place.is_none_or(|place| place.is_occupied) {
+                self.request_probe_advice(&request, &[], now_ms);
             }
         }
     }
 
-    /// Asks which of the emptiest runners may run suspects of the step.
-    fn request_probe_advice(&mut self, request: &PlacementRequest<'_>, now_ms: u64) {
+    /// Asks which of the best places for suspects of the step its admission policy allows, among those
+    /// that it has not been asked about.
+    fn request_probe_advice(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        indices: &[usize],
+        now_ms: u64,
+    ) {
         let Some(policy) = self.advice_policy(request.key) else { return };
         let advice = &self.jobs[request.key].steps[request.step].advice;
-        let mut unknown: Vec<(usize, RunnerKey)> = self
-            .runners
-            .iter()
-            .filter(|(key, runner)| {
-                !advice.asked.contains(key)
-                    && !runner.crash.is_reserved(now_ms)
-                    && self.slots_beside_suspects(request, runner, now_ms) > 0
-            })
-            .map(|(key, runner)| (runner.assignments.len(), key))
-            .collect();
+        let places = self.suspect_places(request, indices, &[], now_ms);
+        let mut unknown: Vec<SuspectPlace> =
+            places.filter(|place| !advice.asked.contains(&place.runner)).collect();
         unknown.sort_unstable();
         unknown.truncate(self.config.advice_runners);
-        let runners: Vec<RunnerKey> = unknown.into_iter().map(|(_, key)| key).collect();
+        let runners: Vec<RunnerKey> = unknown.into_iter().map(|place| place.runner).collect();
         self.request_tickets(request, policy, runners, now_ms);
     }
 
@@ -320,29 +336,24 @@
         let policy = self.advice_policy(key);
         let since_ms = self.waiting_since_ms(key, step, tasks);
         let is_late = now_ms >= since_ms + ISOLATION_WAIT_MS;
-        // A runner that was admitted before may be refused after a restart.
-        let place = if is_late { self.ticketed_place(&request, tasks, now_ms) } else { None };
-        let place = place.or_else(|| self.least_occupied(&request, tasks, &[], now_ms));
-        let Some((runner, others)) = place else {
+        // The best place may change before its ticket arrives, so that a valid one counts for more.
+        let ticketed = is_late.then(|| self.best_place(&request, tasks, &[], true, now_ms));
+        let place = ticketed.flatten();
+        let place = place.or_else(|| self.best_place(&request, tasks, &[], false, now_ms));
+        let Some(SuspectPlace { runner, is_occupied, needs_ticket, .. }) = place else {
             self.want_long_leases(&request, tasks.len(), now_ms);
-            self.request_probe_advice(&request, now_ms);
+            self.request_probe_advice(&request, tasks, now_ms);
             return Err("no runner");
         };
         self.reserve(runner, key, now_ms);
-        if let Some(policy) = policy {
-            if !self.jobs[key].steps[step].advice.admits(runner, now_ms) {
-                if is_late {
-                    let subject = AdviceSubject::Tasks(self.allowed_starts(key, step, tasks.len()));
-                    self.request_advice(&request, policy, subject, now_ms);
-                }
-                self.request_tickets(&request, policy, vec![runner], now_ms);
-                return Err("no ticket");
-            }
+        if let Some(policy) = policy.filter(|_| needs_ticket) {
+            self.request_tickets(&request, policy, vec![runner], now_ms);
+            return Err("no ticket");
         }
-        if others > 0 && !is_late {
+        if is_occupied && !is_late {
             return Err("no idle runner");
         }
-        if others == 0 && !self.have_answered_lately(&[runner], now_ms) {
+        if !is_occupied && !self.have_answered_lately(&[runner], now_ms) {
             return Err("no answer of the runner");
         }
         let slots = self.slots_beside_suspects(&request, &self.runners[runner], now_ms);
@@ -406,12 +417,12 @@
         let is_advised = self.advice_policy(request.key).is_some();
         let mut chosen = Vec::new();
         for index in &suspects {
-            let place = self.least_occupied(request, &[*index], &chosen, now_ms);
-            let Some((runner, _)) = place else { break };
-            if is_advised && !advice.admits(runner, now_ms) {
+            let place = self.best_place(request, &[*index], &chosen, false, now_ms);
+            let Some(place) = place else { break };
+            if is_advised && !advice.admits(place.runner, now_ms) {
                 break;
             }
-            chosen.push(runner);
+            chosen.push(place.runner);
         }
         let slots: Vec<RunnerKey> = self
             .gang_slots(request, now_ms)
@@ -462,60 +473,65 @@
         self.crashes.probed_runners.insert(runner);
     }
 
-    /// Runner for suspects with the fewest other runs, and their number. An idle one comes first, then
-    /// one that is reserved for their job.
-    ///
-    /// Not one with other suspects, nor one of `taken`. If the queue has an admission policy, the
-    /// runner was admitted, but its ticket may have expired.
-    fn least_occupied(
-        &self,
-        request: &PlacementRequest<'_>,
-        indices: &[usize],
-        taken: &[RunnerKey],
+    /// Runners with room for suspects of the step, apart from `taken` ones, whatever its admission policy
+    /// says of them. Both starts and requests for tickets go by this list and its order.
+    fn suspect_places<'a>(
+        &'a self,
+        request: &'a PlacementRequest<'_>,
+        indices: &'a [usize],
+        taken: &'a [RunnerKey],
         now_ms: u64,
-    ) -> Option<(RunnerKey, usize)> {
+    ) -> impl Iterator<Item = SuspectPlace> + 'a {
         let job = &self.jobs[request.key];
         let id = job.submission.id;
         let advice = &job.steps[request.step].advice;
-        let is_advised = self.advice_policy(request.key).is_some();
         let reservable = self.reservable(request.service, now_ms);
-        let candidates = self.runners.iter().filter_map(|(key, runner)| {
+        self.runners.iter().filter_map(move |(key, runner)| {
             let reserved_for = runner.crash.reserved_for(now_ms);
             let is_own = reserved_for == Some(id);
             let has_run =
                 |index: &usize| runner.assignments.contains_key(&job.task_id(request.step, *index));
             if taken.contains(&key)
                 || runner.crash.probe.is_some()
-                || !is_own && (reserved_for.is_some() || !reservable.contains(runner))
-                || is_advised && !advice.has_admitted(key)
+                || !is_own && reserved_for.is_some()
                 || indices.iter().any(has_run)
             {
                 return None;
             }
             let slots = self.slots_beside_suspects(request, runner, now_ms);
-            if slots == 0 {
-                return None;
-            }
             let others = runner.assignments.len();
-            let slots = Reverse(slots.min(indices.len() as u64));
-            let answered = Reverse(runner.renewal.answered_ms);
-            Some((others > 0, !is_own, others, slots, answered, key))
-        });
-        candidates.min().map(|(_, _, others, _, _, key)| (key, others))
+            (slots > 0).then_some(SuspectPlace {
+                is_withheld: !is_own && !reservable.contains(runner),
+                is_occupied: others > 0,
+                is_foreign: !is_own,
+                others,
+                slots: Reverse(slots.min(indices.len() as u64)),
+                needs_ticket: !advice.admits(key, now_ms),
+                answered_ms: Reverse(runner.renewal.answered_ms),
+                runner: key,
+            })
+        })
     }
 
-    /// Like [`Scheduler::least_occupied`], but only a runner whose ticket is valid.
-    fn ticketed_place(
+    /// Best of the [`Scheduler::suspect_places`]. If the queue has an admission policy, the runner was
+    /// admitted, and with `has_ticket` its ticket is valid.
+    fn best_place(
         &self,
         request: &PlacementRequest<'_>,
         indices: &[usize],
+        taken: &[RunnerKey],
+        has_ticket: bool,
         now_ms: u64,
-    ) -> Option<(RunnerKey, usize)> {
-        self.advice_policy(request.key)?;
+    ) -> Option<SuspectPlace> {
         let advice = &self.jobs[request.key].steps[request.step].advice;
-        let expired: Vec<RunnerKey> =
-            self.runners.keys().filter(|key| !advice.admits(*key, now_ms)).collect();
-        self.least_occupied(request, indices, &expired, now_ms)
+        let is_advised = self.advice_policy(request.key).is_some();
+        let is_admitted = |place: &SuspectPlace| {
+            let is_known =
+                if has_ticket { !place.needs_ticket } else { advice.has_admitted(place.runner) };
+            !is_advised || is_known
+        };
+        let places = self.suspect_places(request, indices, taken, now_ms);
+        places.filter(|place| !place.is_withheld && is_admitted(place)).min()
     }
 
     /// Runners of the service of which one more may be reserved for suspects: they get a share of the
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -515,8 +515,7 @@
             let stops = self.stops();
             for stop in stops {
                 self.due_ends.retain(|(_, start)| start.run != stop.run);
-                self.answer_stop(&stop, Ok(()));
-                self.end_run(stop.runner, stop.task, stop.run, RunEnd::Stopped);
+                self.end_stopped_run(&stop);
             }
             let now_ms = self.now_ms;
             let ends = std::mem::take(&mut self.due_ends);
@@ -530,8 +529,14 @@
         started
     }
 
+    /// Answers a stop order, and ends the run, which its runner reports with the next renewal.
+    pub fn end_stopped_run(&mut self, stop: &Stop) {
+        self.answer_stop(stop, Ok(()));
+        self.end_run(stop.runner, stop.task, stop.run, RunEnd::Stopped);
+    }
+
     /// Ends a run at its runner, which reports it with the next renewal.
-    fn end_run(&mut self, key: RunnerKey, task: TaskId, run: u64, end: RunEnd) {
+    pub fn end_run(&mut self, key: RunnerKey, task: TaskId, run: u64, end: RunEnd) {
         let id = self.runner_keys.iter().find(|(_, known)| **known == key);
         let id = RunnerId::clone(id.unwrap().0);
         let runner = self.runners.get_mut(&id).unwrap();
