fix(queue): gangs with suspects request tickets for the runners that they want

Callers saw a gang that never went on (LOST): it was lost with its runner, and the leader asked the advice service about larger runners two times a second, was admitted each time, and started nothing.

Placement chose the runners with the fewest runs and stopped at the first one without a valid ticket, here an idle one; the request named the runners with the most room, whose tickets expired before the turn of the idle one.

Change: all runners for the suspects are chosen first, by `suspect_places`, and the request names those of them without a valid ticket, the best unknown ones if there are too few, and others only for members that are no suspects, without the chosen runners. A gang that has waited for long takes runners with valid tickets first, since the best ones may change before their tickets arrive.

--- a/src/queue/scheduler/advice.rs
+++ b/src/queue/scheduler/advice.rs
@@ -269,7 +269,7 @@
         let runners = match &pending.subject {
             AdviceSubject::Runners(runners) => runners,
             AdviceSubject::Tasks(count) => {
-                selected = self.runners_to_ask(&request, *count, now_ms);
+                selected = self.runners_to_ask(&request, *count, &[], now_ms);
                 if self.requests_advice_ahead() {
                     let (policy, competition) = (pending.policy, pending.competition_millis);
                     self.add_expected_runners(
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -401,11 +401,12 @@
     }
 
     /// Selects the runners to ask the advice service about for `left` waiting tasks, more than one
-    /// call can name if need be.
+    /// call can name if need be; none of `taken`.
     pub(super) fn runners_to_ask(
         &self,
         request: &PlacementRequest<'_>,
         left: usize,
+        taken: &[RunnerKey],
         now_ms: u64,
     ) -> Vec<RunnerKey> {
         let job = &self.jobs[request.key];
@@ -415,7 +416,8 @@
         let mut known = Vec::new();
         let mut unknown = Vec::new();
         let preference = self.speed_preference(request, now_ms);
-        for (key, slots) in self.candidates(request, now_ms) {
+        let is_free = |(key, _): &(RunnerKey, u64)| !taken.contains(key);
+        for (key, slots) in self.candidates(request, now_ms).filter(is_free) {
             let speed_rank = preference.rank(self.speeds.factor(key));
             if advice.has_admitted(key) {
                 if !advice.admits(key, now_ms) {
--- a/src/queue/scheduler/probe.rs
+++ b/src/queue/scheduler/probe.rs
@@ -295,8 +295,7 @@
         }
     }
 
-    /// Asks which of the best places for suspects of the step its admission policy allows, among those
-    /// that it has not been asked about.
+    /// Asks which of the [`Scheduler::unknown_places`] the admission policy of the step allows.
     fn request_probe_advice(
         &mut self,
         request: &PlacementRequest<'_>,
@@ -304,14 +303,25 @@
         now_ms: u64,
     ) {
         let Some(policy) = self.advice_policy(request.key) else { return };
+        let runners = self.unknown_places(request, indices, now_ms);
+        self.request_tickets(request, policy, runners, now_ms);
+    }
+
+    /// The best places for suspects of the step about which its admission policy has not been asked, as
+    /// many as a call can name.
+    fn unknown_places(
+        &self,
+        request: &PlacementRequest<'_>,
+        indices: &[usize],
+        now_ms: u64,
+    ) -> Vec<RunnerKey> {
         let advice = &self.jobs[request.key].steps[request.step].advice;
         let places = self.suspect_places(request, indices, &[], now_ms);
         let mut unknown: Vec<SuspectPlace> =
             places.filter(|place| !advice.asked.contains(&place.runner)).collect();
         unknown.sort_unstable();
         unknown.truncate(self.config.advice_runners);
-        let runners: Vec<RunnerKey> = unknown.into_iter().map(|place| place.runner).collect();
-        self.request_tickets(request, policy, runners, now_ms);
+        unknown.into_iter().map(|place| place.runner).collect()
     }
 
     fn reserve(&mut self, runner: RunnerKey, key: JobKey, now_ms: u64) {
@@ -410,33 +420,35 @@
         out: &mut Vec<Action>,
     ) -> Result<(), &'static str> {
         let tasks = &self.jobs[request.key].steps[request.step].tasks;
-        let count = tasks.len();
         let (suspects, others): (Vec<usize>, Vec<usize>) =
-            (0..count).partition(|index| tasks[*index].suspicion.is_suspect);
-        let advice = &self.jobs[request.key].steps[request.step].advice;
-        let is_advised = self.advice_policy(request.key).is_some();
-        let mut chosen = Vec::new();
-        for index in &suspects {
-            let place = self.best_place(request, &[*index], &chosen, false, now_ms);
-            let Some(place) = place else { break };
-            if is_advised && !advice.admits(place.runner, now_ms) {
-                break;
-            }
-            chosen.push(place.runner);
-        }
+            (0..tasks.len()).partition(|index| tasks[*index].suspicion.is_suspect);
+        let since_ms = self.waiting_since_ms(request.key, request.step, &suspects);
+        let is_late = now_ms >= since_ms + ISOLATION_WAIT_MS;
+        // The best places may change before their tickets arrive, so that valid ones count for more.
+        let ticketed = is_late.then(|| self.gang_places(request, &suspects, true, now_ms));
+        let places = ticketed.filter(|places| places.len() == suspects.len());
+        let places = places.unwrap_or_else(|| self.gang_places(request, &suspects, false, now_ms));
+        let chosen: Vec<RunnerKey> = places.iter().map(|place| place.runner).collect();
         let slots: Vec<RunnerKey> = self
             .gang_slots(request, now_ms)
             .into_iter()
             .filter(|(runner, _)| !chosen.contains(runner))
             .flat_map(|(runner, slots)| {
-                std::iter::repeat_n(runner, usize::try_from(slots).unwrap_or(usize::MAX).min(count))
+                let slots = usize::try_from(slots).unwrap_or(usize::MAX);
+                std::iter::repeat_n(runner, slots.min(others.len()))
             })
             .take(others.len())
             .collect();
-        if chosen.len() < suspects.len() || slots.len() < others.len() {
-            if let Some(policy) = self.advice_policy(request.key) {
-                self.request_advice(request, policy, AdviceSubject::Tasks(count), now_ms);
+        let has_places = chosen.len() == suspects.len() && slots.len() == others.len();
+        if let Some(policy) = self.advice_policy(request.key) {
+            if !has_places || places.iter().any(|place| place.needs_ticket) {
+                let missing = if slots.len() < others.len() { others.len() } else { 0 };
+                let asked = self.gang_runners_to_ask(request, &suspects, &places, missing, now_ms);
+                self.request_tickets(request, policy, asked, now_ms);
+                return Err("no tickets for the gang");
             }
+        }
+        if !has_places {
             return Err("no runners for the gang");
         }
         let is_idle = |runner: &RunnerKey| self.runners[*runner].assignments.is_empty();
@@ -455,6 +467,51 @@
         Ok(())
     }
 
+    /// Chooses a runner for each suspect of a gang, as far as there are any; with `has_ticket`, only
+    /// runners whose ticket is valid.
+    fn gang_places(
+        &self,
+        request: &PlacementRequest<'_>,
+        suspects: &[usize],
+        has_ticket: bool,
+        now_ms: u64,
+    ) -> Vec<SuspectPlace> {
+        let (mut chosen, mut taken) = (Vec::new(), Vec::new());
+        for index in suspects {
+            let place = self.best_place(request, &[*index], &taken, has_ticket, now_ms);
+            let Some(place) = place else { break };
+            taken.push(place.runner);
+            chosen.push(place);
+        }
+        chosen
+    }
+
+    /// Runners about which to ask for a gang: those of the chosen places without a valid ticket, the best
+    /// unknown ones if there are not enough places, and some for the `missing` members that are no
+    /// suspects.
+    fn gang_runners_to_ask(
+        &self,
+        request: &PlacementRequest<'_>,
+        suspects: &[usize],
+        places: &[SuspectPlace],
+        missing: usize,
+        now_ms: u64,
+    ) -> Vec<RunnerKey> {
+        let taken: Vec<RunnerKey> = places.iter().map(|place| place.runner).collect();
+        let expired = places.iter().filter(|place| place.needs_ticket);
+        let mut asked: Vec<RunnerKey> = expired.map(|place| place.runner).collect();
+        if places.len() < suspects.len() {
+            asked.extend(self.unknown_places(request, suspects, now_ms));
+        }
+        if missing > 0 {
+            let others = self.runners_to_ask(request, missing, &taken, now_ms);
+            let others = others.into_iter().filter(|runner| !asked.contains(runner));
+            asked.extend(others.collect::<Vec<_>>());
+        }
+        asked.truncate(self.config.advice_runners * self.max_calls_for_step());
+        asked
+    }
+
     fn begin_probation(
         &mut self,
         request: &PlacementRequest<'_>,
--- a/tests/queue_suspect_advice.rs
+++ b/tests/queue_suspect_advice.rs
@@ -15,7 +15,7 @@
 
 /// A policy whose calls take half a second, and whose tickets expire after a few of them.
 const SLOW_POLICY: AdvicePolicy =
-    AdvicePolicy { base_ms: 430.0, per_runner_ms: 6.1, valid_ms: 2_500 };
+    AdvicePolicy { base_ms: 494.0, per_runner_ms: 7.02, valid_ms: 2_500 };
 
 /// Number of hosts that can ask for advice.
 const HOSTS: usize = 8;
@@ -36,11 +36,16 @@
     capacities: Vec<u64>,
     /// Number of runners with a small task that lasts.
     lasting: u32,
+    /// Number of the last runners that no such task may use.
+    spared: usize,
     /// Numbers of the first runners that the admission policy refuses.
     refused: usize,
     jobs: Vec<Step>,
 }
 
+/// Label of the runners that these tasks may use.
+const LASTING_LABEL: &str = "lasting";
+
 /// Duration of the runs that end by themselves, in milliseconds.
 const RUN_MS: u64 = 4_000;
 
@@ -101,14 +106,19 @@
         let runners = rng.random_range(6..=24_usize);
         let capacities = (0..runners).map(|_| 8_000 << rng.random_range(0..3_u32)).collect();
         let refused = rng.random_range(0..=runners / 4);
-        let all = u32::try_from(runners).unwrap();
         let most = u32::try_from(runners - refused).unwrap();
-        let jobs = (0..rng.random_range(1..=8))
-            .map(|_| Step { is_gang, ..spread(rng.random_range(most / 2..=most)) })
-            .collect();
+        let jobs = if is_gang {
+            let gang = |count| Step { is_gang, max_per_runner: 0, ..spread(count) };
+            (0..rng.random_range(1..=3)).map(|_| gang(rng.random_range(2..=6))).collect()
+        } else {
+            let count = most / 2..=most;
+            (0..rng.random_range(1..=8)).map(|_| spread(rng.random_range(count.clone()))).collect()
+        };
         // Often none is idle.
-        let lasting = if rng.random_ratio(2, 3) { all } else { rng.random_range(0..=all) };
-        Self { capacities, lasting, refused, jobs }
+        let spared = if rng.random_ratio(1, 2) { rng.random_range(1..=3) } else { 0 };
+        let most = u32::try_from(runners - spared).unwrap();
+        let lasting = if rng.random_ratio(2, 3) { most } else { rng.random_range(0..=most) };
+        Self { capacities, lasting, spared, refused, jobs }
     }
 
     /// Starts all tasks, loses the runner with most of them at once for good, and returns the tasks of it
@@ -116,13 +126,17 @@
     fn tasks_left_after_loss(&self) -> Vec<TaskId> {
         let mut harness = Harness::new(1);
         for (number, capacity) in self.capacities.iter().enumerate() {
-            harness.add_runner(&format!("r{number}"), *capacity);
+            let is_spared = number + self.spared >= self.capacities.len();
+            let labels: &[&str] = if is_spared { &[] } else { &[LASTING_LABEL] };
+            harness.add_labelled_runner(&format!("r{number}"), *capacity, labels, 1_000);
         }
         harness.require_advice(SLOW_POLICY, 100, HOSTS);
         for number in 0..self.refused {
             harness.refuse_runner(&format!("r{number}"), true);
         }
-        let lasting = Step { is_long_running: true, max_per_runner: 1, ..spread(self.lasting) };
+        let label = Some(LASTING_LABEL.to_owned());
+        let lasting =
+            Step { is_long_running: true, max_per_runner: 1, label, ..spread(self.lasting) };
         if self.lasting > 0 {
             let lasting = job(LASTING_JOB, vec![lasting]);
             let queue = LESS_URGENT_QUEUE.to_owned();
@@ -151,7 +165,12 @@
         let is_lost = |id: &RunnerId, task: &TaskId| *id == lost && task.step.job.0 != LASTING_JOB;
         let lost_runs = runs.iter().filter(|(id, task, _)| is_lost(id, task));
         let mut left: Vec<TaskId> = lost_runs.map(|(_, task, _)| *task).collect();
-        play.ending.retain(|(_, start)| start.target.0 != lost);
+        // The other members of a gang end only together with those that are lost.
+        let is_broken = |start: &StartOrder| {
+            let is_gang = self.jobs[start.task.step.job.0 as usize - 1].is_gang;
+            is_gang && left.iter().any(|task| task.step == start.task.step)
+        };
+        play.ending.retain(|(_, start)| start.target.0 != lost && !is_broken(start));
         play.harness.cut_off_runner(&lost);
         play.harness.unlist_runner(&lost);
         let deadline_ms = play.harness.now_ms + RESTART_MS;
@@ -184,7 +203,7 @@
 #[test]
 fn suspects_of_several_jobs_start_again_while_no_runner_is_idle() {
     let jobs = vec![spread(12); 6];
-    let cell = Cell { capacities: vec![32_000; 12], lasting: 12, refused: 0, jobs };
+    let cell = Cell { capacities: vec![32_000; 12], lasting: 12, spared: 0, refused: 0, jobs };
     let left = cell.tasks_left_after_loss();
     assert!(left.is_empty(), "tasks that wait: {left:?}");
 }
@@ -194,3 +213,15 @@
 fn suspects_start_again_soon_in_random_cells() {
     check_random_cells(false);
 }
+
+// Guards against a gang that never goes on: it wanted an idle runner that the requests did not name, since
+// others had more room.
+#[test]
+fn a_gang_starts_again_on_an_idle_runner_with_little_room() {
+    let mut capacities = vec![32_000; 7];
+    capacities.push(16_000);
+    let gang = Step { is_gang: true, max_per_runner: 0, ..spread(3) };
+    let cell = Cell { capacities, lasting: 7, spared: 1, refused: 0, jobs: vec![gang] };
+    let left = cell.tasks_left_after_loss();
+    assert!(left.is_empty(), "tasks that wait: {left:?}");
+}
