fix(queue): gangs with more suspects than runners share runners

Cause: each suspect of a gang wanted a runner without any other suspect, also of its own gang, for good.

Change: if there are fewer such runners, and none left to ask about, the suspects share them after the wait for isolation, and the other members may join them: a crash ends the whole gang anyway, and the probation covers all suspects of the runner.

Evidence: a_gang_with_more_suspects_than_runners_starts_again failed before and passes.

--- a/src/queue/scheduler/probe.rs
+++ b/src/queue/scheduler/probe.rs
@@ -70,6 +70,18 @@
     runner: RunnerKey,
 }
 
+/// Runners for a gang with suspects, as far as there are any.
+#[derive(Debug)]
+struct GangPlan {
+    suspects: Vec<SuspectPlace>,
+    others: Vec<RunnerKey>,
+    /// Runners for suspects about which the admission policy has not been asked; empty if there are
+    /// enough places.
+    unknown: Vec<RunnerKey>,
+    /// Whether members may run beside suspects of the gang.
+    may_share: bool,
+}
+
 /// Runners that may be reserved for suspects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Reservable {
@@ -422,46 +434,36 @@
         let tasks = &self.jobs[request.key].steps[request.step].tasks;
         let (suspects, others): (Vec<usize>, Vec<usize>) =
             (0..tasks.len()).partition(|index| tasks[*index].suspicion.is_suspect);
-        let since_ms = self.waiting_since_ms(request.key, request.step, &suspects);
-        let is_late = now_ms >= since_ms + ISOLATION_WAIT_MS;
-        // The best places may change before their tickets arrive, so that valid ones count for more.
-        let ticketed = is_late.then(|| self.gang_places(request, &suspects, true, now_ms));
-        let places = ticketed.filter(|places| places.len() == suspects.len());
-        let places = places.unwrap_or_else(|| self.gang_places(request, &suspects, false, now_ms));
-        let chosen: Vec<RunnerKey> = places.iter().map(|place| place.runner).collect();
-        let slots: Vec<RunnerKey> = self
-            .gang_slots(request, now_ms)
-            .into_iter()
-            .filter(|(runner, _)| !chosen.contains(runner))
-            .flat_map(|(runner, slots)| {
-                let slots = usize::try_from(slots).unwrap_or(usize::MAX);
-                std::iter::repeat_n(runner, slots.min(others.len()))
-            })
-            .take(others.len())
-            .collect();
-        let has_places = chosen.len() == suspects.len() && slots.len() == others.len();
+        let plan = self.plan_gang(request, &suspects, others.len(), now_ms);
+        let is_complete =
+            plan.suspects.len() == suspects.len() && plan.others.len() == others.len();
         if let Some(policy) = self.advice_policy(request.key) {
-            if !has_places || places.iter().any(|place| place.needs_ticket) {
-                let missing = if slots.len() < others.len() { others.len() } else { 0 };
-                let asked = self.gang_runners_to_ask(request, &suspects, &places, missing, now_ms);
+            if !is_complete || plan.suspects.iter().any(|place| place.needs_ticket) {
+                let missing = if is_complete { 0 } else { others.len() };
+                let asked = self.gang_runners_to_ask(request, plan, missing, now_ms);
                 self.request_tickets(request, policy, asked, now_ms);
                 return Err("no tickets for the gang");
             }
         }
-        if !has_places {
+        if !is_complete {
             return Err("no runners for the gang");
         }
+        let chosen: Vec<RunnerKey> = plan.suspects.iter().map(|place| place.runner).collect();
         let is_idle = |runner: &RunnerKey| self.runners[*runner].assignments.is_empty();
         let idle: Vec<RunnerKey> = chosen.iter().copied().filter(is_idle).collect();
         if !self.have_answered_lately(&idle, now_ms) {
             return Err("no answer of the runners");
         }
         let run = self.new_run();
+        for runner in &chosen {
+            let at = suspects.iter().zip(&chosen).filter(|(_, at)| *at == runner);
+            let indices: Vec<usize> = at.map(|(index, _)| *index).collect();
+            self.begin_probation(request, *runner, &indices);
+        }
         for (index, runner) in suspects.into_iter().zip(chosen) {
-            self.begin_probation(request, runner, &[index]);
             self.start_task(request, index, runner, run, now_ms, out);
         }
-        for (index, runner) in others.into_iter().zip(slots) {
+        for (index, runner) in others.into_iter().zip(plan.others) {
             self.start_task(request, index, runner, run, now_ms, out);
         }
         Ok(())
@@ -486,30 +488,101 @@
         chosen
     }
 
-    /// Runners about which to ask for a gang: those of the chosen places without a valid ticket, the best
-    /// unknown ones if there are not enough places, and some for the `missing` members that are no
-    /// suspects.
-    fn gang_runners_to_ask(
+    /// Chooses runners for a gang with suspects and `others` other members. The suspects get a runner
+    /// each; if there are not enough, and no more to ask about, they share runners after a while, and
+    /// the other members join them.
+    fn plan_gang(
         &self,
         request: &PlacementRequest<'_>,
         suspects: &[usize],
+        others: usize,
+        now_ms: u64,
+    ) -> GangPlan {
+        let since_ms = self.waiting_since_ms(request.key, request.step, suspects);
+        let is_late = now_ms >= since_ms + ISOLATION_WAIT_MS;
+        // The best places may change before their tickets arrive, so that valid ones count for more.
+        let ticketed = is_late.then(|| self.gang_places(request, suspects, true, now_ms));
+        let mut places = ticketed
+            .filter(|places| places.len() == suspects.len())
+            .unwrap_or_else(|| self.gang_places(request, suspects, false, now_ms));
+        let is_advised = self.advice_policy(request.key).is_some();
+        let unknown = if is_advised && places.len() < suspects.len() {
+            self.unknown_places(request, suspects, now_ms)
+        } else {
+            Vec::new()
+        };
+        // A crash ends the whole gang, so that its members may endanger each other.
+        let may_share = is_late && unknown.is_empty();
+        if may_share {
+            self.share_places(request, &mut places, suspects.len(), now_ms);
+        }
+        let mut slots = self.slots_for_others(request, &places, others, false, now_ms);
+        if may_share && slots.len() < others {
+            slots = self.slots_for_others(request, &places, others, true, now_ms);
+        }
+        GangPlan { suspects: places, others: slots, unknown, may_share }
+    }
+
+    /// Adds places on the chosen runners until there are `count`, as far as there is room.
+    fn share_places(
+        &self,
+        request: &PlacementRequest<'_>,
+        places: &mut Vec<SuspectPlace>,
+        count: usize,
+        now_ms: u64,
+    ) {
+        let left = count.saturating_sub(places.len());
+        let more = places.iter().flat_map(|place| {
+            let runner = &self.runners[place.runner];
+            let slots = self.slots_beside_suspects(request, runner, now_ms).saturating_sub(1);
+            std::iter::repeat_n(*place, usize::try_from(slots).unwrap_or(usize::MAX).min(left))
+        });
+        let more: Vec<SuspectPlace> = more.take(left).collect();
+        places.extend(more);
+    }
+
+    /// Runners for `count` members of a gang that are no suspects; with `may_share`, also those of its
+    /// suspects.
+    fn slots_for_others(
+        &self,
+        request: &PlacementRequest<'_>,
         places: &[SuspectPlace],
+        count: usize,
+        may_share: bool,
+        now_ms: u64,
+    ) -> Vec<RunnerKey> {
+        let slots = self.gang_slots(request, now_ms).into_iter();
+        let left = slots.flat_map(|(runner, slots)| {
+            let suspects = places.iter().filter(|place| place.runner == runner).count();
+            let slots = usize::try_from(slots).unwrap_or(usize::MAX);
+            let is_allowed = may_share || suspects == 0;
+            let slots = if is_allowed { slots.saturating_sub(suspects) } else { 0 };
+            std::iter::repeat_n(runner, slots.min(count))
+        });
+        left.take(count).collect()
+    }
+
+    /// Runners about which to ask for a gang: those of its suspects without a valid ticket, the best
+    /// unknown ones if there are too few, and some for the `missing` members that are no suspects.
+    fn gang_runners_to_ask(
+        &self,
+        request: &PlacementRequest<'_>,
+        plan: GangPlan,
         missing: usize,
         now_ms: u64,
     ) -> Vec<RunnerKey> {
-        let taken: Vec<RunnerKey> = places.iter().map(|place| place.runner).collect();
-        let expired = places.iter().filter(|place| place.needs_ticket);
-        let mut asked: Vec<RunnerKey> = expired.map(|place| place.runner).collect();
-        if places.len() < suspects.len() {
-            asked.extend(self.unknown_places(request, suspects, now_ms));
-        }
+        let expired = plan.suspects.iter().filter(|place| place.needs_ticket);
+        let mut wanted: Vec<RunnerKey> = expired.map(|place| place.runner).collect();
+        wanted.extend(plan.unknown);
         if missing > 0 {
-            let others = self.runners_to_ask(request, missing, &taken, now_ms);
-            let others = others.into_iter().filter(|runner| !asked.contains(runner));
-            asked.extend(others.collect::<Vec<_>>());
+            let places = plan.suspects.iter().filter(|_| !plan.may_share);
+            let taken: Vec<RunnerKey> = places.map(|place| place.runner).collect();
+            wanted.extend(self.runners_to_ask(request, missing, &taken, now_ms));
         }
-        asked.truncate(self.config.advice_runners * self.max_calls_for_step());
-        asked
+        let mut seen = HashSet::default();
+        wanted.retain(|runner| seen.insert(*runner));
+        wanted.truncate(self.config.advice_runners * self.max_calls_for_step());
+        wanted
     }
 
     fn begin_probation(
--- a/tests/queue_suspect_advice.rs
+++ b/tests/queue_suspect_advice.rs
@@ -225,3 +225,20 @@
     let left = cell.tasks_left_after_loss();
     assert!(left.is_empty(), "tasks that wait: {left:?}");
 }
+
+// Guards against a gang that never goes on: each of its suspects wanted a runner of its own, and there
+// were fewer.
+#[test]
+fn a_gang_with_more_suspects_than_runners_starts_again() {
+    let gang = Step { is_gang: true, max_per_runner: 0, ..spread(6) };
+    let capacities = vec![8_000, 8_000, 8_000, 32_000];
+    let cell = Cell { capacities, lasting: 0, spared: 0, refused: 0, jobs: vec![gang] };
+    let left = cell.tasks_left_after_loss();
+    assert!(left.is_empty(), "tasks that wait: {left:?}");
+}
+
+// Guards against both in random cells, with runners that are idle or refused.
+#[test]
+fn gangs_start_again_soon_in_random_cells() {
+    check_random_cells(true);
+}
