fix(queue): jobs carry the newest known terms of their queue

Callers saw a job shown as failed after two of four attempts (LOST): its leader was cut off from the store when the operator added the route, and learned of the job from the host that had accepted it.

Cause: what does this job's queue say? A job copied priority, attempts, service and objective from the directory when its leader learned of it, with defaults for an unknown queue that nothing ever corrected; the admission policy was asked of the newest directory; the service of the newest one with the copy as a fallback.

Change: the host that accepts a job records the terms of its queue in the submission, with their version. Each job has one set of terms, the newest known: the recorded ones, or those of the directory if it is not older. A new directory replaces them in all jobs in progress; a queue that is not declared any more leaves them as they are. Priority, attempts, service, objective and admission policy are all read from there. While none are known, the job starts nothing, and failed runs give no verdict.

--- a/benches/queue/cell.rs
+++ b/benches/queue/cell.rs
@@ -210,6 +210,7 @@
                 steps: (0..steps).map(step).collect(),
                 accepted_unix_ms: 0,
                 workspace: self.random_workspace(),
+                terms: None,
             };
             self.durations.insert(id, duration_ms);
             self.submitted_ms.insert(id, self.now_ms);
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -122,6 +122,7 @@
         steps,
         accepted_unix_ms: unix_ms,
         workspace: None,
+        terms: None,
     })
 }
 
--- a/src/queue/caller_api.rs
+++ b/src/queue/caller_api.rs
@@ -173,7 +173,8 @@
     let body = server::read_body(request, &limits).await?;
     let submission = match callers::decode_submission(id, &queue.name, &body, clock::unix_ms()) {
         DecodedSubmission::Job(submission) => {
-            Submission { workspace: workspace.clone(), ..submission }
+            let terms = Some(Arc::new(queue.terms(directory.version)));
+            Submission { workspace: workspace.clone(), terms, ..submission }
         }
         DecodedSubmission::Invalid(message) => {
             decision_log::line("job_invalid").with("job", id).with("error", &message).end();
--- a/src/queue/model.rs
+++ b/src/queue/model.rs
@@ -168,6 +168,10 @@
     /// workspaces.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub workspace: Option<WorkspaceName>,
+    /// What the queue declared about its jobs when this one was accepted; `None` if the accepting host
+    /// did not record it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<Arc<QueueTerms>>,
 }
 
 /// How a queue's admission policy is consulted.
@@ -175,6 +179,7 @@
 /// For a queue that has one, the advice service decides which runners may run a step and issues a
 /// ticket for each. The duration of a call is estimated from its number of runners.
 #[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct AdvicePolicy {
     /// Fixed part of the duration of a call, in milliseconds.
     pub base_ms: f64,
@@ -209,6 +214,63 @@
     pub is_public: bool,
 }
 
+impl Queue {
+    /// What the queue declares about its jobs in this version of the declaration.
+    ///
+    /// ```
+    /// use hemlockrock::queue::model::Queue;
+    ///
+    /// let queue = Queue { service: "batch".to_owned(), max_attempts: 4, ..Queue::default() };
+    /// let terms = queue.terms(7);
+    /// assert_eq!((terms.version, terms.service.as_str(), terms.max_attempts), (7, "batch", 4));
+    /// ```
+    pub fn terms(&self, version: u64) -> QueueTerms {
+        QueueTerms {
+            version,
+            service: self.service.clone(),
+            priority: self.priority,
+            max_attempts: self.max_attempts,
+            stretch: self.stretch,
+            target_latency_ms: self.target_latency_ms,
+            advice: self.advice,
+        }
+    }
+}
+
+/// What a queue declares about its jobs; see [`Queue`] for the fields.
+///
+/// It is recorded with each job, since the leader may learn of the job before it learns of the queue,
+/// and the queue may be removed while its jobs are in progress.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[allow(missing_docs, reason = "the fields are those of Queue")]
+pub struct QueueTerms {
+    /// Version of the declaration.
+    pub version: u64,
+    pub service: String,
+    pub priority: u32,
+    pub max_attempts: u32,
+    pub stretch: f64,
+    pub target_latency_ms: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub advice: Option<AdvicePolicy>,
+}
+
+impl QueueTerms {
+    /// Time that the latency objective allows for a job with `work_ms` of work after each other, in
+    /// milliseconds.
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "an objective in milliseconds"
+    )]
+    pub fn allowed_ms(&self, work_ms: u64) -> u64 {
+        let stretched_ms = (work_ms as f64 * self.stretch.max(1.0)) as u64;
+        stretched_ms.saturating_add(self.target_latency_ms)
+    }
+}
+
 /// All queues that the operator has declared.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct QueueDirectory {
--- a/src/queue/scheduler.rs
+++ b/src/queue/scheduler.rs
@@ -36,7 +36,9 @@
 use crate::collections::{HashMap, HashSet};
 use crate::configs::queue::QueueConfig;
 use crate::decision_log;
-use crate::queue::model::{JobId, JobState, QueueDirectory, RunnerId, Submission};
+use crate::queue::model::{
+    JobId, JobState, QueueDirectory, QueueTerms, RunnerId, Submission, TaskId,
+};
 use crate::queue::record::Progress;
 use crate::queue::workspaces::JobOwner;
 use end_cause::EndCause;
@@ -167,6 +169,7 @@
             Event::DirectoryUpdated(directory) => {
                 self.shares.update(directory.workspaces.as_ref());
                 self.directory = directory;
+                self.update_terms(now_ms);
             }
             // A successor may already lead. It would not regard a job that arrives now as one that
             // this leader may have started, so that both might run it.
@@ -289,8 +292,8 @@
         if !self.is_unknown(id) || self.retention.is_removed(id) {
             return;
         }
-        let queue = self.directory.queue(&submission.queue);
-        let mut job = Job::new(submission, queue, now_ms);
+        let terms = self.newest_terms(&submission);
+        let mut job = Job::new(submission, terms, now_ms);
         job.owner = self.shares.owner_of(job.submission.workspace.as_ref());
         let key = self.jobs.insert(job);
         self.shares.expect_charge(key);
@@ -301,6 +304,48 @@
         }
     }
 
+    /// The newest known terms of a job's queue: those of the directory, unless the host that accepted the
+    /// job knew a newer one, or the queue is not declared any more.
+    fn newest_terms(&self, submission: &Submission) -> Option<Arc<QueueTerms>> {
+        let recorded = submission.terms.as_ref();
+        let declared = self.directory.queue(&submission.queue);
+        let is_newer = recorded.is_none_or(|terms| terms.version <= self.directory.version);
+        match declared.filter(|_| is_newer) {
+            Some(queue) => Some(Arc::new(queue.terms(self.directory.version))),
+            None => recorded.cloned(),
+        }
+    }
+
+    /// Applies the declared queues to all jobs in progress. A job whose queue is not declared any more
+    /// keeps the terms that it has.
+    fn update_terms(&mut self, now_ms: u64) {
+        let directory = Arc::clone(&self.directory);
+        let queues = directory.queues.iter();
+        let declared: HashMap<&str, Arc<QueueTerms>> = queues
+            .map(|queue| (queue.name.as_str(), Arc::new(queue.terms(directory.version))))
+            .collect();
+        let mut exhausted = Vec::new();
+        for (key, job) in &mut self.jobs {
+            let Some(terms) = declared.get(job.submission.queue.as_str()) else { continue };
+            if job.terms.as_ref().is_some_and(|known| known.version > terms.version) {
+                continue;
+            }
+            job.set_terms(Some(Arc::clone(terms)));
+            exhausted.extend(job.failed_tasks().map(|task| (key, task)));
+        }
+        for (key, task) in exhausted {
+            self.fail_if_exhausted(key, task, now_ms);
+        }
+    }
+
+    /// Ends a job once runs of the task have failed as often as its queue allows.
+    fn fail_if_exhausted(&mut self, key: JobKey, task: TaskId, now_ms: u64) {
+        if let Some((runs, allowed)) = self.jobs[key].exhausted_attempts(task) {
+            let cause = EndCause::FailedRuns { task, runs, allowed };
+            self.finish(key, JobState::Failed, &cause, now_ms);
+        }
+    }
+
     /// Adds a job that was read from the store when the term began.
     fn load(&mut self, submission: Submission, now_ms: u64) {
         let id = submission.id;
--- a/src/queue/scheduler/advice.rs
+++ b/src/queue/scheduler/advice.rs
@@ -397,7 +397,7 @@
     }
 
     pub(super) fn advice_policy(&self, job: super::JobKey) -> Option<AdvicePolicy> {
-        self.directory.queue(&self.jobs[job].submission.queue)?.advice
+        self.jobs[job].advice_policy()
     }
 
     /// Estimated share of runners that the policy of a queue admits.
--- a/src/queue/scheduler/job.rs
+++ b/src/queue/scheduler/job.rs
@@ -1,8 +1,10 @@
 //! State of jobs, steps and tasks as the leader knows it.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 
-use crate::queue::model::{JobState, Queue, StepId, Submission, TaskId};
+use crate::queue::model::{AdvicePolicy, JobState, QueueTerms, StepId, Submission, TaskId};
 use crate::queue::record::Progress;
 use crate::queue::scheduler::advice::StepAdvice;
 use crate::queue::scheduler::crash::Suspicion;
@@ -15,20 +17,16 @@
     pub struct JobKey;
 }
 
-/// Maximum number of failed runs of a task whose queue is unknown, because it was removed before
-/// this leader's term.
-const DEFAULT_ATTEMPTS: u32 = 2;
-
 /// A job whose final state is not stored yet.
 #[derive(Debug)]
 pub struct Job {
     pub(crate) submission: Submission,
     pub(crate) steps: Vec<StepRun>,
     pub(crate) state: JobState,
+    /// The newest known terms of its queue; `None` while no version of the queue is known.
+    pub(crate) terms: Option<Arc<QueueTerms>>,
+    /// Scheduling priority; the lowest one while the terms are not known.
     pub(crate) priority: u32,
-    pub(crate) max_attempts: u32,
-    /// Service of the queue when the job was submitted; used if the queue is no longer declared.
-    pub(crate) service: String,
     /// Time at which this leader learned of the job.
     pub(crate) known_ms: u64,
     /// Time at which the job should be completed by the latency objective of its queue.
@@ -95,7 +93,7 @@
 }
 
 impl Job {
-    pub(crate) fn new(submission: Submission, queue: Option<&Queue>, now_ms: u64) -> Self {
+    pub(crate) fn new(submission: Submission, terms: Option<Arc<QueueTerms>>, now_ms: u64) -> Self {
         let steps: Vec<StepRun> = submission
             .steps
             .iter()
@@ -108,26 +106,14 @@
                 reserve_searched_ms: 0,
             })
             .collect();
-        let work_ms: u64 = submission.steps.iter().map(|step| step.estimate_ms).sum();
-        #[allow(
-            clippy::cast_precision_loss,
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "an objective in milliseconds"
-        )]
-        let allowed_ms = queue.map_or(work_ms, |queue| {
-            let stretched_ms = (work_ms as f64 * queue.stretch.max(1.0)) as u64;
-            stretched_ms.saturating_add(queue.target_latency_ms)
-        });
-        Self {
+        let mut job = Self {
             steps,
             state: JobState::Queued,
-            priority: queue.map_or(u32::MAX, |queue| queue.priority),
-            max_attempts: queue.map_or(DEFAULT_ATTEMPTS, |queue| queue.max_attempts),
-            service: queue.map(|queue| queue.service.clone()).unwrap_or_default(),
+            terms: None,
+            priority: u32::MAX,
             known_ms: now_ms,
-            due_ms: now_ms.saturating_add(allowed_ms),
-            allowed_ms,
+            due_ms: now_ms,
+            allowed_ms: 0,
             is_loaded: false,
             changes: JobChanges::default(),
             lost_run_change: 0,
@@ -135,7 +121,45 @@
             exceeds_weight: false,
             shared_from_ms: now_ms,
             submission,
-        }
+        };
+        job.set_terms(terms);
+        job
+    }
+
+    /// Sets the terms of its queue, on which its priority and its objective depend.
+    pub(crate) fn set_terms(&mut self, terms: Option<Arc<QueueTerms>>) {
+        let work_ms = self.submission.steps.iter().map(|step| step.estimate_ms).sum();
+        self.priority = terms.as_ref().map_or(u32::MAX, |terms| terms.priority);
+        self.allowed_ms = terms.as_ref().map_or(work_ms, |terms| terms.allowed_ms(work_ms));
+        self.due_ms = self.known_ms.saturating_add(self.allowed_ms);
+        self.terms = terms;
+    }
+
+    /// Service whose runners run the tasks; empty while the terms of the queue are not known.
+    pub(crate) fn service(&self) -> &str {
+        self.terms.as_ref().map_or("", |terms| &terms.service)
+    }
+
+    pub(crate) fn advice_policy(&self) -> Option<AdvicePolicy> {
+        self.terms.as_ref()?.advice
+    }
+
+    /// Tasks with failed runs.
+    pub(crate) fn failed_tasks(&self) -> impl Iterator<Item = TaskId> + '_ {
+        self.steps.iter().enumerate().flat_map(|(number, step)| {
+            let step_id = self.step_id(number);
+            step.failed.iter().map(move |(index, _)| TaskId { step: step_id, index: *index })
+        })
+    }
+
+    /// Failed runs of a task, or of its gang, and how many are allowed, if they are as many; never while
+    /// the terms of the queue are not known.
+    pub(crate) fn exhausted_attempts(&self, task: TaskId) -> Option<(Vec<u64>, u32)> {
+        let allowed = self.terms.as_ref()?.max_attempts;
+        let step = task.step.step as usize;
+        let is_gang = self.submission.steps.get(step)?.is_gang;
+        let runs = self.steps.get(step)?.failed_runs(task.index, is_gang);
+        (!runs.is_empty() && runs.len() >= allowed as usize).then_some((runs, allowed))
     }
 
     /// Applies the progress that a previous leader stored.
--- a/src/queue/scheduler/placement.rs
+++ b/src/queue/scheduler/placement.rs
@@ -172,9 +172,7 @@
     }
 
     pub(super) fn service_name(&self, key: JobKey) -> &str {
-        let job = &self.jobs[key];
-        let queue = self.directory.queue(&job.submission.queue);
-        queue.map_or(&job.service, |queue| &queue.service)
+        self.jobs[key].service()
     }
 
     /// Runners for the members of a gang, those with the most room first, and how many fit on each.
--- a/src/queue/scheduler/runner_status.rs
+++ b/src/queue/scheduler/runner_status.rs
@@ -305,15 +305,10 @@
                     run.failed_at = Some(key);
                 }
                 let is_new = job.steps[step].record_failure(task.index, ended.run);
-                let runs = job.steps[step].failed_runs(task.index, is_gang);
-                let allowed = job.max_attempts;
                 if is_new {
                     self.mark_dirty(job_key);
                 }
-                if runs.len() >= allowed as usize {
-                    let cause = EndCause::FailedRuns { task, runs, allowed };
-                    self.finish(job_key, JobState::Failed, &cause, now_ms);
-                }
+                self.fail_if_exhausted(job_key, task, now_ms);
             }
             _ => {}
         }
--- a/src/queue/scheduler/speed_placement.rs
+++ b/src/queue/scheduler/speed_placement.rs
@@ -235,8 +235,8 @@
     /// Speed factor at which steps with `work_ms` of work after each other fit into a time.
     fn allowed_factor(&self, job: &Job, time_ms: u64, work_ms: u64, steps: usize) -> f64 {
         let queue = &job.submission.queue;
-        let advice = self.directory.queue(queue).and_then(|queue| queue.advice);
-        let advice_ms = advice
+        let advice_ms = job
+            .advice_policy()
             .map_or(0.0, |advice| advice.base_ms + advice.per_runner_ms * TYPICAL_ADVICE_RUNNERS);
         #[allow(clippy::cast_precision_loss, reason = "durations in milliseconds")]
         let (time_ms, work_ms, overhead_ms, used) = (
--- a/tests/queue_support/mod.rs
+++ b/tests/queue_support/mod.rs
@@ -143,6 +143,8 @@
     confirms_lease: bool,
     /// Version, admission policy and workspaces of the directory.
     declared: (u64, Option<AdvicePolicy>, Option<Workspaces>),
+    /// Whether the directory names no queues.
+    hides_queues: bool,
     /// The stored roster.
     roster: Vec<RosterEntry>,
     /// Whether the store refuses writes of the roster.
@@ -166,6 +168,7 @@
         steps,
         accepted_unix_ms: 0,
         workspace: None,
+        terms: None,
     }
 }
 
@@ -223,6 +226,7 @@
             advice: None,
             confirms_lease,
             declared: (0, None, None),
+            hides_queues: false,
             roster: Vec::new(),
             refuses_roster: false,
             saved: BTreeMap::new(),
@@ -295,10 +299,27 @@
             target_latency_ms: 1_200,
             ..queue.clone()
         };
-        let queues = vec![queue, less_urgent, other_service, tight, ample];
+        let queues = if self.hides_queues {
+            Vec::new()
+        } else {
+            vec![queue, less_urgent, other_service, tight, ample]
+        };
         Arc::new(QueueDirectory { version, queues, max_body_bytes: 1 << 18, workspaces })
     }
 
+    /// Removes all queues in the next version of the declaration, or declares them again.
+    pub fn hide_queues(&mut self, is_hidden: bool) {
+        self.hides_queues = is_hidden;
+        self.declare(self.declared.0 + 1, self.declared.1);
+    }
+
+    /// The job as a host records it that knows the declared queues.
+    pub fn with_terms(&self, submission: Submission) -> Submission {
+        let directory = self.directory();
+        let queue = directory.queue(&submission.queue).unwrap();
+        Submission { terms: Some(Arc::new(queue.terms(directory.version))), ..submission }
+    }
+
     /// Replaces the leader by one that has read the records of these jobs and the roster, but has not
     /// read any runner yet.
     pub fn take_over(&mut self, token: u64, jobs: &[Submission]) {
