--- a/src/queue/model.rs
+++ b/src/queue/model.rs
@@ -237,21 +237,26 @@
     }
 }
 
-/// What a queue declares about its jobs; see [`Queue`] for the fields.
+/// What a queue declares about its jobs.
 ///
 /// It is recorded with each job, since the leader may learn of the job before it learns of the queue,
 /// and the queue may be removed while its jobs are in progress.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
-#[allow(missing_docs, reason = "the fields are those of Queue")]
 pub struct QueueTerms {
     /// Version of the declaration.
     pub version: u64,
+    /// Service whose runners run the tasks.
     pub service: String,
+    /// Scheduling priority; 0 is the most urgent.
     pub priority: u32,
+    /// Number of failed runs of one task after which its job fails.
     pub max_attempts: u32,
+    /// Multiplier of a job's estimated work in its latency objective; values below 1 count as 1.
     pub stretch: f64,
+    /// Constant added to a job's latency objective, in milliseconds.
     pub target_latency_ms: u64,
+    /// Admission policy; `None` if any runner of the service may run the tasks.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub advice: Option<AdvicePolicy>,
 }
@@ -259,6 +264,13 @@
 impl QueueTerms {
     /// Time that the latency objective allows for a job with `work_ms` of work after each other, in
     /// milliseconds.
+    ///
+    /// ```
+    /// use hemlockrock::queue::model::Queue;
+    ///
+    /// let queue = Queue { stretch: 2.0, target_latency_ms: 500, ..Queue::default() };
+    /// assert_eq!(queue.terms(1).allowed_ms(1_000), 2_500);
+    /// ```
     #[allow(
         clippy::cast_precision_loss,
         clippy::cast_possible_truncation,
