--- a/tests/queue_suspect_advice.rs
+++ b/tests/queue_suspect_advice.rs
@@ -30,6 +30,15 @@
 /// Number of the job with long-running tasks.
 const LASTING_JOB: u64 = 100;
 
+/// Label of the runners that these tasks may use.
+const LASTING_LABEL: &str = "lasting";
+
+/// Duration of the runs that end by themselves, in milliseconds.
+const RUN_MS: u64 = 4_000;
+
+/// Age up to which tasks are suspects if their runner is lost, in milliseconds.
+const RECENT_MS: u64 = 900;
+
 /// A cell of which one runner is lost.
 struct Cell {
     /// Capacities of the runners, in thousandths of a core.
@@ -43,15 +52,6 @@
     jobs: Vec<Step>,
 }
 
-/// Label of the runners that these tasks may use.
-const LASTING_LABEL: &str = "lasting";
-
-/// Duration of the runs that end by themselves, in milliseconds.
-const RUN_MS: u64 = 4_000;
-
-/// Age up to which tasks are suspects if their runner is lost, in milliseconds.
-const RECENT_MS: u64 = 900;
-
 /// Tasks of a job, at most two on each runner.
 fn spread(count: u32) -> Step {
     Step { max_per_runner: 2, ..step(count, 500) }
